--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# GO_TEST_FLAGS are added to every go test command.
+GO_TEST_FLAGS ?=
+
+.PHONY: build test lint fmt demo bench bench-policy prove generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+test: lint build
+	go test -count=1 $(GO_TEST_FLAGS) ./...
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+# generate needs buf, protoc-gen-go and protoc-gen-connect-go; its output is committed.
+generate:
+	buf generate
--- /dev/null
+++ b/cluster/apply.go
@@ -0,0 +1,222 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+)
+
+// apply changes s by one entry of version.
+func (s *State) apply(version uint64, e Entry) error {
+	switch e.Kind {
+	case EntryMemberJoined:
+		return s.join(version, e.Member)
+	case EntryMemberDraining:
+		return s.setDraining(e.Session)
+	case EntryMemberLeft, EntryMemberFenced:
+		return s.removeMember(e.Session)
+	case EntryOwnerSet:
+		return s.setOwner(version, e)
+	case EntryHotKeyIsolated:
+		return s.isolate(e.Unit)
+	case EntryHotKeyCleared:
+		return s.clearHotKey(e.Unit)
+	case EntryMoveBegun:
+		return s.beginMove(e.Unit, e.Session)
+	case EntryMoveCancelled:
+		return s.cancelMove(e.Unit)
+	case EntryRangeSplit:
+		return s.split(e.Unit, e.At)
+	case EntryRangeMerged:
+		return s.merge(e.Unit)
+	default:
+		return fmt.Errorf("unknown entry kind %d", e.Kind)
+	}
+}
+
+func (s *State) join(version uint64, m *Member) error {
+	if m == nil || m.Session.IsZero() {
+		return fmt.Errorf("join without a member")
+	}
+	joined := *m
+	joined.JoinedAt = version
+	if old, ok := s.Members[m.Session]; ok {
+		joined.JoinedAt = old.JoinedAt // a repeated join updates service and slots
+	}
+	s.Members[m.Session] = joined
+	return nil
+}
+
+func (s *State) setDraining(session Session) error {
+	m, ok := s.Members[session]
+	if !ok {
+		return fmt.Errorf("session %s is not a member", session)
+	}
+	m.State = MemberDraining
+	s.Members[session] = m
+	return nil
+}
+
+// removeMember removes a session. Units that it owns lose their owner, and moves
+// to it are closed; entries after this one name the new owners.
+func (s *State) removeMember(session Session) error {
+	if _, ok := s.Members[session]; !ok {
+		return fmt.Errorf("session %s is not a member", session)
+	}
+	delete(s.Members, session)
+	for _, svc := range s.Services {
+		for i := range svc.Ranges {
+			svc.Ranges[i].drop(session)
+		}
+		for i := range svc.HotKeys {
+			svc.HotKeys[i].drop(session)
+		}
+	}
+	return nil
+}
+
+func (o *Ownership) drop(session Session) {
+	if o.Owner == session {
+		o.Owner, o.MovingTo = Session{}, Session{}
+	}
+	if o.MovingTo == session {
+		o.MovingTo = Session{}
+	}
+}
+
+func (s *State) setOwner(version uint64, e Entry) error {
+	if _, ok := s.Members[e.Session]; !ok {
+		return fmt.Errorf("new owner %s is not a member", e.Session)
+	}
+	svc := s.Services[e.Unit.Service]
+	if svc == nil {
+		svc = &Service{}
+		s.Services[e.Unit.Service] = svc
+	}
+	o := s.find(e.Unit)
+	if o == nil {
+		if err := svc.insert(e.Unit, version); err != nil {
+			return err
+		}
+		o = s.find(e.Unit)
+	}
+	if !o.Owner.IsZero() && o.MovingTo != e.Session {
+		return fmt.Errorf("unit %x is owned by %s, which has not released it", e.Unit.Start, o.Owner)
+	}
+	*o = Ownership{Owner: e.Session, Epoch: version, FloorMS: max(o.FloorMS, e.FloorMS)}
+	return nil
+}
+
+// insert adds a range without an owner. Ranges are created only in the version that
+// creates the first ranges of a service; a boundary set later would take keys from
+// a live owner, which only a split and a move may do.
+func (s *Service) insert(u Unit, version uint64) error {
+	if u.Hot {
+		return fmt.Errorf("hot key %x must be isolated before it gets an owner", u.Start)
+	}
+	i := s.rangeIndex(u.Start)
+	if len(s.Ranges) == 0 && u.Start != 0 {
+		return fmt.Errorf("the first range must start at 0, not at %x", u.Start)
+	}
+	if i >= 0 && s.Ranges[i].Epoch != version {
+		return fmt.Errorf("range %x would cut an existing range", u.Start)
+	}
+	s.Ranges = slices.Insert(s.Ranges, i+1, Range{Start: u.Start})
+	return nil
+}
+
+func (s *State) isolate(u Unit) error {
+	svc := s.Services[u.Service]
+	if svc == nil || !u.Hot {
+		return fmt.Errorf("no hash space to isolate %x from", u.Start)
+	}
+	i, ok := svc.findHotKey(u.Start)
+	if ok {
+		return fmt.Errorf("hot key %x exists", u.Start)
+	}
+	r := svc.rangeIndex(u.Start)
+	if r < 0 || !svc.Ranges[r].MovingTo.IsZero() {
+		return fmt.Errorf("range of hot key %x is absent or moving", u.Start)
+	}
+	svc.HotKeys = slices.Insert(svc.HotKeys, i, HotKey{Hash: u.Start, Ownership: svc.Ranges[r].Ownership})
+	return nil
+}
+
+func (s *State) clearHotKey(u Unit) error {
+	svc := s.Services[u.Service]
+	if svc == nil {
+		return fmt.Errorf("unknown service %q", u.Service)
+	}
+	i, ok := svc.findHotKey(u.Start)
+	r := svc.rangeIndex(u.Start)
+	if !ok || r < 0 {
+		return fmt.Errorf("no hot key %x", u.Start)
+	}
+	h, o := svc.HotKeys[i], &svc.Ranges[r].Ownership
+	if h.Owner != o.Owner || !h.MovingTo.IsZero() || !o.MovingTo.IsZero() {
+		return fmt.Errorf("hot key %x has another owner than its range", u.Start)
+	}
+	o.absorb(h.Ownership)
+	svc.HotKeys = slices.Delete(svc.HotKeys, i, i+1)
+	return nil
+}
+
+func (s *State) beginMove(u Unit, to Session) error {
+	o := s.find(u)
+	if o == nil || o.Owner.IsZero() {
+		return fmt.Errorf("unit %x has no owner to move from", u.Start)
+	}
+	if _, ok := s.Members[to]; !ok {
+		return fmt.Errorf("move target %s is not a member", to)
+	}
+	if !o.MovingTo.IsZero() || o.Owner == to {
+		return fmt.Errorf("unit %x is moving or already there", u.Start)
+	}
+	o.MovingTo = to
+	return nil
+}
+
+func (s *State) cancelMove(u Unit) error {
+	o := s.find(u)
+	if o == nil || o.MovingTo.IsZero() {
+		return fmt.Errorf("unit %x has no open move", u.Start)
+	}
+	o.MovingTo = Session{}
+	return nil
+}
+
+func (s *State) split(u Unit, at uint64) error {
+	svc := s.Services[u.Service]
+	if svc == nil || u.Hot {
+		return fmt.Errorf("unit %x cannot be split", u.Start)
+	}
+	i, ok := svc.findRange(u.Start)
+	if !ok || svc.rangeIndex(at) != i || at == u.Start || !svc.Ranges[i].MovingTo.IsZero() {
+		return fmt.Errorf("range %x cannot be split at %x", u.Start, at)
+	}
+	svc.Ranges = slices.Insert(svc.Ranges, i+1, Range{Start: at, Ownership: svc.Ranges[i].Ownership})
+	return nil
+}
+
+func (s *State) merge(u Unit) error {
+	svc := s.Services[u.Service]
+	if svc == nil || u.Hot {
+		return fmt.Errorf("unit %x cannot be merged", u.Start)
+	}
+	i, ok := svc.findRange(u.Start)
+	if !ok || i == 0 {
+		return fmt.Errorf("no boundary at %x", u.Start)
+	}
+	left, right := &svc.Ranges[i-1], svc.Ranges[i]
+	if left.Owner != right.Owner || !left.MovingTo.IsZero() || !right.MovingTo.IsZero() {
+		return fmt.Errorf("ranges beside %x differ in owner or are moving", u.Start)
+	}
+	left.absorb(right.Ownership)
+	svc.Ranges = slices.Delete(svc.Ranges, i, i+1)
+	return nil
+}
+
+// absorb keeps the later epoch and floor of two ownerships that become one.
+func (o *Ownership) absorb(other Ownership) {
+	o.Epoch = max(o.Epoch, other.Epoch)
+	o.FloorMS = max(o.FloorMS, other.FloorMS)
+}
--- /dev/null
+++ b/cluster/state_test.go
@@ -0,0 +1,64 @@
+package cluster
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func joined(names ...string) (*State, []Session) {
+	s := NewState()
+	var sessions []Session
+	for i, n := range names {
+		session := Session{Instance: n, Incarnation: uint64(i + 1)}
+		sessions = append(sessions, session)
+		m := Member{Session: session, Service: "booking", Slots: 6}
+		if err := s.Apply(s.Version+1, []Entry{{Kind: EntryMemberJoined, Member: &m}}); err != nil {
+			panic(err)
+		}
+	}
+	return s, sessions
+}
+
+// Guards against two owners: no entry may take a unit from a live owner that has
+// not agreed to an open move.
+func TestOwnerSetNeedsAnOpenMoveOrAnAbsentOwner(t *testing.T) {
+	g := NewWithT(t)
+	s, m := joined("a", "b", "c")
+	u := Unit{Service: "booking"}
+	set := func(to Session) []Entry { return []Entry{{Kind: EntryOwnerSet, Unit: u, Session: to}} }
+	g.Expect(s.Apply(4, set(m[0]))).To(Succeed())
+	g.Expect(s.Check(set(m[1]))).NotTo(Succeed())
+	g.Expect(s.Apply(5, []Entry{{Kind: EntryMoveBegun, Unit: u, Session: m[1]}})).To(Succeed())
+	g.Expect(s.Check(set(m[2]))).NotTo(Succeed())
+	g.Expect(s.Apply(6, set(m[1]))).To(Succeed())
+	fence := Entry{Kind: EntryMemberFenced, Session: m[1]}
+	g.Expect(s.Apply(7, append([]Entry{fence}, set(m[2])...))).To(Succeed())
+	o, _ := s.Owner("booking", 42)
+	g.Expect(o.Owner).To(Equal(m[2]))
+	g.Expect(o.Epoch).To(BeEquivalentTo(7))
+}
+
+// Guards against keys that change owner by a boundary: a range may only be created
+// with its service, later ones come from splits.
+func TestSplitMergeAndHotKeysKeepTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	s, m := joined("a", "b")
+	whole := Unit{Service: "booking"}
+	half := Unit{Service: "booking", Start: 1 << 63}
+	hot := Unit{Service: "booking", Start: 7, Hot: true}
+	g.Expect(s.Apply(3, []Entry{{Kind: EntryOwnerSet, Unit: whole, Session: m[0]}})).To(Succeed())
+	g.Expect(s.Check([]Entry{{Kind: EntryOwnerSet, Unit: half, Session: m[1]}})).NotTo(Succeed())
+	g.Expect(s.Apply(4, []Entry{
+		{Kind: EntryRangeSplit, Unit: whole, At: half.Start},
+		{Kind: EntryHotKeyIsolated, Unit: hot},
+		{Kind: EntryMoveBegun, Unit: hot, Session: m[1]},
+	})).To(Succeed())
+	g.Expect(s.Apply(5, []Entry{{Kind: EntryOwnerSet, Unit: hot, Session: m[1]}})).To(Succeed())
+	o, unit := s.Owner("booking", 7)
+	g.Expect(o.Owner).To(Equal(m[1]))
+	g.Expect(unit).To(Equal(hot))
+	g.Expect(s.Check([]Entry{{Kind: EntryHotKeyCleared, Unit: hot}})).NotTo(Succeed())
+	g.Expect(s.Apply(6, []Entry{{Kind: EntryRangeMerged, Unit: half}})).To(Succeed())
+	g.Expect(s.Services["booking"].Ranges).To(HaveLen(1))
+}
