Add feeds in the table and the spread of their records

Cause: catalogue, members and assignment need one ordered, durable log that reaches all daemons also when the store is down.

--- a/cluster/state.go
+++ b/cluster/state.go
@@ -9,9 +9,9 @@
 // State is the cluster at one version. It is not safe for concurrent use; readers
 // that run beside a writer use Clone.
 type State struct {
-	Version  uint64              `cbor:"1,keyasint"`
-	Members  map[Session]Member  `cbor:"-"`
-	Services map[string]*Service `cbor:"3,keyasint"`
+	Version  uint64
+	Members  map[Session]Member
+	Services map[string]*Service
 }
 
 // NewState returns the empty state at version 0.
--- /dev/null
+++ b/feed/writer.go
@@ -0,0 +1,148 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+
+	"github.com/basilway/basilway/platform"
+)
+
+// resolveInterval is the pause between attempts to learn the fate of a write whose
+// answer was lost.
+const resolveInterval = 50 * time.Millisecond
+
+// Writer appends records to the feeds of a table. It is safe for concurrent use.
+type Writer struct {
+	table platform.Table
+}
+
+// NewWriter returns a Writer for table.
+func NewWriter(table platform.Table) *Writer { return &Writer{table: table} }
+
+// Append writes body as version after+1 of topic. The extra conditions and writes
+// are part of the same transaction.
+//
+// Errors: platform.ErrConflict if the head is not at version after or an extra
+// condition does not hold, platform.ErrUnavailable if nothing was written, and
+// platform.ErrUnknown if ctx ended before the outcome of a write was known.
+func (w *Writer) Append(ctx context.Context, topic string, after uint64, body []byte, extra platform.Txn) (Record, error) {
+	headRow, err := w.table.Get(ctx, HeadKey(topic))
+	if err != nil {
+		return Record{}, fmt.Errorf("%w: read head: %w", platform.ErrUnavailable, err)
+	}
+	current, err := decodeHead(headRow.Value)
+	if err != nil {
+		return Record{}, err
+	}
+	if current != after {
+		return Record{}, fmt.Errorf("%w: feed %s is at version %d, not %d", platform.ErrConflict, topic, current, after)
+	}
+	rec := Record{Version: after + 1, Token: uuid.New(), Body: body}
+	txn, err := appendTxn(topic, headRow.Version, rec, extra)
+	if err != nil {
+		return Record{}, err
+	}
+	return rec, w.commit(ctx, topic, rec, txn)
+}
+
+func appendTxn(topic string, headRowVersion uint64, rec Record, extra platform.Txn) (platform.Txn, error) {
+	headValue, err := encodeHead(rec.Version)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	logValue, err := cbor.Marshal(rec)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	logKey := LogKey(topic, rec.Version)
+	return platform.Txn{
+		Conditions: append([]platform.Condition{
+			{Key: HeadKey(topic), Version: headRowVersion},
+			{Key: logKey, Version: 0},
+		}, extra.Conditions...),
+		Writes: append([]platform.Write{
+			{Key: HeadKey(topic), Value: headValue},
+			{Key: logKey, Value: logValue},
+		}, extra.Writes...),
+	}, nil
+}
+
+// commit sends the transaction until its outcome is known. Sending it again is safe:
+// its condition on the head row holds at most once. A conflict after a lost answer
+// may be our own earlier attempt, so the log row decides.
+func (w *Writer) commit(ctx context.Context, topic string, rec Record, txn platform.Txn) error {
+	inDoubt := false
+	for {
+		err := w.table.Commit(ctx, txn)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrConflict) && !inDoubt:
+			return err
+		case errors.Is(err, platform.ErrUnavailable) && !inDoubt:
+			return err
+		case errors.Is(err, platform.ErrConflict):
+			mine, readErr := w.isMine(ctx, topic, rec)
+			if readErr == nil && mine {
+				return nil
+			}
+			if readErr == nil {
+				return err
+			}
+		case !errors.Is(err, platform.ErrUnavailable):
+			inDoubt = true
+		}
+		if waitErr := sleep(ctx, resolveInterval); waitErr != nil {
+			return fmt.Errorf("%w: feed %s version %d: %w", platform.ErrUnknown, topic, rec.Version, err)
+		}
+	}
+}
+
+// isMine reports whether the log row of rec's version carries rec's token. It
+// returns ErrUnknown if the row was archived in the meantime.
+func (w *Writer) isMine(ctx context.Context, topic string, rec Record) (bool, error) {
+	row, err := w.table.Get(ctx, LogKey(topic, rec.Version))
+	if err != nil {
+		return false, err
+	}
+	if row.Version == 0 {
+		return false, w.checkNotArchived(ctx, topic, rec.Version)
+	}
+	stored, err := decodeRecord(row.Value)
+	if err != nil {
+		return false, err
+	}
+	return stored.Token == rec.Token, nil
+}
+
+// checkNotArchived returns nil if version was never written.
+func (w *Writer) checkNotArchived(ctx context.Context, topic string, version uint64) error {
+	row, err := w.table.Get(ctx, HeadKey(topic))
+	if err != nil {
+		return err
+	}
+	current, err := decodeHead(row.Value)
+	if err != nil {
+		return err
+	}
+	if current >= version {
+		return fmt.Errorf("%w: feed %s version %d is archived", platform.ErrUnknown, topic, version)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/membership/spread_test.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/cluster"
+)
+
+func spreads(n int) []*Spread {
+	var members []cluster.Member
+	for i := range n {
+		members = append(members, cluster.Member{
+			Session: cluster.Session{Instance: fmt.Sprintf("i%04d", i), Incarnation: 1},
+			Address: fmt.Sprint(i), Zone: fmt.Sprintf("r%d/z%d", i%6, i%22),
+		})
+	}
+	all := make([]*Spread, n)
+	for i, m := range members {
+		all[i] = NewSpread(DefaultConfig(), m.Session, m.Region(), nil, rand.New(rand.NewPCG(7, uint64(i))))
+		all[i].SetMembers(members)
+	}
+	return all
+}
+
+// Guards against a spread whose time grows with the number of members: 1,900
+// daemons must all learn a record within 13 s, also when one push in five is lost.
+func TestRecordReachesAllDaemons(t *testing.T) {
+	g := NewWithT(t)
+	const n = 1900
+	daemons := spreads(n)
+	loss := rand.New(rand.NewPCG(11, 11))
+	known := make([]bool, n)
+	fresh := []int{0}
+	known[0] = true
+	start := time.Unix(0, 0)
+	messages, reached := 0, 1
+	// One push round takes a round trip, well under 250 ms between regions.
+	elapsed := time.Duration(0)
+	for ; reached < n; elapsed += 250 * time.Millisecond {
+		now := start.Add(elapsed)
+		g.Expect(elapsed).To(BeNumerically("<", 13*time.Second))
+		var next []int
+		learn := func(text string) {
+			messages++
+			var i int
+			_, err := fmt.Sscan(text, &i)
+			g.Expect(err).NotTo(HaveOccurred())
+			if known[i] || loss.Float64() < 0.2 {
+				return
+			}
+			known[i] = true
+			reached++
+			next = append(next, i)
+		}
+		for _, i := range fresh {
+			for _, peer := range daemons[i].PushTargets("") {
+				learn(peer)
+			}
+		}
+		for i, d := range daemons {
+			if peer, _ := d.Tick(now); peer != "" && known[i] {
+				learn(peer)
+			}
+		}
+		fresh = next
+	}
+	t.Logf("reached %d daemons in %s with %.1f messages a daemon", reached, elapsed, float64(messages)/n)
+}
