Name the planner in the cluster feed

Cause: a separate planner row would be a second guard beside the head of the cluster feed, which already admits only writers that know the latest version. Change: entry PlannerSet, State.Planner; the planner row is dropped from the design.

--- a/cluster/apply.go
+++ b/cluster/apply.go
@@ -28,6 +28,8 @@
 		return s.split(e.Unit, e.At)
 	case EntryRangeMerged:
 		return s.merge(e.Unit)
+	case EntryPlannerSet:
+		return s.setPlanner(e.Session)
 	default:
 		return fmt.Errorf("unknown entry kind %d", e.Kind)
 	}
@@ -46,6 +48,14 @@
 	return nil
 }
 
+func (s *State) setPlanner(session Session) error {
+	if _, ok := s.Members[session]; !ok {
+		return fmt.Errorf("planner %s is not a member", session)
+	}
+	s.Planner = session
+	return nil
+}
+
 func (s *State) setDraining(session Session) error {
 	m, ok := s.Members[session]
 	if !ok {
@@ -63,6 +73,9 @@
 		return fmt.Errorf("session %s is not a member", session)
 	}
 	delete(s.Members, session)
+	if s.Planner == session {
+		s.Planner = Session{}
+	}
 	for _, svc := range s.Services {
 		for i := range svc.Ranges {
 			svc.Ranges[i].drop(session)
--- a/cluster/codec.go
+++ b/cluster/codec.go
@@ -23,11 +23,12 @@
 	Version  uint64              `cbor:"1,keyasint"`
 	Members  []Member            `cbor:"2,keyasint"`
 	Services map[string]*Service `cbor:"3,keyasint"`
+	Planner  Session             `cbor:"4,keyasint"`
 }
 
 // Encode returns the state as the body of a feed snapshot.
 func (s *State) Encode() ([]byte, error) {
-	return cbor.Marshal(snapshot{Version: s.Version, Members: s.SortedMembers(), Services: s.Services})
+	return cbor.Marshal(snapshot{Version: s.Version, Members: s.SortedMembers(), Services: s.Services, Planner: s.Planner})
 }
 
 // DecodeState reverses State.Encode.
@@ -37,7 +38,7 @@
 		return nil, fmt.Errorf("cluster snapshot: %w", err)
 	}
 	s := NewState()
-	s.Version = snap.Version
+	s.Version, s.Planner = snap.Version, snap.Planner
 	for _, m := range snap.Members {
 		s.Members[m.Session] = m
 	}
--- a/cluster/entry.go
+++ b/cluster/entry.go
@@ -29,6 +29,8 @@
 	EntryRangeMerged EntryKind = 10
 	// EntryHotKeyIsolated makes Unit a hot key that keeps its range's owner and epoch.
 	EntryHotKeyIsolated EntryKind = 11
+	// EntryPlannerSet makes Session the planner.
+	EntryPlannerSet EntryKind = 12
 )
 
 // Entry is one change of the cluster state. Which fields count depends on Kind.
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -12,6 +12,8 @@
 	Version  uint64
 	Members  map[Session]Member
 	Services map[string]*Service
+	// Planner is the session that plans; zero if none does.
+	Planner Session
 }
 
 // NewState returns the empty state at version 0.
@@ -19,27 +21,36 @@
 	return &State{Members: map[Session]Member{}, Services: map[string]*Service{}}
 }
 
-// Apply moves the state to version, which must be the next one. On an error the
-// state is unchanged and the feed is corrupt, because writers validate entries
-// with Check before they commit them.
-func (s *State) Apply(version uint64, entries []Entry) error {
+// Next returns the state after version, which must follow s.Version. On an error the
+// feed is corrupt, because writers validate entries with Check before they commit.
+func (s *State) Next(version uint64, entries []Entry) (*State, error) {
 	if version != s.Version+1 {
-		return fmt.Errorf("cluster entry %d does not follow version %d", version, s.Version)
+		return nil, fmt.Errorf("cluster entry %d does not follow version %d", version, s.Version)
 	}
 	next := s.Clone()
 	for i, e := range entries {
 		if err := next.apply(version, e); err != nil {
-			return fmt.Errorf("cluster version %d, entry %d: %w", version, i, err)
+			return nil, fmt.Errorf("cluster version %d, entry %d: %w", version, i, err)
 		}
 	}
 	next.Version = version
+	return next, nil
+}
+
+// Apply moves s to version. On an error s is unchanged; see Next.
+func (s *State) Apply(version uint64, entries []Entry) error {
+	next, err := s.Next(version, entries)
+	if err != nil {
+		return err
+	}
 	*s = *next
 	return nil
 }
 
 // Check returns the error that Apply would return for the next version.
 func (s *State) Check(entries []Entry) error {
-	return s.Clone().Apply(s.Version+1, entries)
+	_, err := s.Next(s.Version+1, entries)
+	return err
 }
 
 // Clone returns a deep copy.
@@ -48,6 +59,7 @@
 		Version:  s.Version,
 		Members:  make(map[Session]Member, len(s.Members)),
 		Services: make(map[string]*Service, len(s.Services)),
+		Planner:  s.Planner,
 	}
 	for k, v := range s.Members {
 		c.Members[k] = v
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,41 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Limits of decoded messages; they bound the memory that a malformed one can take.
+const (
+	maxArrayElements = 1 << 18
+	maxMapPairs      = 1 << 16
+	maxNesting       = 16
+)
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Encode returns v in CBOR.
+func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// Decode reads one message of type T.
+func Decode[T any](body []byte) (T, error) {
+	var v T
+	if err := decoder.Unmarshal(body, &v); err != nil {
+		return v, fmt.Errorf("malformed %T: %w", v, err)
+	}
+	return v, nil
+}
