--- /dev/null
+++ b/catalogue/snapshot.go
@@ -0,0 +1,67 @@
+package catalogue
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// encoding is deterministic, so that equal books have equal snapshots.
+var encoding = mustEncMode()
+
+type snapshot struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Entries []Entry  `cbor:"2,keyasint"`
+	History []Record `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns a snapshot of the book, including the remembered history.
+func (b *Book) Encode() ([]byte, error) {
+	return encoding.Marshal(snapshot{Version: b.version, Entries: b.All(), History: b.history})
+}
+
+// DecodeBook reverses Book.Encode. It refuses snapshots that no feed can lead to.
+func DecodeBook(data []byte) (*Book, error) {
+	var s snapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("catalogue snapshot: %w", err)
+	}
+	b := NewBook()
+	b.version = s.Version
+	for _, e := range s.Entries {
+		if _, twice := b.entries[e.Service]; twice || e.Version == 0 || e.Version > s.Version {
+			return nil, fmt.Errorf("catalogue snapshot %d: entry %q at version %d is out of place",
+				s.Version, e.Service, e.Version)
+		}
+		b.entries[e.Service] = e
+	}
+	last := uint64(0)
+	for _, r := range s.History {
+		if r.Version <= last || r.Version > s.Version {
+			return nil, fmt.Errorf("catalogue snapshot %d: history version %d is out of place", s.Version, r.Version)
+		}
+		last = r.Version
+	}
+	b.history = s.History[max(0, len(s.History)-HistoryLimit):]
+	return b, nil
+}
+
+// EncodeChange returns the CBOR form of a change for the feed log.
+func EncodeChange(c Change) ([]byte, error) { return encoding.Marshal(c) }
+
+// DecodeChange reverses EncodeChange.
+func DecodeChange(data []byte) (Change, error) {
+	var c Change
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Change{}, fmt.Errorf("catalogue change: %w", err)
+	}
+	return c, nil
+}
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
