Add platform client and stand-in over connect-go

Cause: daemons reach the table and the object store over the network, and the outcome of a commit must survive transport errors. Change: internal/connectplatform with client and handlers, and the command standin platform.

--- /dev/null
+++ b/internal/connectplatform/faults.go
@@ -0,0 +1,39 @@
+package connectplatform
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	platformv1 "github.com/basilway/basilway/gen/basilway/platform/v1"
+	"github.com/basilway/basilway/platform/memory"
+)
+
+// SetFaults replaces the faults of the stand-in. It works while the store is down.
+func (c *Client) SetFaults(ctx context.Context, f memory.Faults) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.faults.SetFaults(ctx, connect.NewRequest(&platformv1.SetFaultsRequest{
+		Down:        f.Down,
+		DelayMs:     uint32(f.Delay / time.Millisecond),
+		LostAnswers: f.LostAnswers,
+		Failures:    f.Failures,
+	}))
+	return err
+}
+
+// Counts returns what the stand-in has done since its start.
+func (c *Client) Counts(ctx context.Context) (memory.Counts, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	res, err := c.faults.GetCounts(ctx, connect.NewRequest(&platformv1.GetCountsRequest{}))
+	if err != nil {
+		return memory.Counts{}, err
+	}
+	return memory.Counts{
+		Reads:     res.Msg.GetReads(),
+		Writes:    res.Msg.GetWrites(),
+		Conflicts: res.Msg.GetConflicts(),
+	}, nil
+}
--- /dev/null
+++ b/internal/standin/root.go
@@ -0,0 +1,51 @@
+// Package standin holds the commands that run stand-ins of outside systems.
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+)
+
+const (
+	// shutdownTimeout bounds how long a stand-in waits for requests in flight.
+	shutdownTimeout = 5 * time.Second
+	// readHeaderTimeout closes connections that never send a request.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// NewCommand returns the root command.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:          "standin",
+		Short:        "Runs stand-ins of the platform and of backend servers",
+		SilenceUsage: true,
+	}
+	root.AddCommand(newPlatformCommand())
+	return root
+}
+
+// serve runs handler on listener until ctx ends, then waits for requests in flight.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return trace.Wrap(err)
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	err := server.Shutdown(stop)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = server.Close()
+	}
+	<-failed
+	return trace.Wrap(err)
+}
