Add the command-line tool and the daemon's copies of the feeds

Cause: operators need catalogue, status, owners, drain, fence and call; daemons need ordered copies of both feeds that survive a store outage.

--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,114 @@
+// Package cli implements the basilway command.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/spf13/cobra"
+	"github.com/spf13/viper"
+
+	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
+)
+
+// defaultDaemon is where a daemon listens by default.
+const defaultDaemon = "http://127.0.0.1:7400"
+
+// options are the settings of all commands.
+type options struct {
+	settings *viper.Viper
+}
+
+// NewRootCommand returns the basilway command. Settings are read from flags and from
+// environment variables named BASILWAY_ and the flag in upper case.
+func NewRootCommand() *cobra.Command {
+	o := &options{settings: viper.New()}
+	o.settings.SetEnvPrefix("BASILWAY")
+	o.settings.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	o.settings.AutomaticEnv()
+	root := &cobra.Command{
+		Use:           "basilway",
+		Short:         "Steer basilway daemons and call services through them",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			return o.check()
+		},
+	}
+	flags := root.PersistentFlags()
+	flags.String("daemon", defaultDaemon, "base URL of a daemon (BASILWAY_DAEMON)")
+	flags.String("key", "", "operator key (BASILWAY_KEY)")
+	flags.Duration("timeout", 10*time.Second, "time limit of the command (BASILWAY_TIMEOUT)")
+	flags.StringP("output", "o", "text", `output format, "text" or "json" (BASILWAY_OUTPUT)`)
+	if err := o.settings.BindPFlags(flags); err != nil {
+		panic(err) // only for a nil flag set
+	}
+	root.AddCommand(newCatalogueCommand(o), newStatusCommand(o), newOwnersCommand(o),
+		newDrainCommand(o), newFenceCommand(o), newCallCommand(o))
+	return root
+}
+
+// Execute runs the command and returns the exit code: 0, 1 for a failed command or 2
+// for wrong usage.
+func Execute() int {
+	root := NewRootCommand()
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "basilway:", describe(err))
+	var usage *usageError
+	if asUsage(err, &usage) || strings.HasPrefix(err.Error(), "unknown ") {
+		return 2
+	}
+	return 1
+}
+
+func (o *options) check() error {
+	if out := o.settings.GetString("output"); out != "text" && out != "json" {
+		return &usageError{fmt.Sprintf(`--output is %q, allowed: "text" or "json"`, out)}
+	}
+	if d := o.settings.GetDuration("timeout"); d <= 0 {
+		return &usageError{fmt.Sprintf("--timeout is %v, allowed: a positive duration such as 10s", d)}
+	}
+	if url := o.settings.GetString("daemon"); !strings.HasPrefix(url, "http://") && !strings.HasPrefix(url, "https://") {
+		return &usageError{fmt.Sprintf("--daemon is %q, allowed: a URL such as %s", url, defaultDaemon)}
+	}
+	return nil
+}
+
+func (o *options) context(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(cmd.Context(), o.settings.GetDuration("timeout"))
+}
+
+func (o *options) json() bool { return o.settings.GetString("output") == "json" }
+
+func (o *options) catalogue() basilwayv1connect.CatalogueServiceClient {
+	return basilwayv1connect.NewCatalogueServiceClient(http.DefaultClient, o.settings.GetString("daemon"), o.withKey())
+}
+
+func (o *options) admin() basilwayv1connect.AdminServiceClient {
+	return basilwayv1connect.NewAdminServiceClient(http.DefaultClient, o.settings.GetString("daemon"), o.withKey())
+}
+
+func (o *options) router() basilwayv1connect.RouterServiceClient {
+	return basilwayv1connect.NewRouterServiceClient(http.DefaultClient, o.settings.GetString("daemon"))
+}
+
+// withKey adds the operator key to each call.
+func (o *options) withKey() connect.Option {
+	key := o.settings.GetString("key")
+	return connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if key != "" {
+				req.Header().Set("Authorization", "Bearer "+key)
+			}
+			return next(ctx, req)
+		}
+	}))
+}
--- /dev/null
+++ b/internal/daemon/appliers.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"sync/atomic"
+
+	"github.com/basilway/basilway/catalogue"
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/feed"
+)
+
+// clusterApplier feeds the cluster state. The published state is never changed, so
+// readers in other goroutines need no lock.
+type clusterApplier struct {
+	state atomic.Pointer[cluster.State]
+}
+
+func newClusterApplier() *clusterApplier {
+	a := &clusterApplier{}
+	a.state.Store(cluster.NewState())
+	return a
+}
+
+// ApplyRecord implements feed.Applier.
+func (a *clusterApplier) ApplyRecord(version uint64, body []byte) error {
+	entries, err := cluster.DecodeEntries(body)
+	if err != nil {
+		return err
+	}
+	next, err := a.state.Load().Next(version, entries)
+	if err != nil {
+		return err
+	}
+	a.state.Store(next)
+	return nil
+}
+
+// RestoreSnapshot implements feed.Applier.
+func (a *clusterApplier) RestoreSnapshot(s feed.Snapshot) error {
+	state, err := cluster.DecodeState(s.Body)
+	if err != nil {
+		return err
+	}
+	a.state.Store(state)
+	return nil
+}
+
+// TakeSnapshot implements feed.Applier.
+func (a *clusterApplier) TakeSnapshot() (feed.Snapshot, error) {
+	state := a.state.Load()
+	body, err := state.Encode()
+	return feed.Snapshot{Version: state.Version, Body: body}, err
+}
+
+// catalogueApplier feeds the catalogue. The published book is never changed.
+type catalogueApplier struct {
+	book atomic.Pointer[catalogue.Book]
+}
+
+func newCatalogueApplier() *catalogueApplier {
+	a := &catalogueApplier{}
+	a.book.Store(catalogue.NewBook())
+	return a
+}
+
+// ApplyRecord implements feed.Applier.
+func (a *catalogueApplier) ApplyRecord(version uint64, body []byte) error {
+	change, err := catalogue.DecodeChange(body)
+	if err != nil {
+		return err
+	}
+	next := a.book.Load().Clone()
+	if err := next.Apply(version, change); err != nil {
+		return err
+	}
+	a.book.Store(next)
+	return nil
+}
+
+// RestoreSnapshot implements feed.Applier.
+func (a *catalogueApplier) RestoreSnapshot(s feed.Snapshot) error {
+	book, err := catalogue.DecodeBook(s.Body)
+	if err != nil {
+		return err
+	}
+	a.book.Store(book)
+	return nil
+}
+
+// TakeSnapshot implements feed.Applier.
+func (a *catalogueApplier) TakeSnapshot() (feed.Snapshot, error) {
+	book := a.book.Load()
+	body, err := book.Encode()
+	return feed.Snapshot{Version: book.Version(), Body: body}, err
+}
--- /dev/null
+++ b/internal/daemon/clusterwriter.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/feed"
+	"github.com/basilway/basilway/platform"
+)
+
+// clusterAttempts bounds how often an append is repeated because another daemon
+// appended at the same time. Daemons that start together compete for the head.
+const clusterAttempts = 50
+
+// clusterWriter appends to the cluster feed.
+type clusterWriter struct {
+	replicas *replicas
+	writer   *feed.Writer
+}
+
+// update appends the entries that build returns for the latest state, with the extra
+// conditions and writes in the same transaction. After a conflict on the head it
+// calls build again with the new state. It returns nil if build has no entries.
+func (w *clusterWriter) update(ctx context.Context, build func(*cluster.State) ([]cluster.Entry, platform.Txn, error)) error {
+	for range clusterAttempts {
+		state := w.replicas.cluster()
+		entries, extra, err := build(state)
+		if err != nil || len(entries) == 0 {
+			return err
+		}
+		err = w.append(ctx, state, entries, extra)
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		before := state.Version
+		if err := w.replicas.catchUp(ctx, feed.TopicCluster); err != nil {
+			return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		}
+		if w.replicas.cluster().Version == before {
+			return err // an extra condition failed, not the one on the head
+		}
+	}
+	return fmt.Errorf("%w: too many appends to the cluster feed at once", platform.ErrUnavailable)
+}
+
+func (w *clusterWriter) append(ctx context.Context, state *cluster.State, entries []cluster.Entry, extra platform.Txn) error {
+	if err := state.Check(entries); err != nil {
+		return err
+	}
+	body, err := cluster.EncodeEntries(entries)
+	if err != nil {
+		return err
+	}
+	rec, err := w.writer.Append(ctx, feed.TopicCluster, state.Version, body, extra)
+	if err != nil {
+		return err
+	}
+	return w.replicas.offerWait(context.WithoutCancel(ctx), feed.TopicCluster, []feed.Record{rec})
+}
