Add backend server stand-in

Cause: tests and demonstrations need a backend server that keeps state, counts executions and fails in the ways that the design names. Change: internal/backendsim with methods, execution log, grants, freeze, crash, shedding, misleading health and load, announcements and a control endpoint; the command standin backend.

--- /dev/null
+++ b/internal/backendsim/executions.go
@@ -0,0 +1,81 @@
+package backendsim
+
+import "sync"
+
+// Execution is one entry of the log: a request that began to run.
+type Execution struct {
+	RequestID  string `json:"request_id"`
+	Service    string `json:"service"`
+	Key        string `json:"key"`
+	Method     string `json:"method"`
+	Tenant     string `json:"tenant"`
+	Idempotent bool   `json:"idempotent"`
+	Instance   string `json:"instance"`
+	Epoch      uint64 `json:"epoch"`
+	// StartedUS is the unix time in microseconds.
+	StartedUS int64 `json:"started_us"`
+}
+
+// ExecutionLog is the answer of GET /executions.
+type ExecutionLog struct {
+	ProcessID  uint64      `json:"process_id"`
+	Executions []Execution `json:"executions"`
+	// Dropped is the number of older entries that are no longer kept.
+	Dropped uint64 `json:"dropped"`
+	// Repeated is the number of non-idempotent executions whose id was in the log.
+	Repeated uint64 `json:"repeated"`
+}
+
+// executions is a bounded log of what ran, with the number of runs for each id.
+type executions struct {
+	mu       sync.Mutex
+	size     int
+	ring     []Execution
+	next     int
+	runs     map[string]int
+	dropped  uint64
+	repeated uint64
+}
+
+func newExecutions(size int) *executions {
+	return &executions{size: size, runs: map[string]int{}}
+}
+
+func (l *executions) record(e Execution) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.RequestID != "" {
+		if l.runs[e.RequestID] > 0 && !e.Idempotent {
+			l.repeated++
+		}
+		l.runs[e.RequestID]++
+	}
+	if len(l.ring) < l.size {
+		l.ring = append(l.ring, e)
+		return
+	}
+	oldest := l.ring[l.next].RequestID
+	if l.runs[oldest]--; l.runs[oldest] <= 0 {
+		delete(l.runs, oldest)
+	}
+	l.dropped++
+	l.ring[l.next] = e
+	l.next = (l.next + 1) % l.size
+}
+
+// snapshot returns the log, oldest first.
+func (l *executions) snapshot() ExecutionLog {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entries := make([]Execution, 0, len(l.ring))
+	entries = append(entries, l.ring[l.next:]...)
+	entries = append(entries, l.ring[:l.next]...)
+	return ExecutionLog{Executions: entries, Dropped: l.dropped, Repeated: l.repeated}
+}
+
+// count returns how often the request with this id ran.
+func (l *executions) count(requestID string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[requestID]
+}
--- /dev/null
+++ b/internal/backendsim/server.go
@@ -0,0 +1,155 @@
+package backendsim
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/gen/basilway/backend/v1/backendv1connect"
+)
+
+// Server is a backend server stand-in. It is safe for concurrent use.
+type Server struct {
+	cfg       Config
+	processID uint64
+	started   time.Time
+	listener  net.Listener
+	http      *http.Server
+	state     *state
+	log       *executions
+	grants    *grants
+	gate      gate
+	slots     chan struct{}
+	waiting   atomic.Int64
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	faults Faults
+
+	stopOnce sync.Once
+	stopped  chan struct{}
+	duties   sync.WaitGroup
+}
+
+// Start listens on address and serves until Close or a crash.
+func Start(address string, cfg Config) (*Server, error) {
+	cfg = cfg.withDefaults()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &Server{
+		cfg:       cfg,
+		processID: rand.Uint64(),
+		started:   time.Now(),
+		listener:  listener,
+		state:     newState(),
+		log:       newExecutions(cfg.LogSize),
+		grants:    &grants{epochs: map[string]uint64{}},
+		slots:     make(chan struct{}, cfg.Slots),
+		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		stopped:   make(chan struct{}),
+	}
+	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second}
+	s.duties.Go(func() {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.cfg.Logger.Error("backend server stopped", zap.Error(err))
+		}
+	})
+	if cfg.AnnounceURL != "" {
+		s.duties.Go(s.announce)
+	}
+	return s, nil
+}
+
+func (s *Server) handler() http.Handler {
+	path, service := backendv1connect.NewBackendServiceHandler(backendService{s})
+	mux := http.NewServeMux()
+	mux.Handle(path, service)
+	mux.HandleFunc("GET /control", s.getControl)
+	mux.HandleFunc("POST /control", s.postControl)
+	mux.HandleFunc("GET /executions", s.getExecutions)
+	return mux
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.listener.Addr().String() }
+
+// ProcessID returns the random number that the server announces.
+func (s *Server) ProcessID() uint64 { return s.processID }
+
+// Executions returns the execution log.
+func (s *Server) Executions() ExecutionLog {
+	log := s.log.snapshot()
+	log.ProcessID = s.processID
+	return log
+}
+
+// RunsOf returns how often the request with this id ran.
+func (s *Server) RunsOf(requestID string) int { return s.log.count(requestID) }
+
+// SetFaults replaces the faults that are in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	s.gate.set(f.Frozen)
+}
+
+// Faults returns the faults that are in force.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Crash closes the listener and every connection without an answer, as the death of
+// the process does, and then calls Config.OnCrash.
+func (s *Server) Crash() {
+	s.stop()
+	s.cfg.OnCrash()
+}
+
+// Close stops the server at once and waits for its goroutines.
+func (s *Server) Close() {
+	s.stop()
+	s.duties.Wait()
+}
+
+// Shutdown waits up to timeout for requests in flight and then closes the server.
+func (s *Server) Shutdown(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.cfg.Logger.Warn("requests in flight are cut off", zap.Error(err))
+	}
+	s.Close()
+}
+
+// Stopped is closed when the server was closed or has crashed.
+func (s *Server) Stopped() <-chan struct{} { return s.stopped }
+
+func (s *Server) stop() {
+	s.stopOnce.Do(func() {
+		close(s.stopped)
+		_ = s.http.Close()
+	})
+}
+
+// chance returns true for a share of calls.
+func (s *Server) chance(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < share
+}
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/internal/backendsim"
+)
+
+// crashStatus is the exit status of a backend server that crashed on request.
+const crashStatus = 70
+
+func newBackendCommand() *cobra.Command {
+	var listen string
+	var cfg backendsim.Config
+	cmd := &cobra.Command{
+		Use:   "backend",
+		Short: "Runs a backend server that keeps state for each key",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			logger, err := zap.NewProduction()
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			cfg.Logger = logger
+			cfg.OnCrash = func() { os.Exit(crashStatus) }
+			server, err := backendsim.Start(listen, cfg)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "backend listening on %s process %d\n", server.URL(), server.ProcessID())
+			<-cmd.Context().Done()
+			server.Shutdown(shutdownTimeout)
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:7200", "address to listen on")
+	flags.StringVar(&cfg.AnnounceURL, "announce", "", "base URL of the daemon; nothing is announced if empty")
+	flags.StringVar(&cfg.Service, "service", "demo", "name of the service")
+	flags.IntVar(&cfg.Slots, "slots", 6, "requests that run at a time")
+	flags.IntVar(&cfg.MaxQueue, "max-queue", 0, "requests that wait for a slot; 8 for each slot if 0")
+	flags.DurationVar(&cfg.ServiceTime, "service-time", 0, "time that a request holds its slot")
+	flags.DurationVar(&cfg.ColdStart, "cold-start", 0, "time after the start in which the server is slower")
+	flags.BoolVar(&cfg.ChecksGrants, "checks-grants", false, "refuse void and superseded grants")
+	flags.DurationVar(&cfg.AnnounceInterval, "announce-interval", time.Second, "time between announcements")
+	flags.IntVar(&cfg.LogSize, "log-size", 0, "entries of the execution log; 200,000 if 0")
+	flags.Uint64Var(&cfg.Seed, "seed", 0, "seed of random faults")
+	return cmd
+}
