Test leases in simulated clusters

Cause: safety of leases must hold under any mix of faults. Change: simulation in virtual time and a schedule property; witnesses are chosen among the latest session of each instance, because earlier sessions of restarted instances made small clusters look large.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -26,6 +26,7 @@
 	breaks  breaks
 
 	members Members
+	others  map[cluster.Session]bool      // the sessions that may be witnesses
 	avoid   map[cluster.Session]time.Time // do not choose before this time
 
 	current *grantSet // committed; nil before the first commit
@@ -116,6 +117,10 @@
 		h.rowRead(now, e)
 	case Members:
 		h.members = e
+		h.others = make(map[cluster.Session]bool, len(e.Members))
+		for _, m := range others(e.Self, e.Members) {
+			h.others[m.Session] = true
+		}
 	case Fenced:
 		h.stop(StoppedFenced)
 	case Leave:
--- a/lease/holder_change.go
+++ b/lease/holder_change.go
@@ -63,7 +63,7 @@
 	bad := 0
 	for i, w := range h.current.Witnesses {
 		g := &h.current.grants[i]
-		if !g.gone && !g.sealed && !h.silent(g, now) && h.isMember(w) {
+		if !g.gone && !g.sealed && !h.silent(g, now) && h.others[w] {
 			continue
 		}
 		bad++
@@ -85,21 +85,11 @@
 	return now.Sub(g.heard) > h.cfg.GrantDuration
 }
 
-func (h *Holder) isMember(w cluster.Session) bool {
-	for i := range h.members.Members {
-		if h.members.Members[i].Session == w {
-			return true
-		}
-	}
-	return false
-}
-
 // wrongShape reports whether the cluster has grown or shrunk across the size at
 // which the store is a witness, or leaves the set too small.
 func (h *Holder) wrongShape() bool {
-	others := countOthers(h.members.Self, h.members.Members)
-	return h.current.Store != (others < MaxWitnesses) ||
-		len(h.current.Witnesses) < min(others, MaxWitnesses)
+	n := len(h.others)
+	return h.current.Store != (n < MaxWitnesses) || len(h.current.Witnesses) < min(n, MaxWitnesses)
 }
 
 // propose begins to collect grants for a new set.
--- /dev/null
+++ b/lease/schedule_test.go
@@ -0,0 +1,240 @@
+package lease
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+)
+
+const (
+	// faultsEnd is when the faults of a schedule end, settled when all is well again.
+	faultsEnd = 14 * time.Second
+	settled   = 45 * time.Second
+	// defaultSchedules keeps the test under 20 s; BASILWAY_SCHEDULES runs more.
+	defaultSchedules = 400
+)
+
+// addFault adds one random fault to s for a random time.
+func addFault(s *sim) {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	d := 200*time.Millisecond + s.duration(4*time.Second)
+	until := s.now + d
+	isolate := func(in, out bool) {
+		for i := range s.nodes {
+			if in {
+				s.cut[[2]int{i, n.index}] = until
+			}
+			if out {
+				s.cut[[2]int{n.index, i}] = until
+			}
+		}
+	}
+	switch s.rng.IntN(13) {
+	case 0, 1:
+		n.pause(d)
+	case 2:
+		isolate(true, true)
+	case 3:
+		isolate(true, false)
+	case 4:
+		isolate(false, true)
+	case 5, 6:
+		s.cut[[2]int{n.index, s.rng.IntN(len(s.nodes))}] = until
+	case 7:
+		s.table.cut[n.index] = until
+	case 8:
+		s.table.downTill = until
+	case 9, 10:
+		n.start()
+	case 11:
+		s.table.lost, s.table.delayed = s.rng.Float64()/2, s.rng.Float64()/2
+		s.after(d, func() { s.table.lost, s.table.delayed = 0, 0 })
+	case 12:
+		s.lateShare, s.lossShare = s.rng.Float64()/5, s.rng.Float64()/5
+		s.after(d, func() { s.lateShare, s.lossShare = 0, 0 })
+	}
+}
+
+// randomSchedule runs one schedule of faults and returns what it violates.
+func randomSchedule(seed uint64, b breaks) (*sim, string) {
+	cfg := DefaultConfig()
+	cfg.ReplaceSpread = time.Second
+	s := newSim(seed, 1+int(seed%7), cfg, b)
+	// Safety does not depend on declined seals, fast ticks or slow networks.
+	s.cfg.FreshFor = []time.Duration{0, 300 * time.Millisecond, cfg.FreshFor}[s.rng.IntN(3)]
+	s.tick = []time.Duration{5 * time.Millisecond, 50 * time.Millisecond}[s.rng.IntN(2)]
+	s.latency = []time.Duration{300 * time.Microsecond, 10 * time.Millisecond, 60 * time.Millisecond}[s.rng.IntN(3)]
+	for _, n := range s.nodes {
+		n.start()
+	}
+	for range 4 + s.rng.IntN(16) {
+		s.after(time.Second+s.duration(faultsEnd-time.Second), func() { addFault(s) })
+	}
+	// Takeovers without cause, by any node of any session.
+	for range s.rng.IntN(20) {
+		s.after(time.Second+s.duration(faultsEnd-time.Second), func() {
+			m := s.nodes[s.rng.IntN(len(s.nodes))]
+			n := s.nodes[s.rng.IntN(len(s.nodes))]
+			n.do(func() { n.takeOver(m.session, cluster.Session{}) })
+		})
+	}
+	s.run(settled)
+	if s.failure == "" {
+		for _, n := range s.nodes {
+			if !n.holder.Valid(n.clock()) {
+				s.fail("%s has no lease after the faults: phase %d, set %+v", n.session, n.holder.phase, n.holder.Set())
+			}
+		}
+	}
+	return s, s.failure
+}
+
+func schedules(t *testing.T) uint64 {
+	n := uint64(defaultSchedules)
+	if text := os.Getenv("BASILWAY_SCHEDULES"); text != "" {
+		v, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			t.Fatalf("BASILWAY_SCHEDULES: %v", err)
+		}
+		n = v
+	}
+	return n
+}
+
+// Guards against two owners: no holder may believe in its lease once its row is
+// fenced, whatever fails. Also guards against a live session that never recovers.
+func TestNoFencedHolderIsValid(t *testing.T) {
+	fences := 0
+	n := schedules(t)
+	for seed := range n {
+		s, failure := randomSchedule(seed, breaks{})
+		if failure != "" {
+			t.Fatalf("seed %d: %s", seed, failure)
+		}
+		fences += len(s.fencedAt)
+	}
+	t.Logf("%d schedules, %d sessions fenced", n, fences)
+	if fences < int(n) {
+		t.Fatalf("%d fences in %d schedules exercise too little", fences, n)
+	}
+}
+
+// Guards against a property that checks nothing: each rule that is switched off must
+// lead to a violation within the fixed seeds.
+func TestBreaksAreNoticed(t *testing.T) {
+	for name, b := range map[string]breaks{
+		"skip the remaining time":         {skipRemaining: true},
+		"count a restarted witness":       {countRestarted: true},
+		"single validity during a change": {singleValidity: true},
+		"grant after a seal":              {grantAfterSeal: true},
+		"revive a lapsed set":             {reviveLapsed: true},
+		"no clock margin":                 {noClockMargin: true},
+		"unconditional renewal row":       {unconditionalRenewal: true},
+		"unchanged row proves failure":    {readIsFailure: true},
+		"unconditional fence":             {unconditionalFence: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(defaultSchedules) {
+				s, failure := randomSchedule(seed, b)
+				if failure != "" && len(s.fencedAt) > 0 && s.now < settled {
+					t.Logf("seed %d: %s", seed, failure)
+					return
+				}
+			}
+			t.Fatalf("not noticed in %d schedules", defaultSchedules)
+		})
+	}
+}
+
+// Guards against slow takeovers: with the store up, a killed holder is fenced within
+// 2 s, and within the 3 s of the service target if the planner is killed.
+func TestKilledHolderIsFenced(t *testing.T) {
+	for seed := range uint64(210) {
+		size := 2 + int(seed%7)
+		s := newSim(seed, size, DefaultConfig(), breaks{})
+		s.run(20 * time.Second)
+		lost, limit := s.nodes[s.rng.IntN(size)], 2*time.Second
+		s.planner = s.rng.IntN(size)
+		if s.planner == lost.index {
+			limit = 3 * time.Second
+		}
+		session := lost.session
+		if !lost.holder.Valid(lost.clock()) {
+			t.Fatalf("seed %d: no lease before the loss", seed)
+		}
+		lost.kill()
+		start := s.now
+		s.run(start + 10*time.Second)
+		at, ok := s.fencedAt[session]
+		if !ok || at-start > limit || len(s.fencedAt) != 1 {
+			t.Errorf("seed %d, %d nodes: fenced=%v after %v, limit %v, %d fences",
+				seed, size, ok, at-start, limit, len(s.fencedAt))
+		}
+	}
+}
+
+// Guards against leases that depend on the store: while it is down for 10 minutes, a
+// holder with a quorum of live reachable witnesses stays valid, also after the loss
+// of one witness.
+func TestStoreOutageKeepsLeases(t *testing.T) {
+	for seed := range uint64(12) {
+		s := newSim(seed, 4+int(seed%5), DefaultConfig(), breaks{})
+		s.run(20 * time.Second)
+		s.table.downTill = 11 * time.Minute
+		var lost *simNode
+		if seed%2 == 1 {
+			lost = s.nodes[s.rng.IntN(len(s.nodes))]
+			lost.kill()
+		}
+		s.check = func() {
+			for _, n := range s.nodes {
+				if n != lost && !n.holder.Valid(n.clock()) {
+					s.fail("%s lost its lease", n.session)
+				}
+			}
+		}
+		s.run(10*time.Minute + 20*time.Second)
+		if s.failure != "" {
+			t.Errorf("seed %d: %s", seed, s.failure)
+		}
+		if s.check = nil; lost != nil {
+			session := lost.session
+			s.run(12 * time.Minute)
+			if _, ok := s.fencedAt[session]; !ok || len(s.fencedAt) != 1 {
+				t.Errorf("seed %d: after the outage %d sessions are fenced", seed, len(s.fencedAt))
+			}
+		}
+	}
+}
+
+// Guards against a lost instance that no one can decide about: if two of three
+// witnesses are lost with it, nothing is fenced until an operator confirms.
+func TestOperatorDecidesAfterLossOfMostWitnesses(t *testing.T) {
+	s := newSim(1, 7, DefaultConfig(), breaks{})
+	s.run(20 * time.Second)
+	lost := s.nodes[0]
+	session, set := lost.session, lost.holder.Set()
+	for _, w := range set.Witnesses[:2] {
+		s.nodes[s.node(w)].start() // a restarted process answers for the lost incarnation
+	}
+	lost.kill()
+	s.planner = s.node(set.Witnesses[2])
+	s.run(30 * time.Second)
+	if _, ok := s.fencedAt[session]; ok || !s.needOp[session] {
+		t.Fatalf("fenced=%v, operator asked=%v", ok, s.needOp[session])
+	}
+	n := s.nodes[s.planner]
+	for _, o := range n.takeovers {
+		if o.session == session {
+			n.performTakeover(o, o.Handle(n.clock(), OperatorConfirmed{}))
+		}
+	}
+	s.run(31 * time.Second)
+	if _, ok := s.fencedAt[session]; !ok {
+		t.Fatal(fmt.Sprint("not fenced after confirmation: ", session))
+	}
+}
--- a/lease/select.go
+++ b/lease/select.go
@@ -30,16 +30,26 @@
 	order  int
 }
 
-// countOthers returns the number of members of other instances. Another incarnation
-// of the same instance ran before self and cannot witness for it.
-func countOthers(self cluster.Member, members []cluster.Member) int {
-	n := 0
-	for i := range members {
-		if members[i].Session.Instance != self.Session.Instance {
-			n++
+// others returns the members of other instances, with the latest session of each.
+// The earlier sessions of a restarted instance are dead; until they are fenced they
+// must not make a small cluster look large.
+func others(self cluster.Member, members []cluster.Member) []cluster.Member {
+	latest := make(map[string]int, len(members))
+	var out []cluster.Member
+	for _, m := range members {
+		if m.Session.Instance == self.Session.Instance {
+			continue
+		}
+		i, ok := latest[m.Session.Instance]
+		switch {
+		case !ok:
+			latest[m.Session.Instance] = len(out)
+			out = append(out, m)
+		case m.JoinedAt > out[i].JoinedAt:
+			out[i] = m
 		}
 	}
-	return n
+	return out
 }
 
 // SelectWitnesses chooses the witness set of self, without a generation. It chooses
@@ -73,10 +83,7 @@
 }
 
 func candidates(self cluster.Member, members []cluster.Member, p Preferences) (region, all []candidate) {
-	for _, m := range members {
-		if m.Session.Instance == self.Session.Instance {
-			continue
-		}
+	for _, m := range others(self, members) {
 		load := p.Load[m.Session]
 		keep := slices.Contains(p.Keep, m.Session)
 		c := candidate{member: m, avoid: p.Avoid[m.Session] || m.State == cluster.MemberDraining,
--- /dev/null
+++ b/lease/sim_test.go
@@ -0,0 +1,251 @@
+package lease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/platform"
+)
+
+// simEpoch is the start of true time in all simulations.
+var simEpoch = time.Unix(1_700_000_000, 0)
+
+type simEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// sim runs daemons in virtual time. All randomness comes from rng.
+type sim struct {
+	rng    *rand.Rand
+	cfg    Config
+	breaks breaks
+	now    time.Duration // true time
+	seq    int
+	queue  simQueue
+	nodes  []*simNode
+	table  *simTable
+
+	latency   time.Duration // highest one-way delay
+	lateShare float64       // share of messages that are delayed by up to 2 s
+	lossShare float64
+	tick      time.Duration
+	planner   int
+	cut       map[[2]int]time.Duration // until when messages from..to are lost
+
+	members  []cluster.Member // active sessions
+	fencedAt map[cluster.Session]time.Duration
+	needOp   map[cluster.Session]bool
+	failure  string
+	// check runs after every event, if set.
+	check func()
+}
+
+func newSim(seed uint64, nodes int, cfg Config, b breaks) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, seed)), cfg: cfg, breaks: b, latency: 5 * time.Millisecond,
+		tick: cfg.TickInterval, cut: map[[2]int]time.Duration{},
+		fencedAt: map[cluster.Session]time.Duration{}, needOp: map[cluster.Session]bool{}}
+	s.table = &simTable{sim: s, rows: map[string]platform.Row{}, cut: map[int]time.Duration{}}
+	for i := range nodes {
+		n := &simNode{sim: s, index: i, rate: 0.99 + 0.02*s.rng.Float64(), offset: s.duration(time.Hour)}
+		if s.rng.IntN(2) == 0 {
+			n.rate = 0.99 + 0.02*float64(s.rng.IntN(2)) // the extremes
+		}
+		s.nodes = append(s.nodes, n)
+		n.start()
+	}
+	return s
+}
+
+func (s *sim) duration(limit time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(limit) + 1))
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{at: s.now + d, seq: s.seq, run: run})
+}
+
+// run executes events until true time end or the first failure.
+func (s *sim) run(end time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= end && s.failure == "" {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+		if s.check != nil {
+			s.check()
+		}
+	}
+	s.now = end
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.failure == "" {
+		s.failure = fmt.Sprintf("at %v: %s", s.now, fmt.Sprintf(format, args...))
+	}
+}
+
+// send delivers a message unless it is lost or cut; sometimes late, sometimes twice.
+func (s *sim) send(from, to int, deliver func()) {
+	if s.cut[[2]int{from, to}] > s.now || s.rng.Float64() < s.lossShare {
+		return
+	}
+	d := s.duration(s.latency)
+	if s.rng.Float64() < s.lateShare {
+		d += s.duration(2 * time.Second)
+		s.after(s.duration(time.Second), func() { s.nodes[to].do(deliver) })
+	}
+	s.after(d, func() { s.nodes[to].do(deliver) })
+}
+
+// node returns the index of the node with the instance of session.
+func (s *sim) node(session cluster.Session) int {
+	var i int
+	if _, err := fmt.Sscanf(session.Instance, "n%d", &i); err != nil {
+		panic(err)
+	}
+	return i
+}
+
+// feed tells every node about a change of the members, each after its own delay.
+func (s *sim) feed(gone cluster.Session) {
+	members := append([]cluster.Member(nil), s.members...)
+	version := s.seq
+	for _, n := range s.nodes {
+		s.after(s.duration(400*time.Millisecond), func() {
+			n.do(func() { n.applyFeed(version, members, gone) })
+		})
+	}
+}
+
+// fenced is called at the instant at which a fence is applied.
+func (s *sim) fenced(session cluster.Session) {
+	if _, ok := s.fencedAt[session]; ok {
+		return
+	}
+	s.fencedAt[session] = s.now
+	var rest []cluster.Member
+	for _, m := range s.members {
+		if m.Session != session {
+			rest = append(rest, m)
+		}
+	}
+	s.members = rest
+	s.feed(session)
+	s.verify(s.nodes[s.node(session)])
+}
+
+// verify is the invariant. A holder becomes valid only in Handle, so it suffices to
+// check at the fence and after each Handle.
+func (s *sim) verify(n *simNode) {
+	if n.dead {
+		return
+	}
+	if at, ok := s.fencedAt[n.session]; ok && n.holder.Valid(n.clock()) {
+		s.fail("%s is valid for %v more, fenced at %v", n.session, n.holder.ValidUntil().Sub(n.clock()), at)
+	}
+}
+
+// simTable is the model of the table.
+type simTable struct {
+	sim      *sim
+	rows     map[string]platform.Row
+	version  uint64
+	downTill time.Duration
+	cut      map[int]time.Duration // nodes that cannot reach the table
+	lost     float64               // share of commits whose answer is lost
+	delayed  float64               // share of commits that apply up to 5 s after an unknown outcome
+}
+
+func (t *simTable) reachable(node int) bool {
+	return t.sim.now >= t.downTill && t.sim.now >= t.cut[node]
+}
+
+func (t *simTable) apply(txn platform.Txn) Outcome {
+	for _, c := range txn.Conditions {
+		if t.rows[c.Key].Version != c.Version {
+			return OutcomeConflict
+		}
+	}
+	t.version++
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+		if row, err := DecodeSessionRow(t.rows[w.Key]); err == nil && row.State == RowFenced {
+			session, err := cluster.ParseSession(w.Key[len("session/"):])
+			if err != nil {
+				panic(err)
+			}
+			t.sim.fenced(session)
+		}
+	}
+	return OutcomeApplied
+}
+
+// commit applies txn after a delay and answers node once.
+func (t *simTable) commit(node int, txn platform.Txn, answer func(Outcome)) {
+	s := t.sim
+	reply := func(d time.Duration, o Outcome) {
+		s.after(d, func() { s.nodes[node].do(func() { answer(o) }) })
+	}
+	s.after(s.duration(s.latency), func() {
+		switch {
+		case !t.reachable(node) && s.rng.IntN(2) == 0:
+			reply(s.duration(300*time.Millisecond), OutcomeUnknown)
+		case !t.reachable(node):
+			reply(s.duration(s.latency), OutcomeNotApplied)
+		case s.rng.Float64() < t.delayed:
+			s.after(s.duration(5*time.Second), func() { t.apply(txn) })
+			reply(s.duration(300*time.Millisecond), OutcomeUnknown)
+		case s.rng.Float64() < t.lost:
+			t.apply(txn)
+			reply(s.duration(300*time.Millisecond), OutcomeUnknown)
+		default:
+			reply(s.duration(s.latency), t.apply(txn))
+		}
+	})
+}
+
+// read answers node with the rows of keys, each read at its own instant in order.
+func (t *simTable) read(node int, keys []string, answer func(Outcome, []platform.Row)) {
+	s := t.sim
+	var rows []platform.Row
+	var next func()
+	next = func() {
+		if !t.reachable(node) {
+			s.after(s.duration(200*time.Millisecond), func() {
+				s.nodes[node].do(func() { answer(OutcomeNotApplied, make([]platform.Row, len(keys))) })
+			})
+			return
+		}
+		rows = append(rows, t.rows[keys[len(rows)]])
+		d := s.duration(s.latency)
+		if len(rows) < len(keys) {
+			s.after(d, next)
+			return
+		}
+		s.after(d, func() { s.nodes[node].do(func() { answer(OutcomeApplied, rows) }) })
+	}
+	s.after(s.duration(s.latency), next)
+}
