cluster: record the version that opened a move

Cause: Released and hand-over messages of a cancelled move can arrive during a later move of the same unit to the same session; nothing told them apart. Change: Ownership.MoveVersion, set by MoveBegun, cleared when the move ends.

--- a/cluster/apply.go
+++ b/cluster/apply.go
@@ -21,7 +21,7 @@
 	case EntryHotKeyCleared:
 		return s.clearHotKey(e.Unit)
 	case EntryMoveBegun:
-		return s.beginMove(e.Unit, e.Session)
+		return s.beginMove(version, e.Unit, e.Session)
 	case EntryMoveCancelled:
 		return s.cancelMove(e.Unit)
 	case EntryRangeSplit:
@@ -76,10 +76,10 @@
 
 func (o *Ownership) drop(session Session) {
 	if o.Owner == session {
-		o.Owner, o.MovingTo = Session{}, Session{}
+		o.Owner, o.MovingTo, o.MoveVersion = Session{}, Session{}, 0
 	}
 	if o.MovingTo == session {
-		o.MovingTo = Session{}
+		o.MovingTo, o.MoveVersion = Session{}, 0
 	}
 }
 
@@ -160,7 +160,7 @@
 	return nil
 }
 
-func (s *State) beginMove(u Unit, to Session) error {
+func (s *State) beginMove(version uint64, u Unit, to Session) error {
 	o := s.find(u)
 	if o == nil || o.Owner.IsZero() {
 		return fmt.Errorf("unit %x has no owner to move from", u.Start)
@@ -171,7 +171,7 @@
 	if !o.MovingTo.IsZero() || o.Owner == to {
 		return fmt.Errorf("unit %x is moving or already there", u.Start)
 	}
-	o.MovingTo = to
+	o.MovingTo, o.MoveVersion = to, version
 	return nil
 }
 
@@ -180,7 +180,7 @@
 	if o == nil || o.MovingTo.IsZero() {
 		return fmt.Errorf("unit %x has no open move", u.Start)
 	}
-	o.MovingTo = Session{}
+	o.MovingTo, o.MoveVersion = Session{}, 0
 	return nil
 }
 
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -11,6 +11,9 @@
 	FloorMS int64 `cbor:"3,keyasint,omitempty"`
 	// MovingTo is the next owner while a planned move is open.
 	MovingTo Session `cbor:"4,keyasint,omitempty"`
+	// MoveVersion is the cluster version that opened the move; 0 without one. It
+	// tells a late message of an earlier move from one of the open move.
+	MoveVersion uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Range is a part of a service's hash space; it ends where the next one starts.
