--- /dev/null
+++ b/dedupe/model_test.go
@@ -0,0 +1,254 @@
+package dedupe
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/basilway/basilway/verdict"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+)
+
+// choose returns a number in [0, n).
+type choose func(n int) int
+
+type modelUnit struct {
+	first uint64
+	hot   bool
+	owner int
+	floor int64
+}
+
+type modelRequest struct {
+	id   uuid.UUID
+	hash uint64
+	runs int
+	at   int // the daemon that runs it, or -1
+}
+
+// model is two daemons that hand units over to each other.
+type model struct {
+	choose   choose
+	now      time.Time
+	daemons  [2]*Memory
+	units    []modelUnit // sorted by first, a range before the hot key at its start
+	requests []*modelRequest
+}
+
+func (m *model) unitOf(hash uint64) int {
+	found := 0
+	for i, u := range m.units {
+		if u.hot && u.first == hash {
+			return i
+		}
+		if !u.hot && u.first <= hash {
+			found = i
+		}
+	}
+	return found
+}
+
+func (m *model) span(i int) Span {
+	u := m.units[i]
+	span := Span{Service: "s", First: u.first, Last: u.first, Hot: u.hot}
+	if !u.hot {
+		span.Last = math.MaxUint64
+		for _, v := range m.units[i+1:] {
+			if !v.hot {
+				span.Last = v.first - 1
+				break
+			}
+		}
+	}
+	return span
+}
+
+func (m *model) announce() {
+	var starts, hot []uint64
+	for _, u := range m.units {
+		if u.hot {
+			hot = append(hot, u.first)
+		} else {
+			starts = append(starts, u.first)
+		}
+	}
+	for _, d := range m.daemons {
+		d.SetUnits("s", starts, hot)
+	}
+}
+
+func (m *model) request() error {
+	if len(m.requests) == 0 || m.choose(2) == 0 {
+		stamp := m.now.Add(time.Duration(m.choose(600)-400) * time.Millisecond)
+		m.requests = append(m.requests, &modelRequest{
+			id: newID(stamp, uint64(len(m.requests))), hash: uint64(m.choose(16)), at: -1,
+		})
+	}
+	r := m.requests[len(m.requests)-1-m.choose(min(len(m.requests), 12))]
+	u := m.units[m.unitOf(r.hash)]
+	if m.daemons[u.owner].Begin(r.id, "s", r.hash, u.floor, m.now).Action != Run {
+		return nil
+	}
+	if r.runs++; r.runs > 1 {
+		return fmt.Errorf("id %s of key %d runs twice", r.id, r.hash)
+	}
+	r.at = u.owner
+	return nil
+}
+
+func (m *model) finish(r *modelRequest, v verdict.Verdict) {
+	if r.at < 0 {
+		return
+	}
+	if v == verdict.NotRun {
+		r.runs--
+	}
+	m.daemons[r.at].Finish(r.id, "s", r.hash, v, []byte("answer"), m.now)
+	r.at = -1
+}
+
+// move hands a unit over, or takes it over with a raised floor.
+func (m *model) move(i int, planned bool) error {
+	span, u := m.span(i), &m.units[i]
+	for _, r := range m.requests {
+		if m.unitOf(r.hash) == i {
+			m.finish(r, verdict.Verdict(m.choose(3)))
+		}
+	}
+	next := 1 - u.owner
+	if planned {
+		data, err := cbor.Marshal(m.daemons[u.owner].Export(span, u.floor, m.now))
+		if err != nil {
+			return err
+		}
+		var h HandOver
+		if err := cbor.Unmarshal(data, &h); err != nil {
+			return err
+		}
+		for range 1 + m.choose(2) {
+			m.daemons[next].Import(h, m.now)
+		}
+	} else {
+		u.floor = m.now.UnixMilli() + 400
+	}
+	u.owner = next
+	return nil
+}
+
+func (m *model) reshape() {
+	at := uint64(m.choose(16))
+	i := m.unitOf(at)
+	if m.units[i].hot || m.choose(2) == 0 && m.units[i].first != at {
+		if m.units[i].hot { // clear it if the range has the same owner
+			h := m.units[i]
+			m.units = slices.Delete(m.units, i, i+1)
+			if r := &m.units[m.unitOf(at)]; r.owner == h.owner {
+				r.floor = max(r.floor, h.floor)
+			} else {
+				m.units = slices.Insert(m.units, i, h)
+			}
+		} else {
+			m.units = slices.Insert(m.units, i+1, modelUnit{first: at, owner: m.units[i].owner, floor: m.units[i].floor})
+		}
+	} else if m.units[i].first == at && at > 0 {
+		left := &m.units[m.unitOfRange(at-1)]
+		if left.owner == m.units[i].owner {
+			left.floor = max(left.floor, m.units[i].floor)
+			m.units = slices.Delete(m.units, i, i+1)
+		}
+	} else {
+		m.units = append(m.units, modelUnit{first: at, hot: true, owner: m.units[i].owner, floor: m.units[i].floor})
+	}
+	slices.SortStableFunc(m.units, func(a, b modelUnit) int {
+		if a.first != b.first {
+			return int(a.first) - int(b.first)
+		}
+		return map[bool]int{false: 0, true: 1}[a.hot] - map[bool]int{false: 0, true: 1}[b.hot]
+	})
+	m.announce()
+}
+
+func (m *model) unitOfRange(hash uint64) int {
+	found := 0
+	for i, u := range m.units {
+		if !u.hot && u.first <= hash {
+			found = i
+		}
+	}
+	return found
+}
+
+func runModel(steps int, b breaks, c choose) error {
+	m := &model{choose: c, now: epoch, units: []modelUnit{{}}}
+	for i := range m.daemons {
+		m.daemons[i] = New(Config{MaxIDs: 24, Retention: 20 * time.Second, MaxAnswerBytes: 60})
+		m.daemons[i].breaks = b
+	}
+	for range steps {
+		var err error
+		switch m.choose(12) {
+		default:
+			err = m.request()
+		case 6, 7, 8:
+			if n := len(m.requests); n > 0 {
+				m.finish(m.requests[n-1-m.choose(min(n, 8))], verdict.Verdict(m.choose(3)))
+			}
+		case 9:
+			err = m.move(m.choose(len(m.units)), m.choose(4) > 0)
+		case 10:
+			m.reshape()
+		case 11:
+			m.now = m.now.Add(time.Duration(1+m.choose(300)) * time.Millisecond)
+		}
+		if err != nil {
+			return err
+		}
+		for _, d := range m.daemons {
+			if d.Len() > 24+16 {
+				return fmt.Errorf("%d ids kept", d.Len())
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against an id that runs twice across splits, merges, isolation of hot keys,
+// hand-overs, repeated imports, take-overs and evictions.
+func TestNoIDRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		steps := rapid.IntRange(1, 400).Draw(t, "steps")
+		err := runModel(steps, breaks{}, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") })
+		if err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a model that cannot see the faults it looks for.
+func TestModelDetectsBreaks(t *testing.T) {
+	for name, b := range map[string]breaks{
+		"none":             {},
+		"forget on export": {forgetOnExport: true},
+		"ignore floor":     {ignoreFloor: true},
+	} {
+		caught := 0
+		for seed := range uint64(50) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			if err := runModel(400, b, r.IntN); err != nil {
+				if b == (breaks{}) {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				caught++
+			}
+		}
+		t.Logf("%s: detected on %d of 50 seeds", name, caught)
+		if b != (breaks{}) && caught < 25 {
+			t.Errorf("%s: detected on %d of 50 seeds, want at least half", name, caught)
+		}
+	}
+}
