Add planner package with load model and plan

Cause: nothing assigned ranges or hot keys to daemons. Change: planner.Recorder and LoadModel measure and smooth busy slot time; planner.Plan gives cluster entries for assignment, evacuation, splits, merges, hot keys and moves under a churn budget.

--- /dev/null
+++ b/planner/config.go
@@ -0,0 +1,85 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+)
+
+// Config configures Plan. Shares are relative to the mean load of a service's members
+// for each slot, so 1.15 means 15 % more than the mean.
+type Config struct {
+	// RangesPerMember is the number of ranges of a service for each member. More
+	// ranges balance finer; each adds about 100 bytes to the state of every daemon.
+	RangesPerMember int
+	// Trigger is the load above which a member gives units away, and Settle the load
+	// down to which it does. The distance between them is the hysteresis: a lower
+	// Trigger balances better and moves more keys.
+	Trigger, Settle float64
+	// Ceiling is the highest load to which a move may bring its target.
+	Ceiling float64
+	// Low is the load below which a member is filled up, to the middle between Low
+	// and the mean.
+	Low float64
+	// MinExcess is the least excess, as a share of a member's slots, for which units
+	// are moved. It keeps an almost idle service still.
+	MinExcess float64
+	// MoveCost is the price of a move and KeyCost the price of moving 1/n of the keys
+	// in a service of n members, in the unit of gain: the share of the mean load of a
+	// member by which the excess falls. A move must gain more than it costs.
+	MoveCost, KeyCost float64
+	// OpenMoves is the bound on open moves of a service as a share of its members;
+	// at least MinOpenMoves are allowed.
+	OpenMoves    float64
+	MinOpenMoves int
+	// UrgentMoves bounds the open moves of a service that empty draining members and
+	// members whose backend server is down.
+	UrgentMoves int
+	// IsolateShare is the least load of a key that is isolated, and ClearShare the
+	// load under which an isolated key returns to its range.
+	IsolateShare, ClearShare float64
+	// MaxHotKeys bounds the isolated keys of a service for each member.
+	MaxHotKeys int
+	// SplitShare is the load over which a range is split, and MergeShare the load
+	// under which two neighbours with the same owner are merged.
+	SplitShare, MergeShare float64
+	// Splits and Merges bound the splits and merges of a service in one plan.
+	Splits, Merges int
+	// WarmUp is the time over which the load allowed to a new member grows from
+	// WarmStart to the mean. It should cover a backend server's cold start.
+	WarmUp    time.Duration
+	WarmStart float64
+	// MoveTimeout is the time after which an open move that its owner did not release
+	// is cancelled. It must exceed the longest request deadline.
+	MoveTimeout time.Duration
+	// ZoneLost is the share of an availability zone's members that must be lost for
+	// the zone's other members to get no units of the lost ones.
+	ZoneLost float64
+}
+
+// DefaultConfig returns the configuration used by basilwayd.
+func DefaultConfig() Config {
+	return Config{
+		RangesPerMember: 8,
+		Trigger:         1.15, Settle: 1.06, Ceiling: 1.08, Low: 0.7, MinExcess: 0.01,
+		MoveCost: 0.005, KeyCost: 0.1,
+		OpenMoves: 0.125, MinOpenMoves: 6, UrgentMoves: 4096,
+		IsolateShare: 0.06, ClearShare: 0.03, MaxHotKeys: 8,
+		SplitShare: 0.3, MergeShare: 0.05, Splits: 64, Merges: 64,
+		WarmUp: 30 * time.Second, WarmStart: 0.2,
+		MoveTimeout: 60 * time.Second, ZoneLost: 0.5,
+	}
+}
+
+// Losses are the sessions that the caller's transaction fences.
+type Losses struct {
+	// Fenced are the sessions whose leases ended.
+	Fenced []cluster.Session
+	// FloorMS is the floor of their units in Unix ms, see cluster.Ownership.
+	FloorMS int64
+}
+
+// unknownFloor is added to the time of the plan for a unit that lost its owner in an
+// earlier version: by then the old lease had ended, and ids may be stamped up to 200 ms
+// ahead by clocks that differ by up to 200 ms.
+const unknownFloor = 400 * time.Millisecond
--- /dev/null
+++ b/planner/loadsync.go
@@ -0,0 +1,229 @@
+package planner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+)
+
+// Sync adapts the model to state: parts of a split range share its load by width,
+// merged ranges add up, and an isolated key takes its load from its range.
+func (m *LoadModel) Sync(state *cluster.State, now time.Time) {
+	if m.synced && m.version == state.Version {
+		return
+	}
+	if !m.synced {
+		m.started = now
+	}
+	m.syncMembers(state, now)
+	for name := range m.services {
+		if state.Services[name] == nil {
+			delete(m.services, name)
+		}
+	}
+	names := make([]string, 0, len(state.Services))
+	for name, svc := range state.Services {
+		m.syncService(name, svc)
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	m.syncUnits(state, names, now)
+	m.version, m.synced = state.Version, true
+}
+
+func (m *LoadModel) syncMembers(state *cluster.State, now time.Time) {
+	for session := range m.members {
+		if _, ok := state.Members[session]; !ok {
+			delete(m.members, session)
+		}
+	}
+	for session := range state.Members {
+		if m.members[session] == nil {
+			member := &memberLoad{changedAt: state.Version}
+			if m.synced {
+				member.firstSeen = now
+			}
+			m.members[session] = member
+		}
+	}
+}
+
+// syncUnits records each member's list of units, in the order of State.UnitsOf, and
+// the time at which each open move was first seen.
+func (m *LoadModel) syncUnits(state *cluster.State, names []string, now time.Time) {
+	lists := make(map[cluster.Session][]cluster.Unit, len(m.members))
+	moves := make(map[cluster.Unit]time.Time)
+	add := func(u cluster.Unit, o cluster.Ownership) {
+		if !o.Owner.IsZero() {
+			lists[o.Owner] = append(lists[o.Owner], u)
+		}
+		if !o.MovingTo.IsZero() {
+			begun, ok := m.moves[u]
+			if !ok {
+				begun = now
+			}
+			moves[u] = begun
+		}
+	}
+	for _, name := range names {
+		svc, h := state.Services[name], 0
+		for i, r := range svc.Ranges {
+			add(cluster.Unit{Service: name, Start: r.Start}, r.Ownership)
+			for h < len(svc.HotKeys) && (i+1 == len(svc.Ranges) || svc.HotKeys[h].Hash < svc.Ranges[i+1].Start) {
+				hot := svc.HotKeys[h]
+				add(cluster.Unit{Service: name, Start: hot.Hash, Hot: true}, hot.Ownership)
+				h++
+			}
+		}
+	}
+	m.moves = moves
+	for session, member := range m.members {
+		if list := lists[session]; !equalUnits(member.units, list) {
+			member.units, member.changedAt = list, state.Version
+		}
+	}
+}
+
+func (m *LoadModel) syncService(name string, svc *cluster.Service) {
+	old := m.services[name]
+	if old == nil {
+		old = &serviceLoad{keys: map[uint64]*estimate{}}
+		m.services[name] = old
+	}
+	if !old.sameShape(svc) {
+		ranges := make([]rangeLoad, len(svc.Ranges))
+		first := 0
+		for i, r := range svc.Ranges {
+			ranges[i] = rangeLoad{start: r.Start, width: svc.Width(i)}
+			last := uint64(math.MaxUint64)
+			if i+1 < len(svc.Ranges) {
+				last = svc.Ranges[i+1].Start - 1
+			}
+			ranges[i].estimate, first = old.overlap(r.Start, last, first)
+		}
+		old.ranges = ranges
+	}
+	old.syncHot(svc)
+}
+
+func (s *serviceLoad) sameShape(svc *cluster.Service) bool {
+	return slices.EqualFunc(s.ranges, svc.Ranges, func(a rangeLoad, b cluster.Range) bool { return a.start == b.Start })
+}
+
+// overlap returns the load that the known ranges give for [start, last]. It looks from
+// range index from on and returns the index at which the next range has to look.
+func (s *serviceLoad) overlap(start, last uint64, from int) (estimate, int) {
+	var sum estimate
+	for i := from; i < len(s.ranges) && s.ranges[i].start <= last; i++ {
+		end := uint64(math.MaxUint64)
+		if i+1 < len(s.ranges) {
+			end = s.ranges[i+1].start - 1
+		}
+		if end < start {
+			continue
+		}
+		share := (float64(min(end, last)-max(s.ranges[i].start, start)) + 1) / (float64(end-s.ranges[i].start) + 1)
+		sum.value += share * s.ranges[i].value
+		sum.shown += share * s.ranges[i].shown
+		if s.ranges[i].at.After(sum.at) {
+			sum.at = s.ranges[i].at
+		}
+		from = i
+	}
+	return sum, from
+}
+
+func (s *serviceLoad) syncHot(svc *cluster.Service) {
+	hot := make([]hotLoad, len(svc.HotKeys))
+	for i, h := range svc.HotKeys {
+		hot[i].hash = h.Hash
+		if j, ok := s.hotIndex(h.Hash); ok {
+			hot[i] = s.hot[j]
+		} else if e := s.keys[h.Hash]; e != nil {
+			hot[i].estimate = *e
+			s.shift(h.Hash, -e.value)
+		}
+		delete(s.keys, h.Hash)
+	}
+	for _, h := range s.hot {
+		_, ok := slices.BinarySearchFunc(hot, h.hash, func(a hotLoad, t uint64) int { return cmp.Compare(a.hash, t) })
+		if !ok {
+			s.shift(h.hash, h.value)
+		}
+	}
+	s.hot = hot
+}
+
+// shift adds load to the range that holds hash.
+func (s *serviceLoad) shift(hash uint64, load float64) {
+	if i := s.rangeIndex(hash); i >= 0 {
+		r := &s.ranges[i]
+		r.value, r.shown = max(0, r.value+load), max(0, r.shown+load)
+	}
+}
+
+func (s *serviceLoad) rangeIndex(hash uint64) int {
+	i, ok := slices.BinarySearchFunc(s.ranges, hash, func(r rangeLoad, t uint64) int { return cmp.Compare(r.start, t) })
+	if ok {
+		return i
+	}
+	return i - 1
+}
+
+func (s *serviceLoad) hotIndex(hash uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.hot, hash, func(h hotLoad, t uint64) int { return cmp.Compare(h.hash, t) })
+}
+
+// unit returns the estimate of u, or nil.
+func (m *LoadModel) unit(u cluster.Unit) *estimate {
+	svc := m.services[u.Service]
+	if svc == nil {
+		return nil
+	}
+	if u.Hot {
+		if i, ok := svc.hotIndex(u.Start); ok {
+			return &svc.hot[i].estimate
+		}
+		return nil
+	}
+	if i := svc.rangeIndex(u.Start); i >= 0 && svc.ranges[i].start == u.Start {
+		return &svc.ranges[i].estimate
+	}
+	return nil
+}
+
+// Expire drops heavy keys that were not reported for KeyTTL and fades estimates that
+// are older than StaleAfter to the mean of their service, so that the load of a silent
+// member neither stays forever nor drops to nothing.
+func (m *LoadModel) Expire(now time.Time) {
+	for _, svc := range m.services {
+		for hash, e := range svc.keys {
+			if now.Sub(e.at) > m.cfg.KeyTTL {
+				delete(svc.keys, hash)
+			}
+		}
+		total := 0.0
+		for _, r := range svc.ranges {
+			total += r.value
+		}
+		for i := range svc.ranges {
+			m.fade(&svc.ranges[i].estimate, total*svc.ranges[i].width, now)
+		}
+		for i := range svc.hot {
+			m.fade(&svc.hot[i].estimate, 0, now)
+		}
+	}
+}
+
+// fade moves a stale estimate by half towards mean, once in each HalfLife.
+func (m *LoadModel) fade(e *estimate, mean float64, now time.Time) {
+	if e.at.IsZero() || now.Sub(e.at) <= m.cfg.StaleAfter+m.cfg.HalfLife {
+		return
+	}
+	e.value = (e.value + mean) / 2
+	e.shown = e.value
+	e.at = e.at.Add(m.cfg.HalfLife)
+}
--- /dev/null
+++ b/planner/report.go
@@ -0,0 +1,47 @@
+package planner
+
+import "time"
+
+// Report is one daemon's load over a window. The connection identifies the sender,
+// so the report does not repeat its session. Loads are in thousandths of a slot:
+// 1,000 means that one slot was busy the whole time.
+type Report struct {
+	// Version is the cluster version at which the sender read its list of units.
+	Version uint64 `cbor:"1,keyasint"`
+	// Units has the load of each unit in the order of cluster.State.UnitsOf.
+	Units []uint32 `cbor:"2,keyasint"`
+	// Keys has the heaviest keys, heaviest first; see RecorderConfig.MinKeyShare.
+	Keys []KeyLoad `cbor:"3,keyasint,omitempty"`
+	// Errors is the share of requests that failed, in percent.
+	Errors uint8 `cbor:"4,keyasint,omitempty"`
+	// Claimed is what the backend server's load endpoint says. It is recorded to
+	// show a difference from the measured load and does not affect plans.
+	Claimed uint32 `cbor:"5,keyasint,omitempty"`
+	// Occupied is the number of slots in use at the end of the window. It tells a
+	// frozen server, which finishes nothing, from an idle one.
+	Occupied uint32 `cbor:"6,keyasint,omitempty"`
+	// Down says that the backend server does not accept requests.
+	Down bool `cbor:"7,keyasint,omitempty"`
+}
+
+// KeyLoad is the load of one key of a unit.
+type KeyLoad struct {
+	_ struct{} `cbor:",toarray"`
+	// Unit is the index of the key's unit in Report.Units.
+	Unit uint32
+	Hash uint64
+	// Load is in thousandths of a slot.
+	Load uint32
+}
+
+// reportBytes is the size of a report with 8 units, see design section 8.
+const reportBytes = 60
+
+// reportBudget is what a planner receives from all members, in bytes a second.
+const reportBudget = 10_000
+
+// ReportInterval returns the shortest time between two reports of a daemon, so that
+// the planner of a cluster of members receives at most 10 KB a second.
+func ReportInterval(members int) time.Duration {
+	return max(time.Second, time.Duration(members)*reportBytes*time.Second/reportBudget)
+}
--- /dev/null
+++ b/planner/view.go
@@ -0,0 +1,255 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+)
+
+// view is a working copy of one service during a plan, with indices for sessions.
+type view struct {
+	name    string
+	cfg     Config
+	now     time.Time
+	members []memberView
+	indexOf map[cluster.Session]int
+	ranges  []unitView
+	hot     []unitView
+	keys    []keyView
+	entries []cluster.Entry
+	// total is the load in slots, slots the capacity of the members that stay, and
+	// mean their quotient.
+	total, slots, mean float64
+	known              float64 // share of the width whose load was reported
+	openMoves          int     // open moves of members that stay
+	urgentMoves        int     // open moves of members that leave
+	hotCount           int
+	fenced             map[cluster.Session]bool
+	fencedZones        map[string]int // members fenced now for each availability zone
+	floorMS            int64
+}
+
+type memberView struct {
+	member  cluster.Member
+	serves  bool // its backend server is of this service
+	leaving bool // draining or its backend server is down
+	// eligible members may get units; limit is the share of the mean allowed to them.
+	eligible bool
+	limit    float64
+	load     float64 // with open moves done
+	units    []*unitView
+	done     bool // nothing more can be moved away in this plan
+}
+
+type unitView struct {
+	id            cluster.Unit
+	owner, target int // indices of members, or noMember
+	epoch         uint64
+	load, width   float64
+	keys          []keyView // heavy keys inside a range
+}
+
+type keyView struct {
+	hash uint64
+	load float64
+}
+
+const noMember = -1
+
+// holder returns the member that has the unit when its open move is done.
+func (u *unitView) holder() int {
+	if u.target != noMember {
+		return u.target
+	}
+	return u.owner
+}
+
+func (u *unitView) moving() bool { return u.target != noMember }
+
+func (m *memberView) use(slots float64) float64 { return slots / float64(max(1, m.member.Slots)) }
+
+// util returns the load for each slot.
+func (m *memberView) util() float64 { return m.use(m.load) }
+
+func newView(name string, state *cluster.State, members []cluster.Member, load *LoadModel, cfg Config, losses Losses, now time.Time) *view {
+	v := &view{name: name, cfg: cfg, now: now, indexOf: map[cluster.Session]int{}, fenced: map[cluster.Session]bool{}, fencedZones: map[string]int{}, floorMS: losses.FloorMS}
+	for _, s := range losses.Fenced {
+		v.fenced[s] = true
+	}
+	for _, m := range members {
+		switch {
+		case m.Service != name:
+		case v.fenced[m.Session]:
+			v.fencedZones[m.Zone]++
+		default:
+			v.addMember(m, load)
+		}
+	}
+	svc := state.Services[name]
+	if svc == nil {
+		return v
+	}
+	v.hotCount = len(svc.HotKeys)
+	loads := load.services[name]
+	density := v.density(loads)
+	v.ranges = make([]unitView, 0, len(svc.Ranges)+cfg.Splits)
+	for i, r := range svc.Ranges {
+		u := unitView{id: cluster.Unit{Service: name, Start: r.Start}, width: svc.Width(i), load: loads.ranges[i].shown}
+		if loads.ranges[i].at.IsZero() {
+			u.load = density * u.width
+		}
+		v.setOwners(&u, r.Ownership, state, load)
+		v.ranges = append(v.ranges, u)
+	}
+	v.hot = make([]unitView, 0, len(svc.HotKeys))
+	for i, h := range svc.HotKeys {
+		u := unitView{id: cluster.Unit{Service: name, Start: h.Hash, Hot: true}, load: loads.hot[i].shown}
+		v.setOwners(&u, h.Ownership, state, load)
+		v.hot = append(v.hot, u)
+	}
+	for hash, e := range loads.keys {
+		if i := loads.rangeIndex(hash); i >= 0 {
+			v.ranges[i].keys = append(v.ranges[i].keys, keyView{hash: hash, load: e.shown})
+		}
+	}
+	v.sum()
+	return v
+}
+
+// density returns the load for the whole width that the reported ranges suggest, and
+// sets known to their share of the width.
+func (v *view) density(s *serviceLoad) float64 {
+	sum := 0.0
+	for i := range s.ranges {
+		if !s.ranges[i].at.IsZero() {
+			v.known += s.ranges[i].width
+			sum += s.ranges[i].shown
+		}
+	}
+	if v.known == 0 {
+		return 0
+	}
+	return sum / v.known
+}
+
+func (v *view) addMember(m cluster.Member, load *LoadModel) int {
+	mv := memberView{member: m, serves: m.Service == v.name, limit: 1}
+	mv.leaving = m.State == cluster.MemberDraining || load.Down(m.Session) || !mv.serves
+	mv.eligible = !mv.leaving && load.Eligible(m.Session, v.now)
+	if ml := load.members[m.Session]; ml != nil && !ml.firstSeen.IsZero() && v.cfg.WarmUp > 0 {
+		age := v.now.Sub(ml.firstSeen).Seconds() / v.cfg.WarmUp.Seconds()
+		mv.limit = min(1, v.cfg.WarmStart+(1-v.cfg.WarmStart)*max(0, age))
+	}
+	v.members = append(v.members, mv)
+	v.indexOf[m.Session] = len(v.members) - 1
+	return len(v.members) - 1
+}
+
+func (v *view) setOwners(u *unitView, o cluster.Ownership, state *cluster.State, load *LoadModel) {
+	u.owner, u.target, u.epoch = noMember, noMember, o.Epoch
+	if o.Owner.IsZero() || v.fenced[o.Owner] {
+		return
+	}
+	u.owner = v.index(o.Owner, state, load)
+	if !o.MovingTo.IsZero() && !v.fenced[o.MovingTo] {
+		u.target = v.index(o.MovingTo, state, load)
+	}
+}
+
+// index returns the member of session. A member that now serves another service but
+// still owns units of this one is added as leaving.
+func (v *view) index(session cluster.Session, state *cluster.State, load *LoadModel) int {
+	if i, ok := v.indexOf[session]; ok {
+		return i
+	}
+	return v.addMember(state.Members[session], load)
+}
+
+// sum sets the totals and the members' loads and units from the units.
+func (v *view) sum() {
+	v.total, v.slots, v.openMoves, v.urgentMoves = 0, 0, 0, 0
+	for i := range v.members {
+		m := &v.members[i]
+		m.load, m.units = 0, m.units[:0]
+		if m.serves && !m.leaving {
+			v.slots += float64(max(1, m.member.Slots))
+		}
+	}
+	v.each(func(u *unitView) {
+		v.total += u.load
+		if u.owner == noMember {
+			return
+		}
+		if u.moving() && v.members[u.owner].leaving {
+			v.urgentMoves++
+		} else if u.moving() {
+			v.openMoves++
+		}
+		holder := &v.members[u.holder()]
+		holder.load += u.load
+		holder.units = append(holder.units, u)
+	})
+	v.mean = 0
+	if v.slots > 0 {
+		v.mean = v.total / v.slots
+	}
+}
+
+func (v *view) each(f func(u *unitView)) {
+	for i := range v.ranges {
+		f(&v.ranges[i])
+	}
+	for i := range v.hot {
+		f(&v.hot[i])
+	}
+}
+
+func (v *view) emit(e cluster.Entry) { v.entries = append(v.entries, e) }
+
+// staying returns the number of members that serve the service and do not leave.
+func (v *view) staying() int {
+	n := 0
+	for i := range v.members {
+		if v.members[i].serves && !v.members[i].leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// lightest returns the eligible member with the least load that accept allows, or
+// noMember. Equal loads are decided by the order of sessions.
+func (v *view) lightest(accept func(i int) bool) int {
+	best, bestLoad := noMember, 0.0
+	for i := range v.members {
+		m := &v.members[i]
+		if !m.eligible || accept != nil && !accept(i) {
+			continue
+		}
+		if l := m.util() / m.limit; best == noMember || l < bestLoad {
+			best, bestLoad = i, l
+		}
+	}
+	return best
+}
+
+// beginMove opens a move of u, which is not moving, to member target.
+func (v *view) beginMove(u *unitView, target int) {
+	v.emit(cluster.Entry{Kind: cluster.EntryMoveBegun, Unit: u.id, Session: v.members[target].member.Session})
+	from, to := &v.members[u.owner], &v.members[target]
+	if from.leaving {
+		v.urgentMoves++
+	} else {
+		v.openMoves++
+	}
+	from.load -= u.load
+	to.load += u.load
+	for i := range from.units {
+		if from.units[i] == u {
+			from.units = append(from.units[:i], from.units[i+1:]...)
+			break
+		}
+	}
+	to.units = append(to.units, u)
+	u.target = target
+}
