--- a/planner/view.go
+++ b/planner/view.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/basilway/basilway/cluster"
@@ -112,6 +114,9 @@
 			v.ranges[i].keys = append(v.ranges[i].keys, keyView{hash: hash, load: e.shown})
 		}
 	}
+	for i := range v.ranges {
+		slices.SortFunc(v.ranges[i].keys, func(a, b keyView) int { return cmp.Compare(a.hash, b.hash) })
+	}
 	v.sum()
 	return v
 }
