Add retry package

Cause: retries after an outage must not become the next overload. Without the budget the storm test fails.

--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,106 @@
+// Package retry decides whether and when a failed request is tried again.
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// BudgetConfig configures a Budget. Zero fields take their defaults.
+type BudgetConfig struct {
+	// Share is the number of retries allowed for each first try. The default is 0.1.
+	// A greater share hides more single failures and adds that much load to a
+	// backend server that fails because it is overloaded.
+	Share float64
+	// MaxSaved is the number of unused retries that are kept for later. The default
+	// is 50. A greater number lets more retries through at the start of an outage.
+	MaxSaved float64
+	// FloorPerSecond is the number of retries a second allowed without any first
+	// tries. The default is 1, so that a lone request can be retried. It adds to the
+	// share, so it must stay small against the traffic of one daemon.
+	FloorPerSecond float64
+	// FloorBurst is the number of floor retries that may come at once. The default
+	// is 3, enough for all tries of one request.
+	FloorBurst int
+}
+
+// withDefaults returns c with defaults in place of zero fields.
+func (c BudgetConfig) withDefaults() BudgetConfig {
+	if c.Share == 0 {
+		c.Share = 0.1
+	}
+	if c.MaxSaved == 0 {
+		c.MaxSaved = 50
+	}
+	if c.FloorPerSecond == 0 {
+		c.FloorPerSecond = 1
+	}
+	if c.FloorBurst == 0 {
+		c.FloorBurst = 3
+	}
+	return c
+}
+
+// Budget limits retries to a share of first tries. It is not safe for concurrent
+// use; see SharedBudget.
+type Budget struct {
+	config BudgetConfig
+	saved  float64
+	floor  *rate.Limiter
+	faults testFaults
+}
+
+// testFaults switches off single rules so that tests can show that they notice.
+type testFaults struct {
+	unlimited bool
+}
+
+// NewBudget returns a budget without saved retries.
+func NewBudget(config BudgetConfig) *Budget {
+	c := config.withDefaults()
+	return &Budget{config: c, floor: rate.NewLimiter(rate.Limit(c.FloorPerSecond), c.FloorBurst)}
+}
+
+// FirstTry counts a first try.
+func (b *Budget) FirstTry() {
+	b.saved = min(b.config.MaxSaved, b.saved+b.config.Share)
+}
+
+// TryRetry reports whether a retry may be sent and, if so, takes it from the budget.
+func (b *Budget) TryRetry(now time.Time) bool {
+	if b.faults.unlimited {
+		return true
+	}
+	if b.saved >= 1 {
+		b.saved--
+		return true
+	}
+	return b.floor.AllowN(now, 1)
+}
+
+// SharedBudget is a Budget that is safe for concurrent use.
+type SharedBudget struct {
+	mu     sync.Mutex
+	budget *Budget
+}
+
+// NewSharedBudget returns a shared budget without saved retries.
+func NewSharedBudget(config BudgetConfig) *SharedBudget {
+	return &SharedBudget{budget: NewBudget(config)}
+}
+
+// FirstTry counts a first try.
+func (b *SharedBudget) FirstTry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.FirstTry()
+}
+
+// TryRetry is Budget.TryRetry.
+func (b *SharedBudget) TryRetry(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.TryRetry(now)
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,186 @@
+package retry
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/basilway/basilway/verdict"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a second run of a non-idempotent request, a retry past the deadline
+// or before retry-after, and budget taken for a retry that is not sent.
+func TestNextKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		err := verdict.New(rapid.SampledFrom([]verdict.Verdict{verdict.MayHaveRun, verdict.NotRun, verdict.Ran}).Draw(t, "verdict"),
+			rapid.SampledFrom([]verdict.Reason{verdict.ReasonOverloaded, verdict.ReasonInvalid, verdict.ReasonPeerLost}).Draw(t, "reason"), "")
+		err.RetryAfter = time.Duration(rapid.IntRange(0, 500).Draw(t, "retry after")) * time.Millisecond
+		a := Attempt{Err: err, Idempotent: rapid.Bool().Draw(t, "idempotent"), Tries: rapid.IntRange(1, 6).Draw(t, "tries")}
+		if rapid.Bool().Draw(t, "has deadline") {
+			a.Deadline = start.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(t, "deadline")) * time.Millisecond)
+		}
+		b := NewBudget(BudgetConfig{FloorBurst: 1})
+		d := Policy{}.Next(a, b, start, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)))
+		if d.Retry == b.TryRetry(start) {
+			t.Fatalf("retry %v, but the budget does not agree", d.Retry)
+		}
+		if d.Retry != (d.Refusal == RefusalNone) {
+			t.Fatalf("decision %+v", d)
+		}
+		if !d.Retry {
+			return
+		}
+		switch {
+		case err.Verdict == verdict.Ran, err.Verdict == verdict.MayHaveRun && !a.Idempotent:
+			t.Fatalf("retried after %s, idempotent %v", err.Verdict, a.Idempotent)
+		case err.Reason == verdict.ReasonInvalid || a.Tries >= 4:
+			t.Fatalf("retried after %s and %d tries", err.Reason, a.Tries)
+		case !a.Deadline.IsZero() && !start.Add(d.After).Before(a.Deadline):
+			t.Fatalf("retry after %s is past the deadline", d.After)
+		case d.After < err.RetryAfter || d.After > err.RetryAfter+25*time.Millisecond<<(a.Tries-1):
+			t.Fatalf("wait %s, retry-after %s, try %d", d.After, err.RetryAfter, a.Tries)
+		}
+	})
+}
+
+// Guards against a floor that keeps a lone request from being retried or that grows.
+func TestFloor(t *testing.T) {
+	g := NewWithT(t)
+	b := NewSharedBudget(BudgetConfig{})
+	b.FirstTry()
+	allowed := 0
+	for i := range 1000 {
+		if b.TryRetry(start.Add(time.Duration(i) * 10 * time.Millisecond)) {
+			allowed++
+		}
+	}
+	g.Expect(allowed).To(Equal(12), "3 at once and 1 in each of the 9 seconds after")
+}
+
+type try struct {
+	at    time.Time
+	first time.Time
+	tries int
+}
+
+type tryHeap []try
+
+func (h tryHeap) Len() int           { return len(h) }
+func (h tryHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h tryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *tryHeap) Push(x any)        { *h = append(*h, x.(try)) }
+func (h *tryHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
+
+// outage sends perSecond first tries a second with a deadline of 5 s for 30 s without
+// and 60 s with a server that comes back cold: it completes half of the first tries and
+// reaches 120 % of them within 10 s. It returns first tries and retries for each
+// second, and how many tries each second completed.
+func outage(perSecond int, b *Budget) (first, retries, done [90]int) {
+	var h tryHeap
+	for i := range 90 * perSecond {
+		at := start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		h = append(h, try{at: at, first: at})
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for h.Len() > 0 {
+		t := heap.Pop(&h).(try)
+		s := int(t.at.Sub(start) / time.Second)
+		if s >= 90 {
+			break
+		}
+		if t.tries == 0 {
+			b.FirstTry()
+			first[s]++
+		} else {
+			retries[s]++
+		}
+		t.tries++
+		if s >= 30 && done[s] < warmCapacity(perSecond, s-30) {
+			done[s]++
+			continue
+		}
+		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "")
+		a := Attempt{Err: err, Tries: t.tries, Deadline: t.first.Add(5 * time.Second)}
+		if d := (Policy{}).Next(a, b, t.at, rng); d.Retry {
+			t.at = t.at.Add(d.After)
+			heap.Push(&h, t)
+		}
+	}
+	return first, retries, done
+}
+
+func warmCapacity(perSecond, seconds int) int {
+	return perSecond * min(120, 50+7*seconds) / 100
+}
+
+const outageRate = 580 // a tenth of a node's rate keeps the test short
+
+// excess returns the greatest number of retries in one second during and after the
+// outage above the allowed share.
+func excess(first, retries [90]int) int {
+	worst := 0
+	for s := range first {
+		worst = max(worst, retries[s]-first[s]/10)
+	}
+	return worst
+}
+
+// Guards against a retry storm: in every second of an outage and of the minute after
+// it, retries stay at 10 % of first tries plus what was saved and the floor.
+func TestNoStormAfterAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	first, retries, done := outage(outageRate, NewBudget(BudgetConfig{}))
+	// Saved retries (50), floor burst (3) and floor rate (1), each once.
+	g.Expect(excess(first, retries)).To(BeNumerically("<=", 54))
+	for s := 30; s < 90; s++ {
+		g.Expect(done[s]).To(BeNumerically(">=", min(first[s], warmCapacity(outageRate, s-30))),
+			"second %d after the outage", s-30)
+	}
+	sum := 0
+	for s := 30; s < 90; s++ {
+		sum += retries[s]
+	}
+	t.Logf("first tries %d, retries %d in the minute after", 60*outageRate, sum)
+}
+
+// Guards against a storm test that could not fail.
+func TestStormWithoutBudgetIsNoticed(t *testing.T) {
+	b := NewBudget(BudgetConfig{})
+	b.faults.unlimited = true
+	first, retries, _ := outage(outageRate, b)
+	NewWithT(t).Expect(excess(first, retries)).To(BeNumerically(">", 2*outageRate))
+}
+
+func BenchmarkOutage(b *testing.B) {
+	for range b.N {
+		first, retries, _ := outage(5800, NewBudget(BudgetConfig{}))
+		f, r, peak := 0, 0, 0
+		for s := 30; s < 90; s++ {
+			f, r, peak = f+first[s], r+retries[s], max(peak, retries[s])
+		}
+		b.ReportMetric(float64(r)/float64(f), "retries/first")
+		b.ReportMetric(float64(peak)/5800, "peak-retries/first")
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	budget := NewSharedBudget(BudgetConfig{})
+	rng := rand.New(rand.NewPCG(1, 2))
+	a := Attempt{Err: verdict.New(verdict.NotRun, verdict.ReasonOverloaded, ""), Tries: 1}
+	b.ReportAllocs()
+	for range b.N {
+		budget.FirstTry()
+		Policy{}.Next(a, budget, start, rng)
+	}
+}
