Add admission controller

Cause: a backend server that takes more requests than it has slots stops being useful. Change: pure Controller with slots, a bounded queue, tenant and class limits, fair order across tenants, keys and callers, an adaptive limit, a cold-start ramp and retry-after from the drain rate.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,203 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/basilway/basilway/catalogue"
+	"github.com/basilway/basilway/verdict"
+)
+
+// Controller admits requests to one backend server. It is not safe for concurrent use.
+type Controller struct {
+	config   Config
+	slots    int
+	adaptive adaptive
+	ramp     ramp
+	drain    drain
+	limits   Limits
+	classes  [catalogue.ClassCritical + 1]bound
+	shares   shares
+	table    table
+	queue    queue
+	inFlight int
+	swept    time.Time
+	faults   testFaults
+}
+
+// sweepInterval is how often idle tenants are forgotten. Callers choose tenant names,
+// so the time bounds the memory that made-up names take.
+const sweepInterval = time.Second
+
+// testFaults switches off single rules so that tests can show that they notice.
+type testFaults struct {
+	ignoreSlots      bool
+	loseQueued       bool
+	unboundedQueue   bool
+	keepExpired      bool
+	rejectHighest    bool
+	keyMayFillAll    bool
+	arrivalOrder     bool
+	noAdaptiveLimit  bool
+	startSameTwice   bool
+	ignoreRateLimits bool
+}
+
+// New returns a controller for a server that has not announced itself: it has no
+// slots, and requests wait for SetSlots or ServerStarted.
+func New(config Config) *Controller {
+	c := &Controller{config: config.withDefaults(), shares: newShares()}
+	c.adaptive = adaptive{config: c.config, faults: &c.faults}
+	return c
+}
+
+// SetSlots sets the number of requests that the server runs at once. The adaptive
+// limit and a ramp go on.
+func (c *Controller) SetSlots(slots int, now time.Time) Actions {
+	c.slots = max(0, slots)
+	c.adaptive.setSlots(c.slots)
+	return c.Tick(now)
+}
+
+// ServerStarted begins the cold-start ramp of a server process with slots. Requests
+// that ran on the process before it still need their End.
+func (c *Controller) ServerStarted(slots int, now time.Time) Actions {
+	c.ramp = ramp{started: now, share: c.config.RampStart, duration: c.config.RampDuration}
+	c.adaptive.reset()
+	c.adaptive.limit = float64(max(0, slots))
+	return c.SetSlots(slots, now)
+}
+
+// SetLimits replaces the tenant and class limits. Requests in flight are not affected.
+func (c *Controller) SetLimits(limits Limits, now time.Time) Actions {
+	c.limits = limits
+	for name, t := range c.shares.tenants {
+		t.set(limits.tenant(name), now)
+	}
+	for class := range c.classes {
+		c.classes[class].set(limits.Classes[catalogue.Class(class)], now)
+	}
+	return c.Tick(now)
+}
+
+// Begin decides about a new request. The actions are about other requests; they come
+// from the time that passed and from queued requests that give way to this one.
+func (c *Controller) Begin(r Request, now time.Time) (Decision, Actions) {
+	var out Actions
+	c.advance(now, &out)
+	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+		return c.reject(verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline has passed")), out
+	}
+	if !r.Class.Valid() {
+		r.Class = catalogue.ClassBackground
+	}
+	t, class := c.tenant(r.Tenant, now), &c.classes[r.Class]
+	if wait := max(t.rateWait(now), class.rateWait(now)); wait > 0 && !c.faults.ignoreRateLimits {
+		err := verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "tenant or class is over its rate")
+		return c.reject(err.WithRetryAfter(c.clampRetryAfter(wait))), out
+	}
+	e := c.newEntry(r, t, now)
+	if c.hasSlot(now) && e.mayStart(class) {
+		c.start(e, now)
+		t.take(now)
+		class.take(now)
+		return Decision{Kind: Run, Ticket: e.ticket()}, out
+	}
+	ticket := e.ticket()
+	if err := c.enqueue(e, now, &out); err != nil {
+		return c.reject(err), out
+	}
+	t.take(now)
+	class.take(now)
+	return Decision{Kind: Queued, Ticket: ticket}, out
+}
+
+// End reports that a request that ran is over, latency after it was sent. A ticket
+// that is not running is ignored.
+func (c *Controller) End(ticket Ticket, latency time.Duration, outcome Outcome, now time.Time) Actions {
+	var out Actions
+	e := c.table.get(ticket, entryRunning)
+	if e == nil {
+		return out
+	}
+	c.inFlight--
+	c.classes[e.class].inFlight--
+	e.count(-1, 0)
+	c.forget(e)
+	c.drain.progress = now
+	switch outcome {
+	case Completed, TimedOut:
+		c.drain.ended(latency)
+		if _, ramping := c.ramp.limit(c.slots, now); !ramping {
+			c.adaptive.observe(latency, now)
+		}
+	case Failed:
+		c.drain.ended(latency)
+	}
+	c.advance(now, &out)
+	return out
+}
+
+// Cancel gives up a queued request and reports whether it was still queued. A request
+// that was started before needs End.
+func (c *Controller) Cancel(ticket Ticket, now time.Time) (bool, Actions) {
+	var out Actions
+	e := c.table.get(ticket, entryWaiting)
+	if e != nil {
+		c.queue.remove(e)
+		c.unqueue(e)
+		c.forget(e)
+	}
+	c.advance(now, &out)
+	return e != nil, out
+}
+
+// Tick lets time pass: it rejects requests that waited too long, starts others that a
+// ramp makes room for, and forgets idle tenants. Call it at NextTick, and at least
+// every second.
+func (c *Controller) Tick(now time.Time) Actions {
+	var out Actions
+	c.advance(now, &out)
+	if now.Sub(c.swept) >= sweepInterval {
+		c.swept = now
+		for name, t := range c.shares.tenants {
+			if t.idle(now) {
+				delete(c.shares.tenants, name)
+			}
+		}
+	}
+	return out
+}
+
+// NextTick returns the time by which a queued request must be started or rejected. It
+// may be early. It reports false if none is queued.
+func (c *Controller) NextTick() (time.Time, bool) {
+	return c.queue.earliest, len(c.queue.waiting) > 0
+}
+
+// Limit returns the number of requests that may be in flight now.
+func (c *Controller) Limit(now time.Time) int {
+	if c.slots == 0 {
+		return 0
+	}
+	ramp, _ := c.ramp.limit(c.slots, now)
+	return min(ramp, max(1, int(c.adaptive.limit)))
+}
+
+// Stats returns a snapshot for metrics.
+func (c *Controller) Stats(now time.Time) Stats {
+	return Stats{
+		Slots:        c.slots,
+		Limit:        c.Limit(now),
+		InFlight:     c.inFlight,
+		Queued:       len(c.queue.waiting),
+		UsualLatency: time.Duration(c.adaptive.usual * float64(time.Second)),
+	}
+}
+
+func (c *Controller) reject(err *verdict.Error) Decision {
+	return Decision{Kind: Rejected, Err: err}
+}
+
+func (c *Controller) clampRetryAfter(d time.Duration) time.Duration {
+	return min(max(d, c.config.MinRetryAfter), c.config.MaxRetryAfter)
+}
