Add multiplexed connections between daemons

Cause: daemons forward thousands of requests a second to each other and must know for each one whether it may have run. Change: internal/peer with a pool of WebSocket connections, CBOR frames that are batched into messages, verdicts that come from whether the writer took the frame, cancellation, deadlines, keys, backpressure, backoff and a close that loses no call.

--- /dev/null
+++ b/internal/peer/error.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"github.com/basilway/basilway/verdict"
+)
+
+// congestionRetry is when to try again after a full queue; a queue of the default
+// length drains within it.
+const congestionRetry = 20 * time.Millisecond
+
+// Error is the error of a Call or Notify. verdict.From finds its verdict.
+type Error struct {
+	Err *verdict.Error
+	// Detail is the CBOR detail that the handler attached; nil if there is none.
+	Detail []byte
+	// Remote is true if the other daemon answered, and false if the error arose in this
+	// one or on the way.
+	Remote bool
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "peer: " + e.Err.Error() }
+
+// Unwrap returns the error with the verdict.
+func (e *Error) Unwrap() error { return e.Err }
+
+// WithDetail returns an error for a handler to return, with a detail that the caller
+// decodes. It fails if the detail cannot be encoded.
+func WithDetail(err *verdict.Error, detail any) error {
+	data, encodeErr := Encode(detail)
+	if encodeErr != nil {
+		return encodeErr
+	}
+	return &Error{Err: err, Detail: data}
+}
+
+// DecodeDetail decodes the detail of an error of Call. It returns false if there is none.
+func DecodeDetail(err error, v any) (bool, error) {
+	detail := detailOf(err)
+	if detail == nil {
+		return false, nil
+	}
+	return true, Decode(detail, v)
+}
+
+func detailOf(err error) []byte {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Detail
+	}
+	return nil
+}
+
+func localError(v verdict.Verdict, reason verdict.Reason, format string, args ...any) *Error {
+	return &Error{Err: verdict.New(v, reason, format, args...)}
+}
+
+func congested(format string, args ...any) *Error {
+	return &Error{Err: verdict.New(verdict.NotRun, verdict.ReasonOverloaded, format, args...).WithRetryAfter(congestionRetry)}
+}
--- /dev/null
+++ b/internal/peer/read.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/coder/websocket"
+	"go.uber.org/zap"
+)
+
+// errMalformed marks messages that do not follow the protocol.
+var errMalformed = errors.New("malformed message")
+
+// read handles messages until the connection is closed. It never waits for the writer,
+// so two sides that send much cannot block each other.
+func (c *conn) read() {
+	var buf bytes.Buffer
+	for {
+		err := c.readMessage(&buf)
+		if err == nil {
+			err = c.handleMessage(buf.Bytes())
+		}
+		if err == nil {
+			if buf.Cap() > 4*maxBatchBytes {
+				buf = bytes.Buffer{}
+			}
+			continue
+		}
+		if errors.Is(err, errMalformed) || errors.Is(err, websocket.ErrMessageTooBig) {
+			c.pool.counters.malformed.Add(1)
+			c.pool.cfg.Logger.Warn("connection closed", zap.String("peer", c.info.Address), zap.Error(err))
+		}
+		c.fail(err)
+		return
+	}
+}
+
+func (c *conn) readMessage(buf *bytes.Buffer) error {
+	kind, r, err := c.ws.Reader(context.Background())
+	if err != nil {
+		return err
+	}
+	if kind != websocket.MessageBinary {
+		return fmt.Errorf("%w: not binary", errMalformed)
+	}
+	buf.Reset()
+	_, err = buf.ReadFrom(r)
+	return err
+}
+
+func (c *conn) handleMessage(data []byte) error {
+	c.pool.counters.receivedMessages.Add(1)
+	c.lastReceived.Store(c.pool.now())
+	for len(data) > 0 {
+		f, rest, err := decodeFrame(data, c.pool.cfg.MaxFrameBytes)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errMalformed, err)
+		}
+		c.pool.counters.kinds[f.Kind].received(len(data) - len(rest))
+		data = rest
+		if err := c.handleFrame(&f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *conn) handleFrame(f *frame) error {
+	switch f.Type {
+	case frameRequest, frameNotify:
+		c.lastUsed.Store(c.pool.now())
+		return c.serve(f)
+	case frameAnswer:
+		c.answer(f)
+	case frameCancel:
+		c.cancelInbound(f.ID)
+	case framePing:
+		_ = c.enqueue(&frame{Type: framePong})
+	case framePong:
+	case frameGoAway:
+		c.mu.Lock()
+		c.gotAway, c.draining = true, true
+		c.mu.Unlock()
+		c.goAway()
+		c.pool.forget(c)
+		c.finishIfDone()
+	}
+	return nil
+}
