--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/basilway/basilway/admission"
+	"github.com/basilway/basilway/lease"
+	"github.com/basilway/basilway/membership"
+	"github.com/basilway/basilway/platform"
+)
+
+// Config configures a Daemon.
+type Config struct {
+	// Instance is the name of the instance; it is unique in the cluster.
+	Instance string
+	// Zone is the availability zone, written "region/zone".
+	Zone string
+	// Listen is the address for callers, operators, the backend server and other
+	// daemons, as host:port.
+	Listen string
+	// Address is where other daemons reach this one; Listen if empty.
+	Address string
+	// Seeds are addresses of other daemons, for a start while the store is down.
+	Seeds []string
+	// PeerKeys and OperatorKeys are accepted from other daemons and from operators.
+	// Without them only calls from loopback are.
+	PeerKeys, OperatorKeys []string
+	// DrainTimeout bounds a graceful shutdown. Requests still in flight are cut then.
+	DrainTimeout time.Duration
+	// MaxRequestIDs bounds the memory of request ids; 0 is the default.
+	MaxRequestIDs int
+	// MaxFrameBytes bounds a message between daemons. It must exceed the largest
+	// payload by some hundred bytes; hand-overs of busy units need several MB.
+	MaxFrameBytes int
+
+	Lease     lease.Config
+	Spread    membership.Config
+	Admission admission.Config
+
+	Table   platform.Table
+	Objects platform.ObjectStore
+}
+
+const (
+	// leaveAfter is how long a daemon that is stopping still takes new requests while
+	// its units move away.
+	leaveAfter = 3 * time.Second
+	// defaultDrainTimeout exceeds the default timeout of requests by far.
+	defaultDrainTimeout = 30 * time.Second
+	defaultFrameBytes   = 16 << 20
+)
+
+func (c Config) withDefaults() Config {
+	if c.Address == "" {
+		c.Address = c.Listen
+	}
+	if c.DrainTimeout <= 0 {
+		c.DrainTimeout = defaultDrainTimeout
+	}
+	if c.MaxFrameBytes <= 0 {
+		c.MaxFrameBytes = defaultFrameBytes
+	}
+	if c.Lease == (lease.Config{}) {
+		c.Lease = lease.DefaultConfig()
+	}
+	if c.Spread == (membership.Config{}) {
+		c.Spread = membership.DefaultConfig()
+	}
+	return c
+}
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/basilway/basilway/gen/basilway/backend/v1/backendv1connect"
+	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
+	"github.com/basilway/basilway/internal/peer"
+)
+
+const (
+	// readHeaderTimeout closes connections that never send a request.
+	readHeaderTimeout = 10 * time.Second
+	// maxCallBytes bounds a caller's message; catalogue limits are at most 16 MiB.
+	maxCallBytes = 17 << 20
+)
+
+// newHTTPServer returns the server for callers, operators, the backend server and
+// other daemons. It speaks HTTP/1.1 and HTTP/2 without TLS.
+func (d *Daemon) newHTTPServer() *http.Server {
+	mux := http.NewServeMux()
+	limit := connect.WithReadMaxBytes(maxCallBytes)
+	guarded := connect.WithInterceptors(authorizer{keys: d.config.OperatorKeys}.interceptor())
+	mux.Handle(basilwayv1connect.NewRouterServiceHandler(&routerAPI{router: d.router}, limit))
+	mux.Handle(basilwayv1connect.NewCatalogueServiceHandler(&catalogueAPI{replicas: d.replicas, editor: d.editor}, limit, guarded))
+	mux.Handle(basilwayv1connect.NewAdminServiceHandler(&adminAPI{daemon: d}, limit, guarded))
+	mux.Handle(backendv1connect.NewAnnounceServiceHandler(d.backend.announceHandler(), limit))
+	mux.Handle(peer.Path, d.pool)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.write(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", d.ready)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+}
+
+// ready tells whether callers should use this daemon: it knows the cluster and is not
+// stopping. It need not own anything, because it forwards.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.refusing.Load() || d.replicas.cluster().Version == 0 {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/daemon/idmemory.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/basilway/basilway/dedupe"
+	"github.com/basilway/basilway/verdict"
+)
+
+// idMemory shares the memory of request ids between requests, and lets a repeat wait
+// for the result of the request in flight.
+type idMemory struct {
+	mu      sync.Mutex
+	memory  *dedupe.Memory
+	results map[resultKey]*result
+}
+
+type resultKey struct {
+	id   uuid.UUID
+	hash uint64
+}
+
+// result is the outcome of a request in flight. The fields are set before done is
+// closed and not changed afterwards.
+type result struct {
+	done   chan struct{}
+	answer []byte
+	err    error
+}
+
+func newIDMemory(config dedupe.Config) *idMemory {
+	return &idMemory{memory: dedupe.New(config), results: map[resultKey]*result{}}
+}
+
+// begin decides about a request with an id; see dedupe.Memory.Begin. With dedupe.Wait
+// it returns the result to wait for.
+func (m *idMemory) begin(id uuid.UUID, service string, hash uint64, floorMS int64, now time.Time) (dedupe.Decision, *result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	decision := m.memory.Begin(id, service, hash, floorMS, now)
+	key := resultKey{id: id, hash: hash}
+	switch decision.Action {
+	case dedupe.Run:
+		m.results[key] = &result{done: make(chan struct{})}
+	case dedupe.Wait:
+		return decision, m.results[key]
+	}
+	return decision, nil
+}
+
+// finish records the outcome of a request that begin let run and wakes its repeats.
+func (m *idMemory) finish(id uuid.UUID, service string, hash uint64, answer []byte, err error, now time.Time) {
+	outcome := verdict.Ran
+	if err != nil {
+		outcome = verdict.From(err).Verdict
+		answer = nil
+	} else if answer == nil {
+		answer = []byte{} // an empty answer is an answer
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.memory.Finish(id, service, hash, outcome, answer, now)
+	key := resultKey{id: id, hash: hash}
+	if r := m.results[key]; r != nil {
+		r.answer, r.err = answer, err
+		close(r.done)
+		delete(m.results, key)
+	}
+}
+
+// wait returns the result of the same request in flight. If ctx ends first, the
+// request may have run.
+func (r *result) wait(ctx context.Context) ([]byte, error) {
+	if r == nil {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonRepeated, "the same request is in flight")
+	}
+	select {
+	case <-r.done:
+		return r.answer, r.err
+	case <-ctx.Done():
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline,
+			"the same request is in flight and has not ended in time")
+	}
+}
+
+// with gives exclusive access to the memory.
+func (m *idMemory) with(fn func(*dedupe.Memory)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fn(m.memory)
+}
--- /dev/null
+++ b/internal/daemon/inflight.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+)
+
+// errLeaseEnded cancels requests that are on a backend server when the lease ends.
+var errLeaseEnded = errors.New("the lease ended")
+
+// inFlight holds the requests on the backend server, so that they can be cancelled
+// together.
+type inFlight struct {
+	mu      sync.Mutex
+	next    uint64
+	cancels map[uint64]context.CancelCauseFunc
+}
+
+func newInFlight() *inFlight {
+	return &inFlight{cancels: map[uint64]context.CancelCauseFunc{}}
+}
+
+// begin returns a context that cancelAll ends. The function that it returns ends the
+// request.
+func (f *inFlight) begin(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	f.mu.Lock()
+	f.next++
+	id := f.next
+	f.cancels[id] = cancel
+	f.mu.Unlock()
+	return ctx, func(cause error) {
+		cancel(cause)
+		f.mu.Lock()
+		delete(f.cancels, id)
+		f.mu.Unlock()
+	}
+}
+
+// cancelAll cancels all requests and returns their number.
+func (f *inFlight) cancelAll(cause error) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, cancel := range f.cancels {
+		cancel(cause)
+	}
+	return len(f.cancels)
+}
+
+func (f *inFlight) len() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.cancels)
+}
--- a/internal/daemon/leaseduty.go
+++ b/internal/daemon/leaseduty.go
@@ -37,6 +37,9 @@
 	// changed is called in the mailbox's goroutine when the end of the lease moved.
 	changed func()
 
+	// life ends with the duty. Actions outlive the message that caused them.
+	life context.Context
+
 	// The fields below are used only in the mailbox's goroutine.
 	holder  *lease.Holder
 	witness *lease.Witness
@@ -44,9 +47,9 @@
 	load    map[cluster.Session]int
 }
 
-func newLeaseDuty(log *zap.Logger, config lease.Config, session cluster.Session, table platform.Table, peers transport, rng *rand.Rand) *leaseDuty {
+func newLeaseDuty(life context.Context, log *zap.Logger, config lease.Config, session cluster.Session, table platform.Table, peers transport, rng *rand.Rand) *leaseDuty {
 	return &leaseDuty{
-		log: log, config: config, session: session, table: table, peers: peers,
+		life: life, log: log, config: config, session: session, table: table, peers: peers,
 		box: newMailbox(leaseMailboxSize), clock: &leaseClock{}, stopped: make(chan struct{}),
 		changed: func() {},
 		holder:  lease.NewHolder(config, session, rng),
@@ -55,32 +58,32 @@
 	}
 }
 
-// run ticks the state machines until ctx ends.
-func (d *leaseDuty) run(ctx context.Context) {
-	go d.box.run(ctx)
+// run ticks the state machines until the duty's life ends.
+func (d *leaseDuty) run() {
+	go d.box.run(d.life)
 	ticker := time.NewTicker(d.config.TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-d.life.Done():
 			return
 		case <-ticker.C:
-			_ = d.box.do(ctx, func() {
+			_ = d.box.do(d.life, func() {
 				now := time.Now()
-				d.perform(ctx, d.holder.Handle(now, lease.Tick{}))
-				d.perform(ctx, d.witness.Handle(now, lease.Tick{}))
+				d.perform(d.holder.Handle(now, lease.Tick{}))
+				d.perform(d.witness.Handle(now, lease.Tick{}))
 			})
 		}
 	}
 }
 
 // setMembers tells the state machines who is in the cluster.
-func (d *leaseDuty) setMembers(ctx context.Context, self cluster.Member, state *cluster.State) {
+func (d *leaseDuty) setMembers(self cluster.Member, state *cluster.State) {
 	d.box.post(func() {
 		now := time.Now()
 		members := state.SortedMembers()
 		event := lease.Members{Self: self, Members: members, Load: d.load}
-		d.perform(ctx, d.holder.Handle(now, event))
+		d.perform(d.holder.Handle(now, event))
 		present := make(map[cluster.Session]bool, len(members))
 		for _, m := range members {
 			present[m.Session] = true
@@ -88,11 +91,11 @@
 		for session := range d.members {
 			if !present[session] {
 				delete(d.load, session)
-				d.perform(ctx, d.witness.Handle(now, lease.Forget{Session: session}))
+				d.perform(d.witness.Handle(now, lease.Forget{Session: session}))
 			}
 		}
 		if d.members[d.session] && !present[d.session] {
-			d.perform(ctx, d.holder.Handle(now, lease.Fenced{}))
+			d.perform(d.holder.Handle(now, lease.Fenced{}))
 		}
 		d.members = present
 	})
@@ -100,13 +103,13 @@
 
 // leave gives up the lease for good.
 func (d *leaseDuty) leave(ctx context.Context) error {
-	return d.box.do(ctx, func() { d.perform(ctx, d.holder.Handle(time.Now(), lease.Leave{})) })
+	return d.box.do(ctx, func() { d.perform(d.holder.Handle(time.Now(), lease.Leave{})) })
 }
 
-// superseded tells the witness that a session's row is at a later generation.
-func (d *leaseDuty) superseded(ctx context.Context, session cluster.Session, generation uint64) {
+// notLost settles a witness's report about a session that is alive at a generation.
+func (d *leaseDuty) notLost(session cluster.Session, generation uint64) {
 	d.box.post(func() {
-		d.perform(ctx, d.witness.Handle(time.Now(), lease.Superseded{Session: session, Generation: generation}))
+		d.perform(d.witness.Handle(time.Now(), lease.NotLost{Session: session, Generation: generation}))
 	})
 }
 
@@ -121,11 +124,14 @@
 			case lease.SendRefused:
 				reply.Refused = &a.Refused
 			default:
-				d.perform(ctx, []lease.Action{action})
+				d.perform([]lease.Action{action})
 			}
 		}
 	})
-	return reply, err
+	if err != nil {
+		return wire.RenewReply{}, err
+	}
+	return reply, nil
 }
 
 // handleSeal answers a planner.
@@ -137,28 +143,36 @@
 				reply = a.Sealed
 				continue
 			}
-			d.perform(ctx, []lease.Action{action})
+			d.perform([]lease.Action{action})
 		}
 	})
-	return reply, err
+	if err != nil {
+		return lease.Sealed{}, err
+	}
+	return reply, nil
 }
 
 // perform runs in the mailbox's goroutine. Sends and store calls run beside it and
 // post their results back.
-func (d *leaseDuty) perform(ctx context.Context, actions []lease.Action) {
+func (d *leaseDuty) perform(actions []lease.Action) {
+	// The request path must see an earlier end of the lease before a commit is sent
+	// that makes it necessary.
+	for _, action := range actions {
+		if a, ok := action.(lease.LeaseChanged); ok {
+			d.clock.set(time.Now(), a.ValidUntil)
+			d.changed()
+		}
+	}
 	for _, action := range actions {
 		switch a := action.(type) {
 		case lease.SendRenew:
-			go d.sendRenew(ctx, a.Renew)
+			go d.sendRenew(a.Renew)
 		case lease.CommitRow:
-			go d.commit(ctx, a.Attempt, a.Txn)
+			go d.commit(a.Attempt, a.Txn)
 		case lease.CommitRenewal:
-			go d.commit(ctx, a.Attempt, a.Txn)
+			go d.commit(a.Attempt, a.Txn)
 		case lease.ReadRow:
-			go d.read(ctx, a)
-		case lease.LeaseChanged:
-			d.clock.set(time.Now(), a.ValidUntil)
-			d.changed()
+			go d.read(a)
 		case lease.Stopped:
 			d.log.Warn("session ended", zap.Stringer("session", d.session), zap.Uint8("reason", uint8(a.Reason)))
 			close(d.stopped)
@@ -172,16 +186,16 @@
 
 // handle passes an event to the holder. An event that finds the mailbox full is
 // delivered late, never dropped, because the holder waits for results of commits.
-func (d *leaseDuty) handle(ctx context.Context, event lease.Event) {
-	_ = d.box.do(ctx, func() { d.perform(ctx, d.holder.Handle(time.Now(), event)) })
+func (d *leaseDuty) handle(event lease.Event) {
+	_ = d.box.do(d.life, func() { d.perform(d.holder.Handle(time.Now(), event)) })
 }
 
-func (d *leaseDuty) sendRenew(ctx context.Context, m lease.Renew) {
+func (d *leaseDuty) sendRenew(m lease.Renew) {
 	address := d.address(m.Witness)
 	if address == "" {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, d.config.GrantDuration)
+	callCtx, cancel := context.WithTimeout(d.life, d.config.GrantDuration)
 	defer cancel()
 	reply, err := call[wire.RenewReply](callCtx, d.peers, address, wire.KindRenew, m)
 	if err != nil {
@@ -191,12 +205,12 @@
 	switch {
 	case reply.Granted != nil:
 		witnessLoad := int(reply.Granted.Load)
-		_ = d.box.do(ctx, func() {
+		_ = d.box.do(d.life, func() {
 			d.load[m.Witness] = witnessLoad
-			d.perform(ctx, d.holder.Handle(time.Now(), *reply.Granted))
+			d.perform(d.holder.Handle(time.Now(), *reply.Granted))
 		})
 	case reply.Refused != nil:
-		d.handle(ctx, *reply.Refused)
+		d.handle(*reply.Refused)
 	}
 }
 
@@ -204,18 +218,18 @@
 	return d.state().Members[session].Address
 }
 
-func (d *leaseDuty) commit(ctx context.Context, attempt uint64, txn platform.Txn) {
-	callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+func (d *leaseDuty) commit(attempt uint64, txn platform.Txn) {
+	callCtx, cancel := context.WithTimeout(d.life, storeReadTimeout)
 	defer cancel()
 	err := d.table.Commit(callCtx, txn)
-	d.handle(ctx, lease.Committed{Attempt: attempt, Outcome: lease.OutcomeOf(err)})
+	d.handle(lease.Committed{Attempt: attempt, Outcome: lease.OutcomeOf(err)})
 }
 
-func (d *leaseDuty) read(ctx context.Context, a lease.ReadRow) {
-	callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+func (d *leaseDuty) read(a lease.ReadRow) {
+	callCtx, cancel := context.WithTimeout(d.life, storeReadTimeout)
 	defer cancel()
 	row, err := d.table.Get(callCtx, a.Key)
-	d.handle(ctx, lease.RowRead{Attempt: a.Attempt, Outcome: readOutcome(err), Session: row})
+	d.handle(lease.RowRead{Attempt: a.Attempt, Outcome: readOutcome(err), Session: row})
 }
 
 // readOutcome returns the outcome of a read: any error means that there is no answer.
--- /dev/null
+++ b/internal/daemon/localserver.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/admission"
+	"github.com/basilway/basilway/catalogue"
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/dedupe"
+	backendv1 "github.com/basilway/basilway/gen/basilway/backend/v1"
+	"github.com/basilway/basilway/internal/wire"
+	"github.com/basilway/basilway/ownership"
+	"github.com/basilway/basilway/quarantine"
+	"github.com/basilway/basilway/verdict"
+)
+
+// executor runs requests on the backend server.
+type executor interface {
+	// Execute sends one request. The errors are *verdict.Error. wrote is called when
+	// the request has been written to the connection.
+	Execute(ctx context.Context, req *backendv1.ExecuteRequest, wrote func()) ([]byte, error)
+}
+
+// localServer runs requests for keys that this session owns.
+type localServer struct {
+	log      *zap.Logger
+	session  cluster.Session
+	owner    *ownerDuty
+	lease    *leaseClock
+	ids      *idMemory
+	suspects *suspects
+	slots    *slots
+	backend  executor
+	inFlight *inFlight
+	load     *loadDuty
+	metrics  *metrics
+}
+
+// job is a request on its way to the backend server.
+type job struct {
+	request  wire.Request
+	entry    catalogue.Entry
+	hash     uint64
+	deadline time.Time
+	ticket   ownership.Ticket
+}
+
+// serve runs a request whose key this session should own. ctx has a deadline. The
+// error carries a verdict.
+func (s *localServer) serve(ctx context.Context, request wire.Request, entry catalogue.Entry, hash uint64) (wire.Reply, error) {
+	deadline, _ := ctx.Deadline()
+	ticket, err := s.owner.admit(ctx, request.Service, hash, deadline)
+	if err != nil {
+		return wire.Reply{}, err
+	}
+	j := &job{request: request, entry: entry, hash: hash, deadline: deadline, ticket: ticket}
+	if request.Idempotent {
+		defer s.owner.end(ticket)
+		answer, err := s.run(ctx, j)
+		return s.reply(j, answer, false), err
+	}
+	return s.serveOnce(ctx, j)
+}
+
+// serveOnce runs a non-idempotent request unless its id is known.
+func (s *localServer) serveOnce(ctx context.Context, j *job) (wire.Reply, error) {
+	id, err := dedupe.ParseID(j.request.RequestID)
+	if err != nil {
+		s.owner.end(j.ticket)
+		return wire.Reply{}, err
+	}
+	decision, first := s.ids.begin(id, j.request.Service, j.hash, j.ticket.FloorMS, time.Now())
+	if decision.Action == dedupe.Run {
+		defer s.owner.end(j.ticket)
+		return s.runOnce(ctx, j, id)
+	}
+	// A repeat does no work here, so it must not keep its unit from moving.
+	s.owner.end(j.ticket)
+	switch decision.Action {
+	case dedupe.Wait:
+		answer, err := first.wait(ctx)
+		return s.reply(j, answer, true), err
+	case dedupe.Answer:
+		return s.reply(j, decision.Answer, true), nil
+	default:
+		return wire.Reply{}, decision.Err
+	}
+}
+
+// runOnce runs a request whose id was recorded. The outcome is recorded also if the
+// request panics, so that its repeats do not wait forever.
+func (s *localServer) runOnce(ctx context.Context, j *job, id uuid.UUID) (reply wire.Reply, err error) {
+	var answer []byte
+	err = verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "the request did not end")
+	defer func() { s.ids.finish(id, j.request.Service, j.hash, answer, err, time.Now()) }()
+	answer, err = s.run(ctx, j)
+	return s.reply(j, answer, false), err
+}
+
+// run waits for a slot and sends the request. A request with a strike gives its slot
+// back while another one runs.
+func (s *localServer) run(ctx context.Context, j *job) ([]byte, error) {
+	fingerprint := quarantine.NewFingerprint(j.request.Service, j.request.Method, j.request.Payload)
+	for {
+		slot, err := s.slots.acquire(ctx, admission.Request{
+			Tenant: j.request.Tenant, Class: j.entry.Class, KeyHash: j.hash,
+			Caller: j.request.Caller, Deadline: j.deadline,
+		})
+		if err != nil {
+			return nil, err
+		}
+		suspect, other, err := s.suspects.begin(fingerprint, time.Now())
+		if err == nil && other == nil {
+			return s.send(ctx, j, slot, suspect)
+		}
+		s.slots.release(slot, 0, admission.NotSent)
+		if err == nil {
+			err = waitForChange(ctx, other)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// send is the last step. The lease and the ownership are checked immediately before
+// the request is written.
+func (s *localServer) send(ctx context.Context, j *job, slot admission.Ticket, suspect quarantine.Ticket) ([]byte, error) {
+	begin := time.Now()
+	outcome := admission.NotSent
+	defer func() {
+		s.suspects.end(suspect)
+		busy := time.Since(begin)
+		s.slots.release(slot, busy, outcome)
+		if outcome != admission.NotSent {
+			s.load.record(j.ticket.Unit, j.hash, busy, outcome != admission.Completed)
+		}
+	}()
+	ctx, cancel := s.inFlight.begin(ctx)
+	defer cancel()
+	message := s.message(j, begin)
+	if err := s.checkSend(j, time.Now()); err != nil {
+		return nil, err
+	}
+	answer, err := s.backend.Execute(ctx, message, func() { s.checkWritten(cancel) })
+	outcome = admissionOutcome(err)
+	if err != nil {
+		if context.Cause(ctx) == errLeaseEnded && verdict.From(err).Verdict != verdict.NotRun {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonLeaseLost, "the lease ended while the request ran")
+		}
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (s *localServer) checkSend(j *job, now time.Time) error {
+	if !s.lease.valid(now) {
+		return ownership.ErrLeaseLost
+	}
+	return s.owner.gate.CheckSend(j.ticket, now)
+}
+
+// checkWritten detects a pause between the check of the lease and the write. The
+// request may then reach the server after another one became the owner, so it is
+// cancelled and its caller is told that it may have run.
+func (s *localServer) checkWritten(cancel context.CancelCauseFunc) {
+	if !s.lease.valid(time.Now()) {
+		s.metrics.leaseGaps.Inc()
+		cancel(errLeaseEnded)
+	}
+}
+
+func (s *localServer) message(j *job, now time.Time) *backendv1.ExecuteRequest {
+	notAfter := now.Add(min(s.lease.remaining(now), j.deadline.Sub(now)))
+	return &backendv1.ExecuteRequest{
+		Service: j.request.Service, Key: j.request.Key, Method: j.request.Method, Tenant: j.request.Tenant,
+		RequestId: j.request.RequestID, Payload: j.request.Payload, Idempotent: j.request.Idempotent,
+		Grant: &backendv1.Grant{
+			Instance: s.session.Instance, Incarnation: s.session.Incarnation, Epoch: j.ticket.Epoch,
+			RangeStart: j.ticket.Unit.Start, NotAfterUs: notAfter.UnixMicro(),
+		},
+	}
+}
+
+func (s *localServer) reply(j *job, answer []byte, repeated bool) wire.Reply {
+	return wire.Reply{Payload: answer, ServedBy: s.session.Instance, Epoch: j.ticket.Epoch, Repeated: repeated}
+}
+
+func admissionOutcome(err error) admission.Outcome {
+	if err == nil {
+		return admission.Completed
+	}
+	v := verdict.From(err)
+	switch {
+	case v.Verdict == verdict.NotRun:
+		return admission.NotSent
+	case v.Reason == verdict.ReasonDeadline:
+		return admission.TimedOut
+	case v.Reason == verdict.ReasonBackendCrashed:
+		return admission.Lost
+	default:
+		return admission.Failed
+	}
+}
--- a/internal/daemon/replicas.go
+++ b/internal/daemon/replicas.go
@@ -164,7 +164,7 @@
 func (r *replicas) tick(ctx context.Context, now time.Time) {
 	var peer string
 	var poll bool
-	if r.box.do(ctx, func() { peer, poll = r.spread.Tick(now) }) != nil {
+	if r.box.do(ctx, func() { peer, poll = r.spread.Tick(now) }) != nil { // the duty has ended
 		return
 	}
 	if peer != "" {
@@ -243,7 +243,10 @@
 			versions[topic] = replica.Version()
 		}
 	})
-	return versions, err
+	if err != nil {
+		return nil, err
+	}
+	return versions, nil
 }
 
 // poll reads records that the store has and this daemon lacks.
@@ -303,7 +306,10 @@
 			}
 		}
 	})
-	return reply, err
+	if err != nil {
+		return wire.DigestReply{}, err
+	}
+	return reply, nil
 }
 
 // handleSnapshot answers a peer's request for a snapshot.
@@ -315,8 +321,8 @@
 			snapshot, snapErr = replica.Snapshot()
 		}
 	})
-	if err == nil {
-		err = snapErr
+	if err != nil {
+		return feed.Snapshot{}, err
 	}
-	return snapshot, err
+	return snapshot, snapErr
 }
--- /dev/null
+++ b/internal/daemon/router.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/catalogue"
+	"github.com/basilway/basilway/internal/peer"
+	"github.com/basilway/basilway/internal/wire"
+	"github.com/basilway/basilway/keyspace"
+	"github.com/basilway/basilway/ownership"
+	"github.com/basilway/basilway/quarantine"
+	"github.com/basilway/basilway/retry"
+	"github.com/basilway/basilway/verdict"
+)
+
+const (
+	// maxKeyBytes bounds keys, methods, tenants and caller names.
+	maxKeyBytes = 1024
+	// maxRoutes bounds how often a request follows a changed route.
+	maxRoutes = 3
+	// routeWait bounds how long a request waits for the cluster version that another
+	// daemon based its answer on.
+	routeWait = 500 * time.Millisecond
+	// noOwnerRetryAfter is about the time of a takeover.
+	noOwnerRetryAfter = time.Second
+	// storeRetryAfter is when to repeat an edit that the store did not take.
+	storeRetryAfter = 5 * time.Second
+	// drainingRetryAfter is when to repeat a request at another daemon.
+	drainingRetryAfter = 100 * time.Millisecond
+)
+
+// router sends each request to the daemon that owns its key.
+type router struct {
+	log      *zap.Logger
+	replicas *replicas
+	peers    transport
+	session  func() *sessionRuntime
+	budget   *retry.SharedBudget
+	policy   retry.Policy
+	metrics  *metrics
+	// draining reports whether the daemon takes no new requests.
+	draining func() bool
+}
+
+// outcome is an answer with the way that it took.
+type outcome struct {
+	reply     wire.Reply
+	forwarded bool
+}
+
+// route answers a caller's request. The error carries a verdict.
+func (r *router) route(ctx context.Context, request wire.Request) (outcome, error) {
+	begin := time.Now()
+	entry, err := r.check(&request)
+	if err != nil {
+		r.metrics.request(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
+		return outcome{}, err
+	}
+	deadline := begin.Add(entry.Limits.Timeout())
+	if d, ok := ctx.Deadline(); ok {
+		deadline = d
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	r.budget.FirstTry()
+	out, err := r.try(ctx, request, entry, deadline)
+	r.metrics.request(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
+	return out, err
+}
+
+// check validates a request and fills in its defaults.
+func (r *router) check(request *wire.Request) (catalogue.Entry, error) {
+	if r.draining() {
+		return catalogue.Entry{}, errDraining()
+	}
+	if request.Service == "" || request.Key == "" {
+		return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "service and key must not be empty")
+	}
+	for _, text := range []string{request.Key, request.Method, request.Tenant, request.Caller} {
+		if len(text) > maxKeyBytes {
+			return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid,
+				"key, method, tenant and caller are limited to %d bytes", maxKeyBytes)
+		}
+	}
+	entry, ok := r.replicas.book().Get(request.Service)
+	if !ok {
+		return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownService,
+			"the catalogue has no service %q", request.Service)
+	}
+	if limit := entry.Limits.WithDefaults().MaxPayloadBytes; len(request.Payload) > int(limit) {
+		return entry, verdict.New(verdict.NotRun, verdict.ReasonInvalid,
+			"the payload has %d bytes, service %s allows %d", len(request.Payload), request.Service, limit)
+	}
+	if !request.Idempotent && request.RequestID == "" {
+		return entry, verdict.New(verdict.NotRun, verdict.ReasonInvalid,
+			"a request that is not idempotent needs a request_id (UUIDv7; see NewRequestId)")
+	}
+	if request.Tenant == "" {
+		request.Tenant = entry.Owner
+	}
+	return entry, nil
+}
+
+// try sends the request, and sends it again as far as the verdict, the retry budget
+// and the deadline allow. Following a changed route is not a retry.
+func (r *router) try(ctx context.Context, request wire.Request, entry catalogue.Entry, deadline time.Time) (outcome, error) {
+	hash := keyspace.Hash(request.Service, request.Key)
+	fingerprint := quarantine.NewFingerprint(request.Service, request.Method, request.Payload)
+	tries, routes := 0, 0
+	for {
+		if err := r.session().suspects.check(fingerprint, time.Now()); err != nil {
+			return outcome{}, err
+		}
+		tries++
+		out, err := r.attempt(ctx, request, entry, hash)
+		if err == nil {
+			return out, nil
+		}
+		if routes < maxRoutes && r.followRoute(ctx, err) {
+			routes++
+			tries--
+			continue
+		}
+		v := verdict.From(err)
+		if v.Reason == verdict.ReasonBackendCrashed {
+			return outcome{}, v // another try could crash the next backend server
+		}
+		decision := r.policy.Next(retry.Attempt{Err: v, Idempotent: request.Idempotent, Tries: tries, Deadline: deadline},
+			r.budget, time.Now(), newRand())
+		if !decision.Retry {
+			return outcome{}, v
+		}
+		r.metrics.retries.Inc()
+		if sleepContext(ctx, decision.After) != nil {
+			return outcome{}, v
+		}
+	}
+}
+
+// attempt sends the request once, to the backend server beside this daemon or to the
+// owner's daemon.
+func (r *router) attempt(ctx context.Context, request wire.Request, entry catalogue.Entry, hash uint64) (outcome, error) {
+	state := r.replicas.cluster()
+	session := r.session()
+	owned, _ := state.Owner(request.Service, hash)
+	switch {
+	case owned.Owner.IsZero():
+		return outcome{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner,
+			"no instance owns the key now").WithRetryAfter(noOwnerRetryAfter)
+	case owned.Owner == session.session:
+		reply, err := session.server.serve(ctx, request, entry, hash)
+		return outcome{reply: reply}, err
+	default:
+		reply, err := r.forward(ctx, state.Members[owned.Owner].Address, request)
+		return outcome{reply: reply, forwarded: true}, err
+	}
+}
+
+func (r *router) forward(ctx context.Context, address string, request wire.Request) (wire.Reply, error) {
+	r.metrics.forwarded.Inc()
+	return call[wire.Reply](ctx, r.peers, address, wire.KindForward, request)
+}
+
+// followRoute reports whether the request failed because the route has changed and
+// this daemon now knows the new one.
+func (r *router) followRoute(ctx context.Context, err error) bool {
+	var detail wire.NotOwner
+	if found, decodeErr := peer.DecodeDetail(err, &detail); found && decodeErr == nil {
+		if detail.Address != "" {
+			r.replicas.requestPull(detail.Address)
+		}
+		return r.waitForVersion(ctx, detail.Version)
+	}
+	var lost *ownership.LostError
+	if errors.As(err, &lost) {
+		return r.waitForVersion(ctx, lost.Version)
+	}
+	if verdict.From(err).Reason == verdict.ReasonPeerLost {
+		// Somebody may know already who took over.
+		if members := r.replicas.cluster().SortedMembers(); len(members) > 0 {
+			r.replicas.requestPull(members[rand.IntN(len(members))].Address)
+		}
+	}
+	return false
+}
+
+// waitForVersion waits until this daemon knows a cluster version.
+func (r *router) waitForVersion(ctx context.Context, version uint64) bool {
+	limit := time.Now().Add(routeWait)
+	for r.replicas.cluster().Version < version {
+		if time.Now().After(limit) || sleepContext(ctx, 2*time.Millisecond) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// handleForward runs a request that another daemon forwarded. It is never forwarded
+// again, so routes that differ cannot make a loop.
+func (r *router) handleForward(ctx context.Context, request wire.Request) (wire.Reply, error) {
+	r.metrics.received.Inc()
+	if r.draining() {
+		return wire.Reply{}, errDraining()
+	}
+	entry, ok := r.replicas.book().Get(request.Service)
+	if !ok {
+		// The sender knows a later catalogue; the class only ranks the request.
+		entry = catalogue.Entry{Service: request.Service, Class: catalogue.ClassStandard}
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, entry.Limits.Timeout())
+		defer cancel()
+	}
+	hash := keyspace.Hash(request.Service, request.Key)
+	reply, err := r.session().server.serve(ctx, request, entry, hash)
+	var lost *ownership.LostError
+	if errors.As(err, &lost) {
+		detail := wire.NotOwner{Version: lost.Version, Owner: lost.Owner,
+			Address: r.replicas.cluster().Members[lost.Owner].Address}
+		return wire.Reply{}, peer.WithDetail(verdict.From(err), detail)
+	}
+	return reply, err
+}
+
+func errDraining() error {
+	return verdict.New(verdict.NotRun, verdict.ReasonDraining,
+		"this daemon is stopping; use another one").WithRetryAfter(drainingRetryAfter)
+}
+
+func className(e catalogue.Entry) string {
+	if !e.Class.Valid() {
+		return ""
+	}
+	return e.Class.String()
+}
+
+// newRand returns a generator for one decision; it costs less than sharing one.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func sleepContext(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func callerHost(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -28,6 +28,8 @@
 	KindLoad Kind = 10
 	// KindStrikes spreads quarantine records.
 	KindStrikes Kind = 11
+	// KindNotLost tells a witness that a session that it reported is alive.
+	KindNotLost Kind = 12
 )
 
 // String returns the kind as it is written in metrics.
@@ -40,7 +42,7 @@
 
 var kindNames = [...]string{
 	"none", "forward", "digest", "push", "snapshot", "renew", "seal", "expired",
-	"hand_over", "released", "load", "strikes",
+	"hand_over", "released", "load", "strikes", "not_lost",
 }
 
 // IsControl reports whether messages of the kind count as control traffic.
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -1,6 +1,9 @@
 package wire
 
-import "github.com/basilway/basilway/lease"
+import (
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/lease"
+)
 
 // RenewReply answers lease.Renew; one field is set.
 type RenewReply struct {
@@ -10,3 +13,9 @@
 
 // Ack answers a message that needs only a confirmation.
 type Ack struct{}
+
+// NotLost tells a witness that a session that it reported is alive at Generation.
+type NotLost struct {
+	Session    cluster.Session `cbor:"1,keyasint"`
+	Generation uint64          `cbor:"2,keyasint"`
+}
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -38,7 +38,7 @@
 // Spread decides whom to send feed changes to. It is not safe for concurrent use.
 type Spread struct {
 	config Config
-	self   cluster.Session
+	self   string
 	region string
 	rng    *rand.Rand
 
@@ -48,9 +48,9 @@
 	nextPoll   time.Time
 }
 
-// NewSpread returns a Spread for a daemon. The seeds are addresses to talk to while
+// NewSpread returns a Spread for the daemon at address self. The seeds are addresses to talk to while
 // no members are known.
-func NewSpread(config Config, self cluster.Session, region string, seeds []string, rng *rand.Rand) *Spread {
+func NewSpread(config Config, self, region string, seeds []string, rng *rand.Rand) *Spread {
 	return &Spread{config: config, self: self, region: region, seeds: seeds, rng: rng}
 }
 
@@ -58,7 +58,7 @@
 func (s *Spread) SetMembers(members []cluster.Member) {
 	s.local, s.all = s.local[:0], s.all[:0]
 	for _, m := range members {
-		if m.Session == s.self {
+		if m.Address == s.self {
 			continue
 		}
 		s.all = append(s.all, m.Address)
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -22,7 +22,7 @@
 	}
 	all := make([]*Spread, n)
 	for i, m := range members {
-		all[i] = NewSpread(DefaultConfig(), m.Session, m.Region(), nil, rand.New(rand.NewPCG(7, uint64(i))))
+		all[i] = NewSpread(DefaultConfig(), m.Address, m.Region(), nil, rand.New(rand.NewPCG(7, uint64(i))))
 		all[i].SetMembers(members)
 		all[i].nextDigest = time.Unix(0, 0).Add(time.Duration(i%4) * 250 * time.Millisecond)
 	}
