Test admission under overload in virtual time

Cause: goodput above 90 % of capacity at 2x overload is a stated target. Change: a queue model of callers, daemon and one server with 6 and 9 slots; tests of goodput, fairness, class order, adaptive limit and ramp; benchmarks of Begin and End. (go test -v -run 'Goodput|Fairness' ./admission)

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -30,16 +30,16 @@
 
 // testFaults switches off single rules so that tests can show that they notice.
 type testFaults struct {
-	ignoreSlots      bool
-	loseQueued       bool
-	unboundedQueue   bool
-	keepExpired      bool
-	rejectHighest    bool
-	keyMayFillAll    bool
-	arrivalOrder     bool
-	noAdaptiveLimit  bool
-	startSameTwice   bool
-	ignoreRateLimits bool
+	ignoreSlots          bool
+	loseQueued           bool
+	unboundedQueue       bool
+	keepExpired          bool
+	rejectHighest        bool
+	keyMayFillAll        bool
+	firstComeFirstServed bool
+	noAdaptiveLimit      bool
+	startSameTwice       bool
+	ignoreRateLimits     bool
 }
 
 // New returns a controller for a server that has not announced itself: it has no
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -50,7 +50,7 @@
 		if !e.mayStart(&c.classes[e.class]) {
 			continue
 		}
-		if best == nil || (e.before(best, limit) && !c.faults.arrivalOrder) {
+		if best == nil || (e.before(best, limit) && !c.faults.firstComeFirstServed) {
 			best = e
 		}
 	}
@@ -106,6 +106,8 @@
 		return c.queue.worst(func(o *entry) bool { return o.tenant == e.tenant })
 	case c.classes[e.class].queueOver():
 		return c.queue.worst(func(o *entry) bool { return o.class == e.class })
+	case len(c.queue.waiting) > c.config.MaxQueue && c.faults.firstComeFirstServed:
+		return e
 	case len(c.queue.waiting) > c.config.MaxQueue && c.faults.rejectHighest:
 		return c.queue.waiting[0]
 	case len(c.queue.waiting) > c.config.MaxQueue:
--- /dev/null
+++ b/admission/overload_test.go
@@ -0,0 +1,237 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/catalogue"
+)
+
+// minGoodput is the stated target: goodput above 90 % of capacity at 2x overload.
+const minGoodput = 0.9
+
+func std(tenant string, share float64) *flow {
+	return &flow{tenant: tenant, class: catalogue.ClassStandard, share: share}
+}
+
+// scenario is a run of 30 s at twice the capacity. With freeze, the server stops for
+// 2 s at 5 s, and goodput counts from then on.
+type scenario struct {
+	slots                 int
+	limited, freeze, deaf bool
+}
+
+func (v scenario) goodput() float64 {
+	s := &sim{slots: v.slots, deaf: v.deaf, length: 30 * time.Second, flows: []*flow{std("a", 1), std("b", 1)}}
+	if v.limited {
+		s.c = New(Config{})
+	}
+	from := time.Duration(0)
+	if v.freeze {
+		s.freeze, s.freezeLasts = 5*time.Second, 2*time.Second
+		from = s.freeze + s.freezeLasts
+	}
+	return s.run().goodput(from)
+}
+
+// scenarios lists all combinations of servers and freezes.
+func scenarios(limited bool) (out []scenario) {
+	for _, slots := range []int{6, 9} {
+		for _, freeze := range []bool{false, true} {
+			for _, deaf := range []bool{false, true} {
+				out = append(out, scenario{slots: slots, limited: limited, freeze: freeze, deaf: deaf})
+			}
+		}
+	}
+	return out
+}
+
+// Guards against goodput that collapses under overload or stays low after a freeze. A
+// server that honours cancellation keeps its goodput without limits, one that does not
+// collapses; that run shows that the model can.
+func TestGoodputUnderOverload(t *testing.T) {
+	for _, v := range scenarios(true) {
+		with := v.goodput()
+		t.Logf("%+v: goodput %.3f", v, with)
+		if with <= minGoodput {
+			t.Errorf("%+v: goodput %.3f", v, with)
+		}
+	}
+	for _, v := range scenarios(false) {
+		without := v.goodput()
+		t.Logf("%+v: goodput %.3f", v, without)
+		if v.deaf && without > minGoodput {
+			t.Errorf("%+v: goodput %.3f does not collapse", v, without)
+		}
+	}
+}
+
+// Guards against a tenant or a hot key at 10 times its share that starves another one
+// at its share, and shows that first come, first served would.
+func TestFairness(t *testing.T) {
+	for _, slots := range []int{6, 9} {
+		for _, hotKey := range []bool{false, true} {
+			for _, broken := range []bool{false, true} {
+				greedy, modest := std("greedy", 5), std("modest", 0.5)
+				if hotKey {
+					modest.tenant, greedy.key = greedy.tenant, 1
+				}
+				s := &sim{slots: slots, c: New(Config{}), length: 30 * time.Second, flows: []*flow{greedy, modest}}
+				s.c.faults.firstComeFirstServed = broken
+				total := s.run().goodput(0)
+				served := float64(modest.good) / float64(modest.offered)
+				t.Logf("%d slots, hot key %v, first come %v: modest %.3f, greedy %.3f of offered, total %.3f of capacity",
+					slots, hotKey, broken, served, float64(greedy.good)/float64(greedy.offered), total)
+				if kept := served > minGoodput && total > minGoodput; kept == broken {
+					t.Errorf("modest flow served %.3f, total %.3f", served, total)
+				}
+			}
+		}
+	}
+}
+
+// Guards against lower classes that take the place of higher ones.
+func TestClassOrderUnderOverload(t *testing.T) {
+	for _, slots := range []int{6, 9} {
+		g := NewWithT(t)
+		var flows []*flow
+		var served []float64
+		for _, class := range catalogue.Classes {
+			flows = append(flows, &flow{tenant: class.String(), class: class, share: 2.0 / 3})
+		}
+		s := &sim{slots: slots, c: New(Config{}), length: 30 * time.Second, flows: flows}
+		g.Expect(s.run().goodput(0)).To(BeNumerically(">", minGoodput))
+		for _, f := range flows {
+			served = append(served, 1-float64(f.failed)/float64(f.offered))
+		}
+		t.Logf("%d slots: background, standard, critical served %.3f", slots, served)
+		g.Expect(flows[2].failed).To(BeZero(), "critical is below capacity")
+		g.Expect(served[1]).To(And(BeNumerically("<", served[2]), BeNumerically(">", served[0])))
+	}
+}
+
+// Guards against an adaptive limit that ignores a server slowed down by its own load,
+// or that does not recover.
+func TestAdaptiveLimitFollowsTheServer(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		const slowFrom, slowTo = 5 * time.Second, 10 * time.Second
+		lowest := 9
+		s := &sim{slots: 9, c: New(Config{}), length: 30 * time.Second, flows: []*flow{std("a", 2)}}
+		s.c.faults.noAdaptiveLimit = broken
+		s.slow = func(now time.Duration, busy int) float64 {
+			if now < slowFrom || now > slowTo {
+				return 1
+			}
+			lowest = min(lowest, s.c.Limit(start.Add(now)))
+			return 1 + float64(busy*busy)/9
+		}
+		s.run()
+		end := s.c.Limit(s.clock())
+		t.Logf("adaptive off %v: lowest limit %d, limit at the end %d", broken, lowest, end)
+		if kept := lowest <= 6 && end == 9; kept == broken {
+			t.Errorf("lowest limit %d, at the end %d", lowest, end)
+		}
+	}
+}
+
+// Guards against a cold server that gets full load at once, or never.
+func TestRampAfterServerStart(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Config{})
+	g.Expect(c.Limit(start)).To(Equal(0))
+	c.ServerStarted(8, start)
+	last := 0
+	for i := range 50 {
+		limit := c.Limit(start.Add(time.Duration(i) * 100 * time.Millisecond))
+		g.Expect(limit).To(And(BeNumerically(">=", last), BeNumerically("<", 8)))
+		last = limit
+	}
+	g.Expect(c.Limit(start)).To(Equal(2))
+	g.Expect(c.Limit(start.Add(5 * time.Second))).To(Equal(8))
+}
+
+// Guards against a request that is queued although it cannot start in time, and
+// against a retry-after that does not follow the drain rate.
+func TestRejectedAtOnceWhenTheQueueIsTooLong(t *testing.T) {
+	g := NewWithT(t)
+	c := New(Config{})
+	c.SetSlots(1, start)
+	begin := func(timeout time.Duration) Decision {
+		d, _ := c.Begin(Request{Tenant: "a", Class: catalogue.ClassStandard, Deadline: start.Add(timeout)}, start)
+		return d
+	}
+	first := begin(time.Second)
+	c.End(first.Ticket, 100*time.Millisecond, Completed, start)
+	g.Expect(begin(time.Second).Kind).To(Equal(Run))
+	g.Expect(begin(time.Second).Kind).To(Equal(Queued))
+	g.Expect(begin(time.Second).Kind).To(Equal(Queued))
+	d := begin(250 * time.Millisecond)
+	g.Expect(d.Kind).To(Equal(Rejected))
+	g.Expect(d.Err.RetryAfter).To(Equal(300 * time.Millisecond))
+}
+
+func BenchmarkOverload(b *testing.B) {
+	for _, v := range append(scenarios(true), scenarios(false)...) {
+		b.Run(fmt.Sprintf("slots=%d/limits=%v/freeze=%v/deaf=%v", v.slots, v.limited, v.freeze, v.deaf), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(v.goodput(), "goodput/capacity")
+			}
+		})
+	}
+}
+
+// BenchmarkBeginEnd measures one request without and with a full queue.
+func BenchmarkBeginEnd(b *testing.B) {
+	for name, queued := range map[string]int{"free": 0, "queue32": 32} {
+		b.Run(name, func(b *testing.B) {
+			c := limitedController()
+			var running []Ticket
+			key := uint64(0)
+			begin := func(now time.Time) {
+				key++
+				d, _ := c.Begin(Request{Tenant: "a", Class: catalogue.ClassStandard, KeyHash: key, Caller: "c"}, now)
+				if d.Kind == Run {
+					running = append(running, d.Ticket)
+				}
+			}
+			for range 8 {
+				begin(start)
+			}
+			for range queued {
+				begin(start)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now := start.Add(time.Duration(i) * time.Microsecond)
+				begin(now)
+				t := running[0]
+				running = append(running[:0], running[1:]...)
+				running = append(running, c.End(t, time.Microsecond, Completed, now).Start...)
+			}
+		})
+	}
+}
+
+// BenchmarkReject measures a request that finds the queue full.
+func BenchmarkReject(b *testing.B) {
+	c := limitedController()
+	b.ReportAllocs()
+	for i := range b.N {
+		c.Begin(Request{Tenant: "a", Class: catalogue.ClassStandard, KeyHash: uint64(i), Caller: "c"}, start)
+	}
+}
+
+// limitedController has 9 slots and all kinds of limits, none of them narrow.
+func limitedController() *Controller {
+	c := New(Config{MaxWait: time.Hour})
+	c.SetSlots(9, start)
+	c.SetLimits(FromEntry(catalogue.Entry{
+		Class:  catalogue.ClassStandard,
+		Limits: catalogue.Limits{MaxInFlight: 1000, MaxQueue: 1000, RatePerSecond: 1e9, Burst: 1e6},
+	}, 1), start)
+	return c
+}
