--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/basilway/basilway/admission"
+	"github.com/basilway/basilway/internal/config"
 	"github.com/basilway/basilway/lease"
 	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/platform"
@@ -15,20 +16,23 @@
 	Instance string
 	// Zone is the availability zone, written "region/zone".
 	Zone string
-	// Listen is the address for callers, operators, the backend server and other
-	// daemons, as host:port.
+	// Listen is the address for callers, operators and the backend server, as host:port.
 	Listen string
-	// Address is where other daemons reach this one; Listen if empty.
+	// PeerListen is the address for other daemons; Listen if empty.
+	PeerListen string
+	// Address is where other daemons reach this one; the listener's if empty.
 	Address string
 	// Seeds are addresses of other daemons, for a start while the store is down.
 	Seeds []string
 	// PeerKeys and OperatorKeys are accepted from other daemons and from operators.
 	// Without them only calls from loopback are.
-	PeerKeys, OperatorKeys []string
+	PeerKeys, OperatorKeys config.Keys
 	// DrainTimeout bounds a graceful shutdown. Requests still in flight are cut then.
 	DrainTimeout time.Duration
 	// MaxRequestIDs bounds the memory of request ids; 0 is the default.
 	MaxRequestIDs int
+	// MaxPayloadBytes bounds payloads, whatever the catalogue allows; 0 is no bound.
+	MaxPayloadBytes int
 	// MaxFrameBytes bounds a message between daemons. It must exceed the largest
 	// payload by some hundred bytes; hand-overs of busy units need several MB.
 	MaxFrameBytes int
@@ -51,9 +55,6 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.Address == "" {
-		c.Address = c.Listen
-	}
 	if c.DrainTimeout <= 0 {
 		c.DrainTimeout = defaultDrainTimeout
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/dedupe"
 	"github.com/basilway/basilway/feed"
+	"github.com/basilway/basilway/internal/config"
 	"github.com/basilway/basilway/internal/peer"
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/membership"
@@ -46,6 +47,8 @@
 	router   *router
 	server   *http.Server
 	listener net.Listener
+	// peerListener equals listener unless other daemons use an address of their own.
+	peerListener net.Listener
 
 	// life ends when the daemon has stopped.
 	life    context.Context
@@ -65,16 +68,22 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if config.Address == config.Listen {
-		config.Address = listener.Addr().String()
+	peerListener := listener
+	if config.PeerListen != "" && config.PeerListen != config.Listen {
+		if peerListener, err = net.Listen("tcp", config.PeerListen); err != nil {
+			return nil, trace.Wrap(errors.Join(err, listener.Close()))
+		}
+	}
+	if config.Address == "" {
+		config.Address = peerListener.Addr().String()
 	}
 	metrics := newMetrics()
 	config.Table = meteredTable{table: config.Table, metrics: metrics}
-	d := &Daemon{config: config, log: log, listener: listener, metrics: metrics}
+	d := &Daemon{config: config, log: log, listener: listener, peerListener: peerListener, metrics: metrics}
 	d.life, d.end = context.WithCancel(context.Background())
 	handlers := peer.NewServer()
 	d.pool = peer.NewPool(peer.Config{
-		Address: config.Address, Identity: config.Instance, Keys: config.PeerKeys,
+		Address: config.Address, Identity: config.Instance, Keys: keyTexts(config.PeerKeys),
 		MaxFrameBytes: config.MaxFrameBytes, MaxQueuedBytes: 2 * config.MaxFrameBytes, Logger: log,
 	}, handlers)
 	self := cluster.Member{Zone: config.Zone}
@@ -91,6 +100,7 @@
 	d.router = &router{
 		log: log, replicas: d.replicas, peers: d.pool, session: d.current.Load,
 		budget: retry.NewSharedBudget(retry.BudgetConfig{}), metrics: d.metrics, draining: d.refusing.Load,
+		maxPayloadBytes: config.MaxPayloadBytes,
 	}
 	d.current.Store(newSessionRuntime(d, newSuspects(cluster.Session{}, nil, time.Now())))
 	d.registerHandlers(handlers)
@@ -114,8 +124,11 @@
 	d.duties.Go(d.expire)
 	d.duties.Go(d.archive)
 	d.duties.Go(func() { d.backend.run(d.life) })
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 	go func() { served <- d.server.Serve(d.listener) }()
+	if d.peerListener != d.listener {
+		go func() { served <- d.server.Serve(d.peerListener) }()
+	}
 	d.log.Info("daemon started", zap.String("address", d.config.Address), zap.String("zone", d.config.Zone))
 	d.loadFeeds(ctx)
 	d.runSessions(ctx)
@@ -202,3 +215,11 @@
 		}
 	})
 }
+
+func keyTexts(keys config.Keys) []string {
+	texts := make([]string, len(keys))
+	for i, key := range keys {
+		texts[i] = string(key)
+	}
+	return texts
+}
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -13,6 +13,7 @@
 	m.gauge("basilway_lease_remaining_seconds", func() float64 {
 		return d.current.Load().lease.clock.remaining(time.Now()).Seconds()
 	})
+	m.gauge("basilway_lease_check_gap_total", func() float64 { return float64(d.backend.client.Status().LateWrites) })
 	m.gauge("basilway_cluster_version", func() float64 { return float64(d.replicas.cluster().Version) })
 	m.gauge("basilway_catalogue_version", func() float64 { return float64(d.replicas.book().Version()) })
 	m.gauge("basilway_members", func() float64 { return float64(len(d.replicas.cluster().Members)) })
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -6,7 +6,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/basilway/basilway/gen/basilway/backend/v1/backendv1connect"
 	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
 	"github.com/basilway/basilway/internal/peer"
 )
@@ -23,11 +22,11 @@
 func (d *Daemon) newHTTPServer() *http.Server {
 	mux := http.NewServeMux()
 	limit := connect.WithReadMaxBytes(maxCallBytes)
-	guarded := connect.WithInterceptors(authorizer{keys: d.config.OperatorKeys}.interceptor())
+	guarded := connect.WithInterceptors(operatorInterceptor(d.config.OperatorKeys))
 	mux.Handle(basilwayv1connect.NewRouterServiceHandler(&routerAPI{router: d.router}, limit))
 	mux.Handle(basilwayv1connect.NewCatalogueServiceHandler(&catalogueAPI{replicas: d.replicas, editor: d.editor}, limit, guarded))
 	mux.Handle(basilwayv1connect.NewAdminServiceHandler(&adminAPI{daemon: d}, limit, guarded))
-	mux.Handle(backendv1connect.NewAnnounceServiceHandler(d.backend.announceHandler(), limit))
+	mux.Handle(d.backend.announceHandler(d.listener.Addr(), d.config.OperatorKeys, limit))
 	mux.Handle(peer.Path, d.pool)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.write(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/daemon/inflight.go
+++ b/internal/daemon/inflight.go
@@ -9,6 +9,9 @@
 // errLeaseEnded cancels requests that are on a backend server when the lease ends.
 var errLeaseEnded = errors.New("the lease ended")
 
+// errBackendFrozen cancels requests on a frozen backend server after their deadlines.
+var errBackendFrozen = errors.New("the backend server is frozen")
+
 // inFlight holds the requests on the backend server, so that they can be cancelled
 // together.
 type inFlight struct {
--- a/internal/daemon/localserver.go
+++ b/internal/daemon/localserver.go
@@ -11,7 +11,7 @@
 	"github.com/basilway/basilway/catalogue"
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/dedupe"
-	backendv1 "github.com/basilway/basilway/gen/basilway/backend/v1"
+	"github.com/basilway/basilway/internal/backend"
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/ownership"
 	"github.com/basilway/basilway/quarantine"
@@ -20,9 +20,8 @@
 
 // executor runs requests on the backend server.
 type executor interface {
-	// Execute sends one request. The errors are *verdict.Error. wrote is called when
-	// the request has been written to the connection.
-	Execute(ctx context.Context, req *backendv1.ExecuteRequest, wrote func()) ([]byte, error)
+	// Execute sends one request. The errors are *verdict.Error.
+	Execute(ctx context.Context, r backend.Request) (backend.Result, error)
 }
 
 // localServer runs requests for keys that this session owns.
@@ -37,7 +36,8 @@
 	backend  executor
 	inFlight *inFlight
 	load     *loadDuty
-	metrics  *metrics
+	// serves reports whether the backend server runs a service.
+	serves func(service string) bool
 }
 
 // job is a request on its way to the backend server.
@@ -115,7 +115,7 @@
 		}
 		suspect, other, err := s.suspects.begin(fingerprint, time.Now())
 		if err == nil && other == nil {
-			return s.send(ctx, j, slot, suspect)
+			return s.send(ctx, j, fingerprint, slot, suspect)
 		}
 		s.slots.release(slot, 0, admission.NotSent)
 		if err == nil {
@@ -129,7 +129,7 @@
 
 // send is the last step. The lease and the ownership are checked immediately before
 // the request is written.
-func (s *localServer) send(ctx context.Context, j *job, slot admission.Ticket, suspect quarantine.Ticket) ([]byte, error) {
+func (s *localServer) send(ctx context.Context, j *job, fingerprint quarantine.Fingerprint, slot admission.Ticket, suspect quarantine.Ticket) ([]byte, error) {
 	begin := time.Now()
 	outcome := admission.NotSent
 	defer func() {
@@ -141,12 +141,12 @@
 		}
 	}()
 	ctx, cancel := s.inFlight.begin(ctx)
-	defer cancel()
-	message := s.message(j, begin)
+	defer cancel(nil)
+	message := s.message(j, fingerprint, begin)
 	if err := s.checkSend(j, time.Now()); err != nil {
 		return nil, err
 	}
-	answer, err := s.backend.Execute(ctx, message, func() { s.checkWritten(cancel) })
+	result, err := s.backend.Execute(ctx, message)
 	outcome = admissionOutcome(err)
 	if err != nil {
 		if context.Cause(ctx) == errLeaseEnded && verdict.From(err).Verdict != verdict.NotRun {
@@ -154,35 +154,30 @@
 		}
 		return nil, err
 	}
-	return answer, nil
+	return result.Payload, nil
 }
 
 func (s *localServer) checkSend(j *job, now time.Time) error {
+	if !s.serves(j.request.Service) {
+		return ownership.ErrBackendDown
+	}
 	if !s.lease.valid(now) {
 		return ownership.ErrLeaseLost
 	}
 	return s.owner.gate.CheckSend(j.ticket, now)
 }
 
-// checkWritten detects a pause between the check of the lease and the write. The
-// request may then reach the server after another one became the owner, so it is
-// cancelled and its caller is told that it may have run.
-func (s *localServer) checkWritten(cancel context.CancelCauseFunc) {
-	if !s.lease.valid(time.Now()) {
-		s.metrics.leaseGaps.Inc()
-		cancel(errLeaseEnded)
-	}
-}
-
-func (s *localServer) message(j *job, now time.Time) *backendv1.ExecuteRequest {
-	notAfter := now.Add(min(s.lease.remaining(now), j.deadline.Sub(now)))
-	return &backendv1.ExecuteRequest{
+func (s *localServer) message(j *job, fingerprint quarantine.Fingerprint, now time.Time) backend.Request {
+	return backend.Request{
 		Service: j.request.Service, Key: j.request.Key, Method: j.request.Method, Tenant: j.request.Tenant,
-		RequestId: j.request.RequestID, Payload: j.request.Payload, Idempotent: j.request.Idempotent,
-		Grant: &backendv1.Grant{
+		RequestID: j.request.RequestID, Payload: j.request.Payload, Idempotent: j.request.Idempotent,
+		Grant: backend.Grant{
 			Instance: s.session.Instance, Incarnation: s.session.Incarnation, Epoch: j.ticket.Epoch,
-			RangeStart: j.ticket.Unit.Start, NotAfterUs: notAfter.UnixMicro(),
+			RangeStart: j.ticket.Unit.Start,
+			NotAfter:   now.Add(min(s.lease.remaining(now), j.deadline.Sub(now))),
 		},
+		Fingerprint: uint64(fingerprint),
+		StillOwned:  func() bool { return s.lease.valid(time.Now()) },
 	}
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -13,7 +13,6 @@
 // metrics are the daemon's own; they are written together with those of the process.
 type metrics struct {
 	set       *vm.Set
-	leaseGaps *vm.Counter
 	forwarded *vm.Counter
 	received  *vm.Counter
 	retries   *vm.Counter
@@ -25,7 +24,6 @@
 	set := vm.NewSet()
 	return &metrics{
 		set:       set,
-		leaseGaps: set.NewCounter("basilway_lease_check_gap_total"),
 		forwarded: set.NewCounter("basilway_requests_forwarded_total"),
 		received:  set.NewCounter("basilway_requests_received_from_daemons_total"),
 		retries:   set.NewCounter("basilway_retries_total"),
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -46,6 +46,8 @@
 	metrics  *metrics
 	// draining reports whether the daemon takes no new requests.
 	draining func() bool
+	// maxPayloadBytes bounds payloads besides the catalogue; 0 is no bound.
+	maxPayloadBytes int
 }
 
 // outcome is an answer with the way that it took.
@@ -93,7 +95,11 @@
 		return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownService,
 			"the catalogue has no service %q", request.Service)
 	}
-	if limit := entry.Limits.WithDefaults().MaxPayloadBytes; len(request.Payload) > int(limit) {
+	limit := int(entry.Limits.WithDefaults().MaxPayloadBytes)
+	if r.maxPayloadBytes > 0 {
+		limit = min(limit, r.maxPayloadBytes)
+	}
+	if len(request.Payload) > limit {
 		return entry, verdict.New(verdict.NotRun, verdict.ReasonInvalid,
 			"the payload has %d bytes, service %s allows %d", len(request.Payload), request.Service, limit)
 	}
--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -12,7 +12,7 @@
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/lease"
 	"github.com/basilway/basilway/ownership"
-	"github.com/basilway/basilway/planner"
+	"github.com/basilway/basilway/quarantine"
 )
 
 // leaseWatchTick is how often requests on the backend server are checked for a lease
@@ -51,7 +51,7 @@
 	s.load = newLoadDuty(life, session, d.pool, d.replicas.cluster)
 	s.server = &localServer{
 		log: log, session: session, owner: s.owner, lease: s.lease.clock, ids: d.ids, suspects: s.suspects,
-		slots: d.slots, backend: d.backend, inFlight: s.inFlight, load: s.load, metrics: d.metrics,
+		slots: d.slots, backend: d.backend.client, serves: d.backend.serves, inFlight: s.inFlight, load: s.load, metrics: d.metrics,
 	}
 	s.connect()
 	return s
@@ -74,13 +74,9 @@
 		d.metrics.moves.Add(entries)
 	}
 	s.owner.state = d.replicas.cluster
-	s.owner.closeBackend = d.backend.CloseConnections
+	s.owner.closeBackend = func() { s.inFlight.cancelAll(errBackendFrozen) }
 	s.owner.askMove = s.askMove
-	s.load.status = func() planner.Status {
-		status := d.backend.status()
-		status.Occupied = uint32(s.inFlight.len())
-		return status
-	}
+	s.load.status = d.backend.loadStatus
 }
 
 // start runs the duties.
@@ -111,9 +107,10 @@
 	s.load.reportNow()
 }
 
-// backendCrashed gives strikes to the requests that were in flight.
-func (s *sessionRuntime) backendCrashed() {
-	if records := s.suspects.crashed(time.Now()); len(records) > 0 {
+// backendCrashed gives strikes to the requests that were in flight. Those in lost have
+// ended already, because their connections broke before the crash was found.
+func (s *sessionRuntime) backendCrashed(lost []quarantine.Fingerprint) {
+	if records := s.suspects.crashed(lost, time.Now()); len(records) > 0 {
 		s.daemon.spreadStrikes(records, "")
 	}
 }
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -57,12 +57,13 @@
 	s.wake()
 }
 
-// crashed gives a strike to everything in flight and returns the records to spread.
-func (s *suspects) crashed(now time.Time) []quarantine.Record {
+// crashed gives a strike to everything in flight and to what was lost, and returns the
+// records to spread.
+func (s *suspects) crashed(lost []quarantine.Fingerprint, now time.Time) []quarantine.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.wake()
-	return s.table.Crashed(now)
+	return s.table.Crashed(lost, now)
 }
 
 // merge adds records of other daemons and reports whether any was new.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -107,10 +107,14 @@
 	}
 }
 
-// Crashed gives one strike to each fingerprint in flight, however many requests
-// share it, ends all of them, and returns the new records to spread.
-func (t *Table) Crashed(now time.Time) []Record {
+// Crashed gives one strike to each fingerprint in flight and to those in lost, however
+// many requests share it, ends all of them, and returns the new records to spread. lost
+// holds requests whose connections broke and that ended before the crash was found.
+func (t *Table) Crashed(lost []Fingerprint, now time.Time) []Record {
 	t.crashes++
+	for _, f := range lost {
+		t.inFlight[f] = max(1, t.inFlight[f])
+	}
 	var out []Record
 	for f, requests := range t.inFlight {
 		r := Record{
