Add ownership: a daemon's units and the gate for requests

Cause: a key must have one server at any moment while units move, split and merge and daemons pause.

--- /dev/null
+++ b/ownership/gate.go
@@ -0,0 +1,176 @@
+package ownership
+
+import (
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+)
+
+// Decision says what to do with a request that Gate.Admit did not refuse.
+type Decision uint8
+
+// The decisions.
+const (
+	// Serve means that the request counts as in flight; Gate.End must follow.
+	Serve Decision = iota
+	// Queue means that the unit is moving; hand the request to Machine.Handle.
+	Queue
+)
+
+// counter counts the requests in flight that were admitted to a unit. It outlives
+// the unit while a split or merge passes its requests on.
+type counter struct{ n atomic.Int64 }
+
+// Ticket stands for an admitted request.
+type Ticket struct {
+	Service string
+	Hash    uint64
+	// Unit and Epoch go into the grant for the backend server.
+	Unit  cluster.Unit
+	Epoch uint64
+	// FloorMS is the unit's floor, to pass to the memory of request ids.
+	FloorMS  int64
+	Deadline time.Time
+	counter  *counter
+}
+
+// view is what the gate needs to know about an owned unit.
+type view struct {
+	queue    bool
+	epoch    uint64
+	floorMS  int64
+	counters []*counter // the first counts new requests
+}
+
+// snapshot is immutable after it is published.
+type snapshot struct {
+	state   *cluster.State
+	units   map[cluster.Unit]*view
+	backend BackendState
+}
+
+// Gate admits requests. All methods are safe for concurrent use with each other and
+// with Machine.Handle.
+//
+// The machine publishes an immutable snapshot behind an atomic pointer. Admit counts a
+// request and then looks whether the snapshot is still the one that it decided on; if
+// not, it takes the count back and decides again. The machine reads a count only
+// after it published that the unit takes no more requests. So either Admit sees the
+// new snapshot, or the machine sees the count.
+type Gate struct {
+	self     cluster.Session
+	base     time.Time
+	snapshot atomic.Pointer[snapshot]
+	// leaseUntil and lastDeadline are in nanoseconds after base.
+	leaseUntil   atomic.Int64
+	lastDeadline atomic.Int64
+}
+
+// Admit decides about a request for the key hash of service. The error is a
+// *LostError, ErrLeaseLost, ErrBackendDown or ErrDeadline.
+func (g *Gate) Admit(service string, hash uint64, deadline, now time.Time) (Decision, Ticket, error) {
+	if !now.Before(deadline) {
+		return 0, Ticket{}, ErrDeadline
+	}
+	for {
+		s := g.snapshot.Load()
+		unit, v, err := g.decide(s, service, hash, now)
+		if err != nil {
+			return 0, Ticket{}, err
+		}
+		if v.queue {
+			return Queue, Ticket{}, nil
+		}
+		c := v.counters[0]
+		c.n.Add(1)
+		if g.snapshot.Load() != s {
+			c.n.Add(-1)
+			continue
+		}
+		g.noteDeadline(deadline)
+		return Serve, Ticket{
+			Service: service, Hash: hash, Unit: unit, Epoch: v.epoch,
+			FloorMS: v.floorMS, Deadline: deadline, counter: c,
+		}, nil
+	}
+}
+
+func (g *Gate) decide(s *snapshot, service string, hash uint64, now time.Time) (cluster.Unit, *view, error) {
+	o, unit := s.state.Owner(service, hash)
+	if o.Owner != g.self {
+		return unit, nil, &LostError{Unit: unit, Owner: o.Owner, Version: s.state.Version}
+	}
+	if !g.LeaseValid(now) {
+		return unit, nil, ErrLeaseLost
+	}
+	v := s.units[unit]
+	if !v.queue && s.backend != BackendUp {
+		return unit, nil, ErrBackendDown
+	}
+	return unit, v, nil
+}
+
+// CheckSend is the check at the last moment before the request is written to the
+// backend server. After an error, which has verdict NotRun, it must not be written.
+func (g *Gate) CheckSend(t Ticket, now time.Time) error {
+	if !g.LeaseValid(now) {
+		return ErrLeaseLost
+	}
+	if !now.Before(t.Deadline) {
+		return ErrDeadline
+	}
+	s := g.snapshot.Load()
+	o, unit := s.state.Owner(t.Service, t.Hash)
+	if o.Owner != g.self || !slices.Contains(s.units[unit].counters, t.counter) {
+		return &LostError{Unit: unit, Owner: o.Owner, Version: s.state.Version}
+	}
+	if s.backend != BackendUp {
+		return ErrBackendDown
+	}
+	return nil
+}
+
+// End ends an admitted request, once. If it returns true, the unit may be waiting for
+// this: hand RequestEnded to the machine.
+func (g *Gate) End(t Ticket) bool {
+	if t.counter.n.Add(-1) > 0 {
+		return false
+	}
+	s := g.snapshot.Load()
+	if s.backend != BackendUp {
+		return true
+	}
+	_, unit := s.state.Owner(t.Service, t.Hash)
+	v := s.units[unit]
+	return v == nil || v.queue
+}
+
+// LeaseValid reports whether the lease is valid at now. Call it again after the
+// write to the backend server to detect a pause in between.
+func (g *Gate) LeaseValid(now time.Time) bool {
+	return int64(now.Sub(g.base)) < g.leaseUntil.Load()
+}
+
+// LeaseUntil returns the end of the lease, for the grant to the backend server.
+func (g *Gate) LeaseUntil() time.Time { return g.base.Add(time.Duration(g.leaseUntil.Load())) }
+
+func (g *Gate) setLease(until time.Time) {
+	if until.IsZero() {
+		g.leaseUntil.Store(math.MinInt64)
+		return
+	}
+	g.leaseUntil.Store(int64(until.Sub(g.base)))
+}
+
+func (g *Gate) noteDeadline(deadline time.Time) {
+	d := int64(deadline.Sub(g.base))
+	for {
+		last := g.lastDeadline.Load()
+		if d <= last || g.lastDeadline.CompareAndSwap(last, d) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/ownership/machine_test.go
@@ -0,0 +1,302 @@
+package ownership
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/verdict"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	if n := os.Getenv("BASILWAY_SCHEDULES"); n != "" {
+		_ = flag.Set("rapid.checks", n)
+	}
+	os.Exit(m.Run())
+}
+
+// faults runs steps of random events and checks safety after each.
+func (w *world) faults(steps int) {
+	for range steps {
+		n := w.nodes[w.choose(len(w.nodes))]
+		switch op := w.choose(40); {
+		case op < 10:
+			w.request()
+		case op < 13 && len(w.net) > 0: // deliver, repeat or lose a message
+			i := w.choose(len(w.net))
+			deliver, fate := w.net[i], w.choose(5)
+			if fate > 0 {
+				w.net = append(w.net[:i:i], w.net[i+1:]...)
+			}
+			if fate != 1 {
+				deliver()
+			}
+		case op < 15:
+			w.plan()
+		case op == 15:
+			w.fence(n)
+		case op == 16 && w.choose(2) == 0:
+			n.paused = w.choose(3) == 0
+		case op == 16 && w.choose(2) == 0:
+			n.cutOff = w.choose(3) > 0
+		case op == 16:
+			w.lossy = !w.lossy
+		case op == 17:
+			w.now = w.now.Add(time.Duration(1+w.choose(150)) * time.Millisecond)
+		case n.paused:
+			n.paused = w.choose(20) > 0
+		case op < 25:
+			n.step()
+		case op < 30:
+			for n.apply() && w.choose(4) > 0 {
+			}
+		case op < 36:
+			n.renew()
+		case op == 36 && w.choose(2) == 0:
+			n.handle(BackendChanged{[]BackendState{BackendUp, BackendUp, BackendUp, BackendFrozen, BackendDown}[w.choose(5)]})
+		case op == 37 && w.choose(20) == 0 && !w.nodes[0].machine.draining && !w.nodes[1].machine.draining && !w.nodes[2].machine.draining:
+			n.handle(DrainAsked{})
+		default:
+			n.handle(Tick{})
+		}
+		if w.check(); w.err != nil {
+			return
+		}
+	}
+}
+
+// settle lets 10 s pass without faults and checks that nothing is stuck.
+func (w *world) settle() {
+	w.lossy = false
+	for _, n := range w.nodes {
+		if _, member := w.latest().Members[n.session]; !member {
+			n.start(n.session.Instance, n.session.Incarnation+1)
+		}
+		n.paused, n.cutOff = false, false
+		n.handle(BackendChanged{BackendUp})
+	}
+	for range 100 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		for _, n := range w.nodes {
+			for n.apply() {
+			}
+			n.renew()
+			n.handle(Tick{})
+			for len(n.running) > 0 {
+				n.step()
+			}
+		}
+		for net := w.net; len(net) > 0; net = net[1:] {
+			w.net = w.net[1:]
+			net[0]()
+		}
+		if w.check(); w.err != nil {
+			return
+		}
+	}
+	for k := range uint64(keys) {
+		o, u := w.latest().Owner("s", k<<60)
+		for _, n := range w.nodes {
+			if n.session != o.Owner {
+				continue
+			}
+			decision, ticket, err := n.machine.Gate().Admit("s", k<<60, n.now().Add(time.Second), n.now())
+			if err != nil || decision != Serve {
+				w.fail("unit %v is stuck on %s: %v %v", u, n.session, decision, err)
+				continue
+			}
+			n.machine.Gate().End(ticket)
+		}
+	}
+	for _, n := range w.nodes {
+		if n.machine.draining && !n.closed {
+			w.fail("%s does not finish its drain", n.session)
+		}
+		if n.machine.Queued() > 0 || len(n.queued) > 0 {
+			w.fail("%s still queues", n.session)
+		}
+	}
+}
+
+func run(choose func(int) int, steps int, b breaks) error {
+	w := newWorld(choose, b)
+	w.faults(steps)
+	if w.err == nil {
+		w.settle()
+	}
+	return w.err
+}
+
+// Guards against two servers of a key, ids that run twice, units that stay stuck after
+// faults, and requests queued past their deadline.
+func TestSafetyAndLivenessUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		steps := rapid.IntRange(1, 800).Draw(t, "steps")
+		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		if err := run(choose, steps, breaks{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a model that cannot see the faults it looks for.
+func TestModelDetectsBreaks(t *testing.T) {
+	const seeds = 40
+	for name, b := range map[string]breaks{
+		"none":                      {},
+		"serve after release":       {serveReleased: true},
+		"trust a missing hand-over": {trustMissing: true},
+		"ignore floor":              {ignoreFloor: true},
+		"queue past the deadline":   {keepOverdue: true},
+	} {
+		caught := 0
+		for seed := range uint64(seeds) {
+			if err := run(rand.New(rand.NewPCG(seed, 1)).IntN, 2000, b); err != nil {
+				if b == (breaks{}) {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				caught++
+			}
+		}
+		t.Logf("%s: detected on %d of %d seeds", name, caught, seeds)
+		if b != (breaks{}) && caught == 0 {
+			t.Errorf("%s is not detected", name)
+		}
+	}
+}
+
+// owner returns a machine that serves all keys of service s, split into 16 ranges.
+func owner(t testing.TB) (*Machine, *cluster.State) {
+	self := cluster.Session{Instance: "a", Incarnation: 1}
+	other := cluster.Session{Instance: "b", Incarnation: 1}
+	m, s := New(Config{Self: self}, epoch), cluster.NewState()
+	entries := []cluster.Entry{
+		{Kind: cluster.EntryMemberJoined, Member: &cluster.Member{Session: self}},
+		{Kind: cluster.EntryMemberJoined, Member: &cluster.Member{Session: other}},
+		{Kind: cluster.EntryOwnerSet, Unit: cluster.Unit{Service: "s"}, Session: self},
+	}
+	for i := uint64(15); i > 0; i-- {
+		entries = append(entries, cluster.Entry{Kind: cluster.EntryRangeSplit, Unit: cluster.Unit{Service: "s"}, At: i << 60})
+	}
+	if err := s.Apply(1, entries); err != nil {
+		t.Fatal(err)
+	}
+	m.Handle(StateApplied{s.Clone()}, epoch)
+	m.Handle(BackendChanged{BackendUp}, epoch)
+	m.Handle(LeaseChanged{epoch.Add(time.Hour)}, epoch)
+	return m, s
+}
+
+func apply(t testing.TB, m *Machine, s *cluster.State, e cluster.Entry) []Action {
+	if err := s.Apply(s.Version+1, []cluster.Entry{e}); err != nil {
+		t.Fatal(err)
+	}
+	return m.Handle(StateApplied{s.Clone()}, epoch)
+}
+
+// Guards against errors from which the entry daemon cannot learn the owner, and
+// against a send after the lease ended or the backend server froze.
+func TestErrorsAndTheCheckBeforeTheSend(t *testing.T) {
+	g := NewWithT(t)
+	m, s := owner(t)
+	gate, u, later := m.Gate(), cluster.Unit{Service: "s"}, epoch.Add(time.Minute)
+	_, ticket, err := gate.Admit("s", 1, later, epoch)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(gate.CheckSend(ticket, epoch)).To(Succeed())
+	g.Expect(gate.CheckSend(ticket, later)).To(Equal(ErrDeadline))
+	m.Handle(BackendChanged{BackendFrozen}, epoch)
+	g.Expect(gate.CheckSend(ticket, epoch)).To(Equal(ErrBackendDown))
+	g.Expect(m.Handle(Tick{}, later)).To(ContainElement(CloseBackend{}))
+	m.Handle(BackendChanged{BackendUp}, epoch)
+	m.Handle(LeaseChanged{}, epoch)
+	g.Expect(gate.CheckSend(ticket, epoch)).To(Equal(ErrLeaseLost))
+	apply(t, m, s, cluster.Entry{Kind: cluster.EntryMemberLeft, Session: m.config.Self})
+	apply(t, m, s, cluster.Entry{Kind: cluster.EntryOwnerSet, Unit: u, Session: cluster.Session{Instance: "b", Incarnation: 1}})
+	_, _, err = gate.Admit("s", 1, later, epoch)
+	g.Expect(err).To(Equal(&LostError{Unit: u, Owner: cluster.Session{Instance: "b", Incarnation: 1}, Version: 3}))
+	g.Expect(verdict.From(err).Reason).To(Equal(verdict.ReasonNotOwner))
+	_, _, err = gate.Admit("s", 1<<60, later, epoch)
+	g.Expect(verdict.From(err).Reason).To(Equal(verdict.ReasonNoOwner))
+}
+
+// Guards against a hot key that cannot move because its range stays busy, and against
+// a hand-over while a request that was admitted to the range is in flight.
+func TestAHotKeyKeepsTheRequestsInFlightOfItsRange(t *testing.T) {
+	g := NewWithT(t)
+	m, s := owner(t)
+	gate, hot := m.Gate(), cluster.Unit{Service: "s", Start: 1, Hot: true}
+	_, before, _ := gate.Admit("s", 1, epoch.Add(time.Minute), epoch)
+	apply(t, m, s, cluster.Entry{Kind: cluster.EntryHotKeyIsolated, Unit: hot})
+	_, busy, _ := gate.Admit("s", 2, epoch.Add(time.Minute), epoch)
+	moved := apply(t, m, s, cluster.Entry{Kind: cluster.EntryMoveBegun, Unit: hot, Session: cluster.Session{Instance: "b", Incarnation: 1}})
+	g.Expect(moved).NotTo(ContainElement(BeAssignableToTypeOf(SendHandOver{})))
+	g.Expect(gate.CheckSend(before, epoch)).To(Succeed())
+	g.Expect(gate.End(before)).To(BeTrue())
+	g.Expect(m.Handle(RequestEnded{}, epoch)).To(ContainElement(BeAssignableToTypeOf(SendHandOver{})))
+	g.Expect(gate.CheckSend(busy, epoch)).To(Succeed())
+}
+
+// Guards against a hand-over while a concurrent Admit still counts a request.
+func TestNoRequestIsInFlightAtTheHandOver(t *testing.T) {
+	m, s := owner(t)
+	var stop sync.WaitGroup
+	done, u := make(chan struct{}), cluster.Unit{Service: "s"}
+	for range 4 {
+		stop.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if d, ticket, err := m.Gate().Admit("s", 1, epoch.Add(time.Minute), epoch); err == nil && d == Serve {
+					if s := m.Gate().snapshot.Load(); s.units[u].queue && m.Gate().CheckSend(ticket, epoch) == nil && ticket.counter.n.Load() < 1 {
+						t.Error("an admitted request is not counted")
+					}
+					m.Gate().End(ticket)
+				}
+			}
+		})
+	}
+	for range 300 {
+		sent := false
+		for _, a := range apply(t, m, s, cluster.Entry{Kind: cluster.EntryMoveBegun, Unit: u, Session: cluster.Session{Instance: "b", Incarnation: 1}}) {
+			_, ok := a.(SendHandOver)
+			sent = sent || ok
+		}
+		for !sent {
+			for _, a := range m.Handle(Tick{}, epoch) {
+				_, ok := a.(SendHandOver)
+				sent = sent || ok
+			}
+		}
+		apply(t, m, s, cluster.Entry{Kind: cluster.EntryMoveCancelled, Unit: u})
+	}
+	close(done)
+	stop.Wait()
+}
+
+func BenchmarkAdmitCheckSend(b *testing.B) {
+	m, _ := owner(b)
+	gate, deadline := m.Gate(), epoch.Add(time.Minute)
+	b.ReportAllocs()
+	hash := uint64(0)
+	for b.Loop() {
+		hash += 0x9e3779b97f4a7c15
+		_, ticket, err := gate.Admit("s", hash, deadline, epoch)
+		if err != nil || gate.CheckSend(ticket, epoch) != nil {
+			b.Fatal("refused")
+		}
+		gate.End(ticket)
+	}
+}
