Name the largest benchmark size without a comma

Cause: a comma separates values of the size flag. Change: the size is called 1900 nodes; unknown names are an error.

--- a/internal/policybench/command.go
+++ b/internal/policybench/command.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 
+	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 )
 
@@ -26,6 +27,9 @@
 			policies = slices.DeleteFunc(policies, func(p func() Policy) bool {
 				return len(policyNames) > 0 && !slices.Contains(policyNames, p().Name())
 			})
+			if len(sizes) == 0 || len(series) == 0 || len(policies) == 0 {
+				return trace.BadParameter("no size, series or policy has the given name")
+			}
 			results, err := RunAll(cmd.Context(), sizes, series, policies, seed, workers)
 			if err != nil {
 				return err
--- a/internal/policybench/size.go
+++ b/internal/policybench/size.go
@@ -46,7 +46,7 @@
 			Services: []ServiceSize{{"sales", 9}, {"balance", 9}, {"content", 3}, {"vouchers", 3}},
 		},
 		{
-			Name: "1,900 nodes", Slots: 8, Zones: 22, Regions: 6, Keys: 2.2e9, ServiceTime: 700 * time.Microsecond, PlanEvery: 5,
+			Name: "1900 nodes", Slots: 8, Zones: 22, Regions: 6, Keys: 2.2e9, ServiceTime: 700 * time.Microsecond, PlanEvery: 5,
 			Services: []ServiceSize{{"passes", 1900}},
 		},
 	}
