Add client of the backend server

Cause: the daemon must run requests at its backend server, know whether a failed one may have run, and notice crashes and freezes. The stand-in answered code unknown instead of deadline_exceeded when its own timer ended a request, which failed 2 of 20 runs of TestVerdictsOfAnswers. The stand-in answers the code of its context.

--- /dev/null
+++ b/internal/backend/outcome.go
@@ -0,0 +1,131 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	basilwayv1 "github.com/basilway/basilway/gen/basilway/v1"
+	"github.com/basilway/basilway/verdict"
+)
+
+// writeTracker follows one request on its way to the server.
+type writeTracker struct {
+	owned  func() bool
+	cancel context.CancelFunc
+	// connected is set before any byte may be written. The hook runs on the caller's
+	// goroutine, so it cannot be missed; the hooks of the write itself can.
+	connected atomic.Bool
+	written   atomic.Bool
+	// late is set if the lease was not valid when the request was written.
+	late atomic.Bool
+}
+
+// attach returns a context whose request reports to t. The transport tries again by
+// itself only when nothing was written, so GetConn resets.
+func (t *writeTracker) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { t.connected.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) {
+			t.connected.Store(true)
+			t.check()
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			t.check()
+			t.written.Store(true)
+		},
+	})
+}
+
+// check cancels the request, which closes its connection, if the lease has ended.
+func (t *writeTracker) check() {
+	if !t.owned() {
+		t.late.Store(true)
+		t.cancel()
+	}
+}
+
+// leaseEnded reports whether the request may have been written without a valid lease.
+// The answer can come before the hook of the write ran; then the lease counts now.
+func (t *writeTracker) leaseEnded() bool {
+	return t.late.Load() || t.connected.Load() && !t.written.Load() && !t.owned()
+}
+
+// classify returns the error of a failed request and what it says about the server.
+func classify(ctx context.Context, err error, t *writeTracker, processID uint64) (*verdict.Error, Event) {
+	if connect.IsWireError(err) {
+		return classifyAnswer(err), Answered{ProcessID: processID}
+	}
+	if ctx.Err() != nil {
+		v := verdict.NotRun
+		if t.connected.Load() {
+			v = verdict.MayHaveRun
+		}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return verdict.New(v, verdict.ReasonDeadline, "no answer of the backend server within the deadline"), nil
+		}
+		return verdict.New(v, verdict.ReasonCancelled, "the caller gave up"), nil
+	}
+	if !t.connected.Load() {
+		failure := verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "no connection to the backend server: %v", err)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return failure, Refused{ProcessID: processID}
+		}
+		return failure, nil
+	}
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		// The client's timer can run ahead of the context's.
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "no answer of the backend server within the deadline"), nil
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendCrashed, "connection to the backend server broke: %v", err),
+		ConnectionLost{ProcessID: processID}
+}
+
+// classifyAnswer reads an error that the server answered. NotRun needs the server's word
+// for it; codes that a server or its library gives both before and while it runs a
+// request prove nothing.
+func classifyAnswer(err error) *verdict.Error {
+	var wire *connect.Error
+	if !errors.As(err, &wire) {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "%v", err)
+	}
+	for _, detail := range wire.Details() {
+		value, detailErr := detail.Value()
+		if detailErr != nil {
+			continue
+		}
+		if d, ok := value.(*basilwayv1.ErrorDetail); ok {
+			return fromDetail(wire, d)
+		}
+	}
+	switch wire.Code() {
+	case connect.CodeDeadlineExceeded:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "%s", wire.Message())
+	case connect.CodeCanceled:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonCancelled, "%s", wire.Message())
+	case connect.CodeResourceExhausted, connect.CodeUnavailable, connect.CodeUnimplemented, connect.CodeUnknown:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "%s: %s", wire.Code(), wire.Message())
+	}
+	return verdict.New(verdict.Ran, verdict.ReasonBackendError, "%s: %s", wire.Code(), wire.Message())
+}
+
+func fromDetail(wire *connect.Error, d *basilwayv1.ErrorDetail) *verdict.Error {
+	v := verdict.MayHaveRun
+	switch d.GetVerdict() {
+	case basilwayv1.Verdict_VERDICT_NOT_RUN:
+		v = verdict.NotRun
+	case basilwayv1.Verdict_VERDICT_RAN:
+		v = verdict.Ran
+	}
+	reason := verdict.ReasonBackendError
+	if d.GetReason() != "" {
+		reason = verdict.Reason(d.GetReason())
+	}
+	return verdict.New(v, reason, "%s: %s", wire.Code(), wire.Message()).
+		WithRetryAfter(time.Duration(d.GetRetryAfterMs()) * time.Millisecond)
+}
--- a/internal/backendsim/execute.go
+++ b/internal/backendsim/execute.go
@@ -81,7 +81,11 @@
 	case s.slots <- struct{}{}:
 		return nil
 	case <-ctx.Done():
-		return notRun(connect.CodeOf(ctx.Err()), "deadline_exceeded", ctx.Err())
+		reason := "cancelled"
+		if contextCode(ctx) == connect.CodeDeadlineExceeded {
+			reason = "deadline_exceeded"
+		}
+		return notRun(contextCode(ctx), reason, ctx.Err())
 	case <-s.stopped:
 		panic(http.ErrAbortHandler)
 	}
@@ -138,7 +142,7 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return connect.NewError(connect.CodeOf(ctx.Err()), ctx.Err())
+		return connect.NewError(contextCode(ctx), ctx.Err())
 	case <-s.stopped:
 		panic(http.ErrAbortHandler)
 	}
@@ -151,6 +155,14 @@
 	return s.cfg.ChecksGrants
 }
 
+// contextCode returns the code for a request whose context has ended.
+func contextCode(ctx context.Context) connect.Code {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return connect.CodeDeadlineExceeded
+	}
+	return connect.CodeCanceled
+}
+
 // notRun returns an error that says for certain that the request did not run.
 func notRun(code connect.Code, reason string, err error) error {
 	wire := connect.NewError(code, err)
