Reduce the memory of idle peer connections

Cause: each connection held a 64 KiB batch and a read buffer, and a node that forwards everywhere has a connection to every other node. Change: message buffers come from a pool while a message is written or read; the write queue holds 1024 frames instead of 4096.

--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -15,7 +15,7 @@
 const (
 	defaultMaxInFlight    = 4096
 	defaultMaxInbound     = 8192
-	defaultQueueFrames    = 4096
+	defaultQueueFrames    = 1024
 	defaultMaxFrameBytes  = 1 << 20
 	defaultMaxQueuedBytes = 8 << 20
 	defaultDialTimeout    = time.Second
@@ -43,8 +43,9 @@
 	// MaxInbound bounds the handlers that run for a connection; 8192. It should not be
 	// below MaxInFlight of the other side, or calls within their limit are refused.
 	MaxInbound int
-	// QueueFrames bounds the frames that wait to be written on a connection; 4096. More
-	// absorb longer bursts, but a call waits longer before it learns of congestion.
+	// QueueFrames bounds the frames that wait to be written on a connection; 1024. More
+	// absorb longer bursts, but a call waits longer before it learns of congestion, and
+	// each costs 8 bytes of every connection.
 	QueueFrames int
 	// MaxQueuedBytes bounds the bytes of those frames; 8 MiB.
 	MaxQueuedBytes int
--- a/internal/peer/read.go
+++ b/internal/peer/read.go
@@ -16,16 +16,9 @@
 // read handles messages until the connection is closed. It never waits for the writer,
 // so two sides that send much cannot block each other.
 func (c *conn) read() {
-	var buf bytes.Buffer
 	for {
-		err := c.readMessage(&buf)
+		err := c.readMessage()
 		if err == nil {
-			err = c.handleMessage(buf.Bytes())
-		}
-		if err == nil {
-			if buf.Cap() > 4*maxBatchBytes {
-				buf = bytes.Buffer{}
-			}
 			continue
 		}
 		if errors.Is(err, errMalformed) || errors.Is(err, websocket.ErrMessageTooBig) {
@@ -37,7 +30,8 @@
 	}
 }
 
-func (c *conn) readMessage(buf *bytes.Buffer) error {
+// readMessage handles one message. It takes a buffer only when a message arrives.
+func (c *conn) readMessage() error {
 	kind, r, err := c.ws.Reader(context.Background())
 	if err != nil {
 		return err
@@ -45,9 +39,12 @@
 	if kind != websocket.MessageBinary {
 		return fmt.Errorf("%w: not binary", errMalformed)
 	}
-	buf.Reset()
-	_, err = buf.ReadFrom(r)
-	return err
+	buf := batchPool.Get().(*bytes.Buffer)
+	defer releaseBatch(buf)
+	if _, err := buf.ReadFrom(r); err != nil {
+		return err
+	}
+	return c.handleMessage(buf.Bytes())
 }
 
 func (c *conn) handleMessage(data []byte) error {
--- a/internal/peer/wire_test.go
+++ b/internal/peer/wire_test.go
@@ -148,12 +148,15 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.push(o)).To(Succeed())
 	g.Expect(o.withdraw()).To(BeTrue())
-	g.Expect(c.take(nil, <-c.out)).To(BeEmpty())
+	var batch bytes.Buffer
+	c.take(&batch, <-c.out)
+	g.Expect(batch.Len()).To(BeZero())
 	g.Expect(p.Stats().Kinds).To(BeEmpty())
 	o, err = c.newOutFrame(&frame{Type: frameRequest, Kind: 3})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.push(o)).To(Succeed())
-	g.Expect(c.take(nil, <-c.out)).NotTo(BeEmpty())
+	c.take(&batch, <-c.out)
+	g.Expect(batch.Len()).NotTo(BeZero())
 	g.Expect(o.withdraw()).To(BeFalse())
 }
 
--- a/internal/peer/write.go
+++ b/internal/peer/write.go
@@ -35,10 +35,17 @@
 	return o.state.CompareAndSwap(stateQueued, stateWithdrawn)
 }
 
-var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+// bufferPool holds buffers of single frames, batchPool those of whole messages.
+var (
+	bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	batchPool  = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
 
-// maxPooledBuffer keeps rare large frames from staying in memory.
-const maxPooledBuffer = 64 << 10
+const (
+	// maxPooledBuffer and maxPooledBatch keep rare large buffers from staying in memory.
+	maxPooledBuffer = 16 << 10
+	maxPooledBatch  = 2 * maxBatchBytes
+)
 
 func releaseBuffer(b *bytes.Buffer) {
 	if b.Cap() <= maxPooledBuffer {
@@ -47,6 +54,13 @@
 	}
 }
 
+func releaseBatch(b *bytes.Buffer) {
+	if b.Cap() <= maxPooledBatch {
+		b.Reset()
+		batchPool.Put(b)
+	}
+}
+
 var errQueueFull = errors.New("write queue is full")
 
 // newOutFrame encodes f.
@@ -112,74 +126,73 @@
 // write sends queued frames until the connection is closed. Frames that are ready
 // together go out in one message, which saves a system call for each.
 func (c *conn) write() {
-	batch := make([]byte, 0, maxBatchBytes)
 	for {
+		var first *outFrame
 		select {
-		case o := <-c.out:
-			batch = c.take(batch[:0], o)
+		case first = <-c.out:
 		case <-c.closed:
 			return
 		case <-c.finish:
-			if len(c.out) > 0 {
-				c.flushRest(batch[:0])
-			}
-			_ = c.ws.Close(websocket.StatusNormalClosure, "")
-			c.fail(errConnClosed)
+			c.writeRest()
 			return
 		}
-		batch = c.gather(batch)
-		if err := c.send(batch); err != nil {
+		if err := c.writeBatch(first); err != nil {
 			c.fail(err)
 			return
 		}
-		if cap(batch) > 4*maxBatchBytes {
-			batch = make([]byte, 0, maxBatchBytes)
+	}
+}
+
+// writeBatch sends a frame and those that are ready. The buffer comes from a pool, so
+// that a connection without traffic holds none.
+func (c *conn) writeBatch(first *outFrame) error {
+	batch := batchPool.Get().(*bytes.Buffer)
+	c.take(batch, first)
+	c.gather(batch)
+	err := c.send(batch.Bytes())
+	releaseBatch(batch)
+	return err
+}
+
+// writeRest sends what is in the queue and closes the connection.
+func (c *conn) writeRest() {
+	for len(c.out) > 0 {
+		if err := c.writeBatch(<-c.out); err != nil {
+			c.fail(err)
+			return
 		}
 	}
+	_ = c.ws.Close(websocket.StatusNormalClosure, "")
+	c.fail(errConnClosed)
 }
 
 // gather adds frames that are ready. It yields once, so that goroutines that are about to
 // queue a frame do so before the message is sent.
-func (c *conn) gather(batch []byte) []byte {
+func (c *conn) gather(batch *bytes.Buffer) {
 	yielded := false
-	for len(batch) < maxBatchBytes {
+	for batch.Len() < maxBatchBytes {
 		select {
 		case o := <-c.out:
-			batch = c.take(batch, o)
+			c.take(batch, o)
 			continue
 		default:
 		}
 		if yielded {
-			break
+			return
 		}
 		yielded = true
 		runtime.Gosched()
 	}
-	return batch
-}
-
-// flushRest sends what is in the queue before the connection closes.
-func (c *conn) flushRest(batch []byte) {
-	for {
-		select {
-		case o := <-c.out:
-			batch = c.take(batch, o)
-		default:
-			_ = c.send(batch)
-			return
-		}
-	}
 }
 
 // take appends a frame to the batch unless it was withdrawn.
-func (c *conn) take(batch []byte, o *outFrame) []byte {
+func (c *conn) take(batch *bytes.Buffer, o *outFrame) {
 	c.queued.Release(c.weight(o))
 	if o.state.CompareAndSwap(stateQueued, stateTaken) {
-		batch = append(batch, o.data.Bytes()...)
+		batch.Write(o.data.Bytes())
 		c.pool.counters.kinds[o.kind].sent(o.data.Len())
 	}
 	releaseBuffer(o.data)
-	return batch
 }
 
 func (c *conn) send(batch []byte) error {
