--- a/lease/holder.go
+++ b/lease/holder.go
@@ -57,15 +57,14 @@
 
 // breaks switches rules off, so that tests can show that they notice it.
 type breaks struct {
-	skipRemaining        bool // takeover does not wait out remaining times
-	countRestarted       bool // a restarted witness grants and seals for its old incarnation
-	singleValidity       bool // the new set alone counts while the commit is open
-	grantAfterSeal       bool // a witness grants sealed generations
-	reviveLapsed         bool // grants revive a lapsed set
-	noClockMargin        bool // grants last equally long at holder and witness
-	unconditionalRenewal bool // renewal rows are written without the session row's version
-	readIsFailure        bool // an unchanged row counts as proof that a lost commit failed
-	unconditionalFence   bool // a fence is not conditional on the session row
+	skipRemaining      bool // takeover does not wait out remaining times
+	countRestarted     bool // a restarted witness grants and seals for its old incarnation
+	singleValidity     bool // the new set alone counts while the commit is open
+	grantAfterSeal     bool // a witness grants sealed generations
+	reviveLapsed       bool // grants revive a lapsed set
+	noClockMargin      bool // grants last equally long at holder and witness
+	readIsFailure      bool // an unchanged row counts as proof that a lost commit failed
+	unconditionalFence bool // a fence is not conditional on the session row
 }
 
 // NewHolder returns the holder of session. It becomes active with the first Members
@@ -157,19 +156,18 @@
 	}
 }
 
-// renewStore writes the renewal row. The write is conditional on the session row:
-// a write that is delayed until after the fence must not be applied.
+// renewStore writes the renewal row. The write is conditional on the session row, so
+// that it shows a fence and never brings the renewal row of a fenced session back.
 func (h *Holder) renewStore(now time.Time) {
 	if h.current == nil || !h.current.Store || !h.versionKnown {
 		return
 	}
 	h.sequence++
 	h.current.store().noteSent(h.sequence, now)
-	txn := platform.Txn{Writes: []platform.Write{h.renewalWrite()}}
-	if !h.breaks.unconditionalRenewal {
-		txn.Conditions = []platform.Condition{{Key: SessionKey(h.session), Version: h.rowVersion}}
-	}
-	h.do(CommitRenewal{Attempt: h.sequence, Txn: txn})
+	h.do(CommitRenewal{Attempt: h.sequence, Txn: platform.Txn{
+		Conditions: []platform.Condition{{Key: SessionKey(h.session), Version: h.rowVersion}},
+		Writes:     []platform.Write{h.renewalWrite()},
+	}})
 }
 
 func (h *Holder) renewalWrite() platform.Write {
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -55,6 +55,7 @@
 	fencedAt map[cluster.Session]time.Duration
 	needOp   map[cluster.Session]bool
 	failure  string
+	unsafe   bool // the failure is a valid fenced holder
 	// check runs after every event, if set.
 	check func()
 }
@@ -94,7 +95,9 @@
 			s.check()
 		}
 	}
-	s.now = end
+	if s.failure == "" {
+		s.now = end
+	}
 }
 
 func (s *sim) fail(format string, args ...any) {
@@ -160,6 +163,7 @@
 		return
 	}
 	if at, ok := s.fencedAt[n.session]; ok && n.holder.Valid(n.clock()) {
+		s.unsafe = true
 		s.fail("%s is valid for %v more, fenced at %v", n.session, n.holder.ValidUntil().Sub(n.clock()), at)
 	}
 }
