--- a/internal/daemon/leaseduty.go
+++ b/internal/daemon/leaseduty.go
@@ -82,11 +82,14 @@
 	d.box.post(func() {
 		now := time.Now()
 		members := state.SortedMembers()
+		if _, joined := state.Members[d.session]; !joined {
+			members = append(members, self) // the lease comes before the entry in the feed
+		}
 		event := lease.Members{Self: self, Members: members, Load: d.load}
 		d.perform(d.holder.Handle(now, event))
 		present := make(map[cluster.Session]bool, len(members))
-		for _, m := range members {
-			present[m.Session] = true
+		for session := range state.Members {
+			present[session] = true
 		}
 		for session := range d.members {
 			if !present[session] {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/catalogue"
@@ -53,6 +54,7 @@
 // outcome is an answer with the way that it took.
 type outcome struct {
 	reply     wire.Reply
+	requestID string
 	forwarded bool
 }
 
@@ -73,6 +75,10 @@
 	r.budget.FirstTry()
 	out, err := r.try(ctx, request, entry, deadline)
 	r.metrics.request(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
+	out.requestID = request.RequestID
+	if err != nil {
+		r.log.Info("request failed", zap.String("request", request.RequestID), zap.String("service", request.Service), zap.Error(err))
+	}
 	return out, err
 }
 
@@ -110,6 +116,13 @@
 	if request.Tenant == "" {
 		request.Tenant = entry.Owner
 	}
+	if request.RequestID == "" {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return entry, verdict.New(verdict.NotRun, verdict.ReasonInternal, "request id: %v", err)
+		}
+		request.RequestID = id.String()
+	}
 	return entry, nil
 }
 
--- a/internal/daemon/routerapi.go
+++ b/internal/daemon/routerapi.go
@@ -34,7 +34,7 @@
 	}
 	return connect.NewResponse(&basilwayv1.CallResponse{
 		Payload: outcome.reply.Payload, Verdict: basilwayv1.Verdict_VERDICT_RAN,
-		ServedBy: outcome.reply.ServedBy, Epoch: outcome.reply.Epoch, RequestId: m.RequestId,
+		ServedBy: outcome.reply.ServedBy, Epoch: outcome.reply.Epoch, RequestId: outcome.requestID,
 		Repeated: outcome.reply.Repeated, Forwarded: outcome.forwarded,
 	}), nil
 }
--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -51,7 +51,7 @@
 	s.load = newLoadDuty(life, session, d.pool, d.replicas.cluster)
 	s.server = &localServer{
 		log: log, session: session, owner: s.owner, lease: s.lease.clock, ids: d.ids, suspects: s.suspects,
-		slots: d.slots, backend: d.backend.client, serves: d.backend.serves, inFlight: s.inFlight, load: s.load, metrics: d.metrics,
+		slots: d.slots, backend: d.backend.client, serves: d.backend.serves, inFlight: s.inFlight, load: s.load,
 	}
 	s.connect()
 	return s
