--- a/admission/share.go
+++ b/admission/share.go
@@ -1,7 +1,5 @@
 package admission
 
-import "cmp"
-
 // tenant, key and caller count what they use, for fair order. They exist while they
 // have requests; a tenant exists longer if its rate needs it.
 type tenant struct {
@@ -123,16 +121,24 @@
 	if e.class != o.class {
 		return e.class > o.class
 	}
-	if e.tenant != o.tenant {
-		return cmp.Or(cmp.Compare(e.tenant.inFlight, o.tenant.inFlight), cmp.Compare(e.tenant.stamp, o.tenant.stamp)) < 0
-	}
-	if e.key != o.key {
-		return cmp.Or(cmp.Compare(e.key.inFlight, o.key.inFlight), cmp.Compare(e.key.stamp, o.key.stamp)) < 0
+	switch {
+	case e.tenant != o.tenant:
+		return fewer(e.tenant.inFlight, o.tenant.inFlight, e.tenant.stamp, o.tenant.stamp)
+	case e.key != o.key:
+		return fewer(e.key.inFlight, o.key.inFlight, e.key.stamp, o.key.stamp)
+	case e.caller != o.caller:
+		return fewer(e.caller.inFlight, o.caller.inFlight, e.caller.stamp, o.caller.stamp)
+	default:
+		return e.arrival < o.arrival
 	}
-	if e.caller != o.caller {
-		return cmp.Or(cmp.Compare(e.caller.inFlight, o.caller.inFlight), cmp.Compare(e.caller.stamp, o.caller.stamp)) < 0
+}
+
+// fewer compares requests in flight, then stamps.
+func fewer(inFlight, otherInFlight int, stamp, otherStamp uint64) bool {
+	if inFlight != otherInFlight {
+		return inFlight < otherInFlight
 	}
-	return e.arrival < o.arrival
+	return stamp < otherStamp
 }
 
 func (e *entry) fillsAll(limit int) bool {
@@ -143,14 +149,16 @@
 // class, then the tenant, key and caller with the most waiting requests, then the
 // newest request.
 func (e *entry) worse(o *entry) bool {
-	if e.class != o.class {
+	switch {
+	case e.class != o.class:
 		return e.class < o.class
+	case e.tenant.queued != o.tenant.queued:
+		return e.tenant.queued > o.tenant.queued
+	case e.key.queued != o.key.queued:
+		return e.key.queued > o.key.queued
+	case e.caller.queued != o.caller.queued:
+		return e.caller.queued > o.caller.queued
+	default:
+		return e.arrival > o.arrival
 	}
-	order := cmp.Or(
-		cmp.Compare(o.tenant.queued, e.tenant.queued),
-		cmp.Compare(o.key.queued, e.key.queued),
-		cmp.Compare(o.caller.queued, e.caller.queued),
-		cmp.Compare(o.arrival, e.arrival),
-	)
-	return order < 0
 }
