Charge crashes to the requests whose connections broke

Cause: a request that crashes its server ends before the crash is found, so the table's list of requests in flight no longer had it; and requests that a server finished before a planned stop would have got strikes. Change: Table.Crashed takes the lost requests, AlsoLost adds those found later to the same crash. Unused code removed. Result: quarantine tests pass.

--- a/internal/daemon/backendlink.go
+++ b/internal/daemon/backendlink.go
@@ -48,6 +48,10 @@
 
 func (l *backendLink) handle(n backend.Notice) {
 	d := l.daemon
+	if n.Action == backend.ReportLost {
+		d.current.Load().backendCrashed(fingerprints(n.Lost), true)
+		return
+	}
 	d.log.Info("backend server changed", zap.Stringer("state", l.client.Status().State), zap.String("url", n.Server.URL))
 	switch n.Action {
 	case backend.ReportUp:
@@ -56,16 +60,20 @@
 			return c.ServerStarted(n.Server.Slots, now)
 		})
 	case backend.ReportDown:
-		lost := make([]quarantine.Fingerprint, 0, len(n.Lost))
-		for _, r := range n.Lost {
-			lost = append(lost, quarantine.Fingerprint(r.Fingerprint))
-		}
-		d.current.Load().backendCrashed(lost)
+		d.current.Load().backendCrashed(fingerprints(n.Lost), false)
 	}
 	d.current.Load().backendChanged()
 	d.updateLimits()
 }
 
+func fingerprints(lost []backend.LostRequest) []quarantine.Fingerprint {
+	out := make([]quarantine.Fingerprint, 0, len(lost))
+	for _, r := range lost {
+		out = append(out, quarantine.Fingerprint(r.Fingerprint))
+	}
+	return out
+}
+
 // announced returns what the backend server said about itself.
 func (l *backendLink) announced() (service string, slots uint32, checksGrants bool) {
 	a := l.server.Load()
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -36,14 +36,3 @@
 		})
 	}
 }
-
-// controlBytes returns the bytes of control traffic sent and received so far.
-func (d *Daemon) controlBytes() (sent, received uint64) {
-	for kind, stats := range d.pool.Stats().Kinds {
-		if wire.Kind(kind).IsControl() {
-			sent += stats.SentBytes
-			received += stats.ReceivedBytes
-		}
-	}
-	return sent, received
-}
--- a/internal/daemon/mailbox.go
+++ b/internal/daemon/mailbox.go
@@ -1,12 +1,6 @@
 package daemon
 
-import (
-	"context"
-	"errors"
-)
-
-// errMailboxFull is returned when a duty does not keep up.
-var errMailboxFull = errors.New("mailbox is full")
+import "context"
 
 // mailbox is the bounded queue of a duty: one goroutine runs its functions in order,
 // so the state that they use needs no lock.
--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -314,6 +313,3 @@
 	}
 	d.handle(m.Session, t, reply)
 }
-
-// isConflict reports whether a commit failed because of one of its conditions.
-func isConflict(err error) bool { return errors.Is(err, platform.ErrConflict) }
--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -107,10 +107,10 @@
 	s.load.reportNow()
 }
 
-// backendCrashed gives strikes to the requests that were in flight. Those in lost have
-// ended already, because their connections broke before the crash was found.
-func (s *sessionRuntime) backendCrashed(lost []quarantine.Fingerprint) {
-	if records := s.suspects.crashed(lost, time.Now()); len(records) > 0 {
+// backendCrashed gives strikes to the requests whose connections broke in a crash.
+// later says that the crash was reported before.
+func (s *sessionRuntime) backendCrashed(lost []quarantine.Fingerprint, later bool) {
+	if records := s.suspects.crashed(lost, later, time.Now()); len(records) > 0 {
 		s.daemon.spreadStrikes(records, "")
 	}
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -12,12 +12,8 @@
 	"github.com/basilway/basilway/ownership"
 )
 
-const (
-	// httpStopTimeout bounds the end of idle HTTP connections after the last request.
-	httpStopTimeout = 2 * time.Second
-	// leaveTimeout bounds the removal of the session from the cluster.
-	leaveTimeout = 3 * time.Second
-)
+// leaveTimeout bounds the removal of the session from the cluster.
+const leaveTimeout = 3 * time.Second
 
 // errRequestsCut is returned by Run if a graceful stop took longer than allowed.
 var errRequestsCut = errors.New("requests in flight were cut at the end of the drain timeout")
--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -57,12 +57,15 @@
 	s.wake()
 }
 
-// crashed gives a strike to everything in flight and to what was lost, and returns the
-// records to spread.
-func (s *suspects) crashed(lost []quarantine.Fingerprint, now time.Time) []quarantine.Record {
+// crashed gives a strike to the requests that a crash ended and returns the records to
+// spread. later says that the crash was reported before.
+func (s *suspects) crashed(lost []quarantine.Fingerprint, later bool, now time.Time) []quarantine.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.wake()
+	if later {
+		return s.table.AlsoLost(lost, now)
+	}
 	return s.table.Crashed(lost, now)
 }
 
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -44,6 +44,3 @@
 	"none", "forward", "digest", "push", "snapshot", "renew", "seal", "expired",
 	"hand_over", "released", "load", "strikes", "not_lost",
 }
-
-// IsControl reports whether messages of the kind count as control traffic.
-func (k Kind) IsControl() bool { return k != KindForward }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -107,29 +107,38 @@
 	}
 }
 
-// Crashed gives one strike to each fingerprint in flight and to those in lost, however
-// many requests share it, ends all of them, and returns the new records to spread. lost
-// holds requests whose connections broke and that ended before the crash was found.
+// Crashed takes a crash of the backend server: it gives one strike to each fingerprint
+// in lost, however many requests share it, ends all requests in flight, and returns the
+// new records to spread. Requests that the server finished before it stopped are not
+// in lost.
 func (t *Table) Crashed(lost []Fingerprint, now time.Time) []Record {
 	t.crashes++
-	for _, f := range lost {
-		t.inFlight[f] = max(1, t.inFlight[f])
+	clear(t.inFlight)
+	return t.strike(lost, now)
+}
+
+// AlsoLost gives strikes for the latest crash to requests that were found later.
+func (t *Table) AlsoLost(lost []Fingerprint, now time.Time) []Record {
+	return t.strike(lost, now)
+}
+
+func (t *Table) strike(lost []Fingerprint, now time.Time) []Record {
+	lost = slices.Clone(lost)
+	slices.Sort(lost)
+	if !t.breaks.strikePerRequest {
+		lost = slices.Compact(lost)
 	}
-	var out []Record
-	for f, requests := range t.inFlight {
-		r := Record{
+	out := make([]Record, 0, len(lost))
+	for _, f := range lost {
+		if t.breaks.strikePerRequest {
+			t.crashes++
+		}
+		out = append(out, Record{
 			Fingerprint: f,
 			Crash:       CrashID{Session: t.config.Session, Sequence: t.crashes},
 			AtMS:        now.UnixMilli(),
-		}
-		out = append(out, r)
-		if t.breaks.strikePerRequest && requests > 1 {
-			t.crashes++
-			r.Crash.Sequence = t.crashes
-			out = append(out, r)
-		}
+		})
 	}
-	clear(t.inFlight)
 	sortRecords(out)
 	t.Merge(out, now)
 	return out
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -37,14 +37,14 @@
 	bad, innocent := NewFingerprint("s", "m", []byte("bad")), NewFingerprint("s", "m", []byte("ok"))
 	g.Expect(a.Begin(bad, epoch).Action).To(Equal(Run))
 	g.Expect(a.Begin(innocent, epoch).Action).To(Equal(Run))
-	b.Merge(a.Crashed(nil, epoch), epoch)
+	b.Merge(a.Crashed([]Fingerprint{innocent, bad}, epoch), epoch)
 	first := b.Begin(innocent, epoch)
 	g.Expect(first.Action).To(Equal(Run))
 	g.Expect(b.Begin(bad, epoch).Action).To(Equal(Wait))
 	b.End(first.Ticket)
 	g.Expect(b.Begin(bad, epoch).Action).To(Equal(Run))
 	later := epoch.Add(time.Minute)
-	a.Merge(b.Crashed(nil, later), later)
+	a.Merge(b.Crashed([]Fingerprint{bad}, later), later)
 	for _, d := range []*Table{a, b} {
 		refusal := d.Begin(bad, later)
 		g.Expect(refusal).To(Equal(Decision{Action: Refuse, Until: epoch.Add(10 * time.Minute)}))
@@ -63,10 +63,13 @@
 	t.breaks = b
 	r := rand.New(rand.NewPCG(seed, 1))
 	f := Fingerprint(r.Uint64())
+	var lost []Fingerprint
 	for range 2 + r.IntN(4) {
 		t.Begin(f, epoch)
+		lost = append(lost, f)
 	}
-	t.Crashed(nil, epoch)
+	t.Crashed(lost[1:], epoch)
+	t.AlsoLost(lost[:1], epoch)
 	return t.Strikes(f, epoch) == 1
 }
 
@@ -116,11 +119,11 @@
 	q := New(Config{MaxFingerprints: 8})
 	for range 2 {
 		q.Begin(1, epoch)
-		q.Crashed(nil, epoch)
+		q.Crashed([]Fingerprint{1}, epoch)
 	}
 	for f := Fingerprint(2); f < 100; f++ {
 		q.Begin(f, epoch)
-		q.Crashed(nil, epoch.Add(time.Second))
+		q.Crashed([]Fingerprint{f}, epoch.Add(time.Second))
 	}
 	g.Expect(q.Len()).To(Equal(8))
 	g.Expect(q.Strikes(1, epoch.Add(time.Second))).To(Equal(2))
