Ask for news at most ten times a second after a lost daemon

Cause: after a kill every failed request asked a random member for news, and in clusters of three the renewal rows of sessions that no longer need the store led to a takeover check every two seconds. Change: both are limited; results in logs are written as words.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,7 +174,7 @@
 		case <-s.lease.stopped:
 		case <-s.owner.removed:
 		}
-		d.log.Warn("session was fenced; joining as a new one", zap.Stringer("session", s.session))
+		d.log.Warn("session was fenced; joining as a new one", zap.Stringer("fenced", s.session))
 		s.end()
 		d.current.Store(newSessionRuntime(d, s.suspects))
 	}
--- a/internal/daemon/leaseduty.go
+++ b/internal/daemon/leaseduty.go
@@ -177,7 +177,7 @@
 		case lease.ReadRow:
 			go d.read(a)
 		case lease.Stopped:
-			d.log.Warn("session ended", zap.Stringer("session", d.session), zap.Uint8("reason", uint8(a.Reason)))
+			d.log.Info("lease given up", zap.Stringer("reason", a.Reason))
 			close(d.stopped)
 		case lease.ReportExpired:
 			d.reportExpired(a.Expired)
--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -54,11 +54,13 @@
 	load      *planner.LoadModel
 	watch     *lease.RenewalWatch
 	watchedAt time.Time
-	takeovers map[cluster.Session]*takeover
-	released  map[cluster.Unit]ownership.Released
-	plannedAt time.Time
-	busy      bool
-	urgent    bool
+	// aliveUntil is until when a stale renewal row of a live session is ignored.
+	aliveUntil map[cluster.Session]time.Time
+	takeovers  map[cluster.Session]*takeover
+	released   map[cluster.Unit]ownership.Released
+	plannedAt  time.Time
+	busy       bool
+	urgent     bool
 }
 
 // takeover is a lost session with its fence, once that may be committed.
@@ -73,9 +75,10 @@
 		life: life, log: log, session: session, table: table, peers: peers, replicas: r, writer: w,
 		lease: leaseConfig, config: planner.DefaultConfig(), box: newMailbox(planMailboxSize), rng: rng,
 		notLost: func(cluster.Session, uint64) {}, onPlan: func(time.Duration, int) {},
-		load:      planner.NewLoadModel(planner.DefaultLoadConfig(1)),
-		watch:     lease.NewRenewalWatch(),
-		takeovers: map[cluster.Session]*takeover{}, released: map[cluster.Unit]ownership.Released{},
+		load:       planner.NewLoadModel(planner.DefaultLoadConfig(1)),
+		watch:      lease.NewRenewalWatch(),
+		aliveUntil: map[cluster.Session]time.Time{},
+		takeovers:  map[cluster.Session]*takeover{}, released: map[cluster.Unit]ownership.Released{},
 	}
 }
 
@@ -116,6 +119,7 @@
 
 func (d *planDuty) forget(session cluster.Session) {
 	delete(d.takeovers, session)
+	delete(d.aliveUntil, session)
 	d.watch.Forget(session)
 }
 
@@ -170,7 +174,7 @@
 	if t == nil {
 		t = &takeover{machine: lease.NewTakeover(d.lease, session, reporter), reporter: reporter}
 		d.takeovers[session] = t
-		d.log.Info("session may be lost", zap.Stringer("session", session), zap.Stringer("reporter", reporter))
+		d.log.Info("session may be lost", zap.Stringer("lost", session), zap.Stringer("reporter", reporter))
 		d.performTakeover(session, t, t.machine.Handle(time.Now(), lease.Tick{}))
 	}
 	return t
@@ -270,9 +274,9 @@
 			t.fence = &a
 		case lease.NeedOperator:
 			d.log.Error("session was lost with most of its witnesses; run 'basilway fence' when it is stopped for certain",
-				zap.Stringer("session", a.Session))
+				zap.Stringer("lost", a.Session))
 		case lease.TakeoverDone:
-			d.log.Info("takeover ended", zap.Stringer("session", session), zap.Uint8("result", uint8(a.Result)))
+			d.log.Info("takeover ended", zap.Stringer("lost", session), zap.Stringer("result", a.Result))
 			d.finishTakeover(session, t, a)
 		}
 	}
@@ -285,6 +289,9 @@
 		d.replicas.requestPoll()
 	}
 	d.forget(session)
+	if a.Result == lease.TakeoverAlive {
+		d.aliveUntil[session] = time.Now().Add(aliveRecheck)
+	}
 	if a.Result == lease.TakeoverAlive || a.Result == lease.TakeoverSuperseded {
 		d.tellNotLost(t.reporter, session, a.Generation)
 	}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,6 +33,8 @@
 	noOwnerRetryAfter = time.Second
 	// storeRetryAfter is when to repeat an edit that the store did not take.
 	storeRetryAfter = 5 * time.Second
+	// pullInterval is the shortest time between two such questions.
+	pullInterval = 100 * time.Millisecond
 	// drainingRetryAfter is when to repeat a request at another daemon.
 	drainingRetryAfter = 100 * time.Millisecond
 )
@@ -47,6 +50,8 @@
 	metrics  *metrics
 	// draining reports whether the daemon takes no new requests.
 	draining func() bool
+	// pulledAt is when news were asked for because of a lost daemon, in Unix ns.
+	pulledAt atomic.Int64
 	// maxPayloadBytes bounds payloads besides the catalogue; 0 is no bound.
 	maxPayloadBytes int
 }
@@ -201,14 +206,25 @@
 		return r.waitForVersion(ctx, lost.Version)
 	}
 	if verdict.From(err).Reason == verdict.ReasonPeerLost {
-		// Somebody may know already who took over.
-		if members := r.replicas.cluster().SortedMembers(); len(members) > 0 {
-			r.replicas.requestPull(members[rand.IntN(len(members))].Address)
-		}
+		r.pullSoon()
 	}
 	return false
 }
 
+// pullSoon asks a random member for news, because it may know who took a lost
+// daemon's keys over.
+func (r *router) pullSoon() {
+	now := time.Now().UnixNano()
+	last := r.pulledAt.Load()
+	if now-last < int64(pullInterval) || !r.pulledAt.CompareAndSwap(last, now) {
+		return
+	}
+	for _, m := range r.replicas.cluster().Members { // the order of a map is random
+		r.replicas.requestPull(m.Address)
+		return
+	}
+}
+
 // waitForVersion waits until this daemon knows a cluster version.
 func (r *router) waitForVersion(ctx context.Context, version uint64) bool {
 	limit := time.Now().Add(routeWait)
--- a/internal/daemon/storewatch.go
+++ b/internal/daemon/storewatch.go
@@ -12,6 +12,10 @@
 // storeWatchMembers is the number of members up to which the store is a witness.
 const storeWatchMembers = lease.MaxWitnesses
 
+// aliveRecheck is how long a renewal row that is not written any more is ignored after
+// its session was found alive. The row stays when a session no longer needs the store.
+const aliveRecheck = 10 * time.Second
+
 // watchStoreWitnesses reads the renewal rows of the other members of a small cluster,
 // where the store is a witness. A row that is unchanged for longer than a grant is
 // reported like an expired grant, since no peer may be left to report it.
@@ -38,7 +42,7 @@
 		now := time.Now()
 		since := d.watch.Observe(now, session, row.Version)
 		lasts := time.Duration(float64(d.lease.GrantDuration) * (1 + d.lease.ClockError))
-		if now.Sub(since.At) > lasts {
+		if now.Sub(since.At) > lasts && now.After(d.aliveUntil[session]) {
 			d.startTakeover(session, cluster.Session{})
 		}
 	})
--- a/lease/action.go
+++ b/lease/action.go
@@ -48,6 +48,14 @@
 	StoppedLeft
 )
 
+// String returns the reason as it is written in logs.
+func (r StopReason) String() string {
+	if r == StoppedLeft {
+		return "left"
+	}
+	return "fenced"
+}
+
 // Stopped is a holder's last action. The process must rejoin as a new session.
 type Stopped struct{ Reason StopReason }
 
@@ -107,6 +115,20 @@
 	TakeoverGone
 )
 
+// String returns the result as it is written in logs.
+func (r TakeoverResult) String() string {
+	switch r {
+	case TakeoverFenced:
+		return "fenced"
+	case TakeoverAlive:
+		return "alive"
+	case TakeoverSuperseded:
+		return "superseded"
+	default:
+		return "gone"
+	}
+}
+
 // TakeoverDone is a takeover's last action.
 type TakeoverDone struct {
 	Session cluster.Session
