Show the class that an operator wrote in a fault

Cause: a first run of the commands in docs/OPERATING.md (catalogue get, diff, apply, history, owners, drain, status, fence of a killed instance, wrong settings, two signals) showed class(0) for an unknown class, and stack traces in the log. Change: the fault names the text; no stack traces.

--- a/internal/daemon/catalogueapi.go
+++ b/internal/daemon/catalogueapi.go
@@ -46,7 +46,7 @@
 	change := catalogue.Change{Entry: entry, Deleted: req.Msg.Delete}
 	applied, version, err := a.editor.apply(ctx, change, req.Msg.ExpectedVersion)
 	if err != nil {
-		return nil, editError(err)
+		return nil, editError(withClassText(err, req.Msg.Entry.Class))
 	}
 	return connect.NewResponse(&basilwayv1.ApplyEntryResponse{Entry: entryToProto(applied), CatalogueVersion: version}), nil
 }
@@ -62,6 +62,19 @@
 	return connect.NewResponse(reply), nil
 }
 
+// withClassText puts the text that the operator wrote into a fault of the class.
+func withClassText(err error, text string) error {
+	var invalid *catalogue.ValidationError
+	if errors.As(err, &invalid) {
+		for i := range invalid.Faults {
+			if invalid.Faults[i].Field == "class" {
+				invalid.Faults[i].Value = text
+			}
+		}
+	}
+	return err
+}
+
 // editError says whether a failed edit may have been applied.
 func editError(err error) error {
 	var conflict *catalogue.ConflictError
@@ -107,10 +120,7 @@
 	if deletion {
 		return catalogue.Entry{Service: e.Service}, nil
 	}
-	class, err := catalogue.ParseClass(e.Class)
-	if err != nil {
-		class = 0 // validation reports it together with other faults
-	}
+	class, _ := catalogue.ParseClass(e.Class) // validation reports 0 with other faults
 	limits := e.Limits
 	if limits == nil {
 		limits = &basilwayv1.Limits{}
--- a/internal/daemoncli/command.go
+++ b/internal/daemoncli/command.go
@@ -139,6 +139,7 @@
 	}
 	zc := zap.NewProductionConfig()
 	zc.Level, zc.Encoding = level, c.LogFormat
+	zc.DisableStacktrace, zc.Sampling = true, nil
 	zc.EncoderConfig.EncodeTime = zapTime
 	zc.InitialFields = map[string]any{"instance": c.Instance}
 	return zc.Build()
