Let a single key move above the ceiling when the excess falls

Change: a single key may go to a lightly used member that is over the ceiling afterwards if the excess of both falls; Trigger 1.18, Settle and Ceiling 1.10.

--- a/planner/config.go
+++ b/planner/config.go
@@ -7,7 +7,7 @@
 )
 
 // Config configures Plan. Shares are relative to the mean load of a service's members
-// for each slot, so 1.15 means 15 % more than the mean.
+// for each slot, so 1.18 means 18 % more than the mean.
 type Config struct {
 	// RangesPerMember is the number of ranges of a service for each member. More
 	// ranges balance finer; each adds about 100 bytes to the state of every daemon.
@@ -28,6 +28,9 @@
 	// in a service of n members, in the unit of gain: the share of the mean load of a
 	// member by which the excess falls. A move must gain more than it costs.
 	MoveCost, KeyCost float64
+	// KeyOverGain is the least gain for which a single key is moved to a member that is
+	// over the ceiling with it. A low value moves keys to and fro.
+	KeyOverGain float64
 	// OpenMoves is the bound on open moves of a service as a share of its members;
 	// at least MinOpenMoves are allowed.
 	OpenMoves    float64
@@ -61,8 +64,8 @@
 func DefaultConfig() Config {
 	return Config{
 		RangesPerMember: 8,
-		Trigger:         1.15, Settle: 1.06, Ceiling: 1.08, Low: 0.7, MinExcess: 0.01,
-		MoveCost: 0.005, KeyCost: 0.1,
+		Trigger:         1.18, Settle: 1.10, Ceiling: 1.10, Low: 0.7, MinExcess: 0.01,
+		MoveCost: 0.005, KeyCost: 0.1, KeyOverGain: 0.05,
 		OpenMoves: 0.125, MinOpenMoves: 6, UrgentMoves: 4096,
 		IsolateShare: 0.06, ClearShare: 0.03, MaxHotKeys: 8,
 		SplitShare: 0.3, MergeShare: 0.05, Splits: 64, Merges: 64,
--- a/planner/rebalance.go
+++ b/planner/rebalance.go
@@ -57,8 +57,9 @@
 }
 
 // bestMove returns the move away from member from that gains the most excess for its
-// cost. Keys cost next to nothing to move, so a heavy key goes first if a member has
-// room for it; otherwise the ranges beside it go.
+// cost. Moving a heavy key moves no other keys, so it may bring a lightly used member
+// over the ceiling if the excess of both members together falls; ranges of the less
+// loaded member then make the rest of the room.
 func (v *view) bestMove(from, n int) (move, bool) {
 	m := &v.members[from]
 	excess := m.util() - v.mean*v.cfg.Settle
@@ -67,12 +68,21 @@
 		return move{}, false
 	}
 	best := move{to: to}
+	t := &v.members[to]
 	try := func(u *unitView, key *keyView, load, width float64) {
-		if load <= 0 || !v.fits(to, load) {
+		fits := v.fits(to, load)
+		single := key != nil || u.id.Hot
+		if load <= 0 || !fits && (!single || t.limit < 1) {
 			return
 		}
 		gain := min(m.use(load), excess) / v.mean
 		cost := v.cfg.MoveCost + v.cfg.KeyCost*width*float64(n)
+		if !fits {
+			gain -= (t.use(t.load+load) - v.mean*v.cfg.Settle) / v.mean
+			if gain < v.cfg.KeyOverGain {
+				return
+			}
+		}
 		if gain > cost && gain/cost > best.value {
 			best.unit, best.key, best.load, best.value = u, key, load, gain/cost
 		}
