--- a/internal/policybench/events.go
+++ b/internal/policybench/events.go
@@ -58,6 +58,7 @@
 	s.result.Unavailable += max(keys*s.size.Keys, 1) * gap
 	if s.lostAt >= 0 && t < s.lostAt+lossTime {
 		s.result.LossMoved += keys / s.lostKeys
+		s.result.LossKeys += keys
 	}
 	list := svc.ranges
 	if id.Hot {
@@ -81,19 +82,25 @@
 	return sum / float64(len(s.services))
 }
 
-func (s *sim) events(t int) error {
+// loses reports whether sv is lost in second t.
+func (s *sim) loses(sv *server, t int) bool {
 	e := s.series.Events
 	if e.LoseZoneAt > 0 && t == e.LoseZoneAt {
-		last := s.size.member("", s.size.Zones-1, 0).Zone
-		for _, sv := range s.sorted() {
-			if s.state.Members[sv.session].Zone == last {
-				sv.dead = true
-				s.lost = append(s.lost, sv.session)
-				s.lostKeys += s.keysOf(sv.session)
-			}
+		return s.state.Members[sv.session].Zone == s.size.member("", s.size.Zones-1, 0).Zone
+	}
+	return e.LoseOneAt > 0 && t == e.LoseOneAt && sv.index == e.LoseIndex && sv.service == s.services[0].name
+}
+
+func (s *sim) events(t int) error {
+	e := s.series.Events
+	for _, sv := range s.sorted() {
+		if s.loses(sv, t) {
+			sv.dead = true
+			s.lost = append(s.lost, sv.session)
+			s.lostKeys += s.keysOf(sv.session)
+			s.lostAt = t
+			s.result.ForcedChurn = s.lostKeys
 		}
-		s.result.ForcedChurn += s.lostKeys
-		s.lostAt = t
 	}
 	var entries []cluster.Entry
 	s.draining = slices.DeleteFunc(s.draining, func(session cluster.Session) bool {
--- a/internal/policybench/metrics.go
+++ b/internal/policybench/metrics.go
@@ -26,6 +26,8 @@
 	// LossMoved is the share of keys moved within 60 s of a loss, for each key of a
 	// lost member; 0 without a loss.
 	LossMoved float64 `json:"lossMovedPerLost"`
+	// LossKeys is the share of all keys moved within 60 s of a loss.
+	LossKeys float64 `json:"lossKeys"`
 	// Shed is the number of requests that found a full queue, ShedShare their share.
 	Shed      float64 `json:"shedRequests"`
 	ShedShare float64 `json:"shedShare"`
--- a/internal/policybench/series.go
+++ b/internal/policybench/series.go
@@ -24,6 +24,8 @@
 	LieFrom, LieTo int
 	// LoseZoneAt is the time at which all members of the last zone are lost.
 	LoseZoneAt int
+	// LoseOneAt is the time at which server LoseIndex of the first service is lost.
+	LoseOneAt, LoseIndex int
 	// Replacements are drained one by one from ReplaceFrom on, every ReplaceEvery.
 	Replacements, ReplaceFrom, ReplaceEvery int
 }
@@ -81,6 +83,7 @@
 		{Name: "hot keys replaced", Duration: 1800, Hot: replacedHot},
 		{Name: "server lies", Duration: 1800, Hot: steadyHot, Events: Events{LieFrom: 600, LieTo: 1200}},
 		{Name: "zone lost", Duration: 1800, Hot: steadyHot, Events: Events{LoseZoneAt: 600}},
+		{Name: "server lost", Duration: 1800, Hot: steadyHot, Events: Events{LoseOneAt: 600}},
 		{Name: "110 replaced", Duration: 3900, Hot: steadyHot, Events: Events{Replacements: 110, ReplaceFrom: 300, ReplaceEvery: 30}},
 	}
 }
--- a/planner/config.go
+++ b/planner/config.go
@@ -16,6 +16,9 @@
 	// down to which it does. The distance between them is the hysteresis: a lower
 	// Trigger balances better and moves more keys.
 	Trigger, Settle float64
+	// Surge is the load above which a member gives units away at once. Below it the
+	// load must be over Trigger over LoadConfig.Lasting too, so noise moves nothing.
+	Surge float64
 	// Ceiling is the highest load to which a move may bring its target.
 	Ceiling float64
 	// Low is the load below which a member is filled up, to the middle between Low
@@ -64,7 +67,7 @@
 func DefaultConfig() Config {
 	return Config{
 		RangesPerMember: 8,
-		Trigger:         1.18, Settle: 1.10, Ceiling: 1.10, Low: 0.7, MinExcess: 0.01,
+		Trigger:         1.18, Settle: 1.10, Surge: 1.3, Ceiling: 1.10, Low: 0.7, MinExcess: 0.01,
 		MoveCost: 0.005, KeyCost: 0.1, KeyOverGain: 0.05,
 		OpenMoves: 0.125, MinOpenMoves: 6, UrgentMoves: 4096,
 		IsolateShare: 0.06, ClearShare: 0.03, MaxHotKeys: 8,
--- a/planner/loadconfig.go
+++ b/planner/loadconfig.go
@@ -8,6 +8,9 @@
 	// and a lower measurement. A short Rise reacts to a hot key within one or two
 	// reports; a longer Fall keeps a short dip from starting moves.
 	Rise, Fall time.Duration
+	// Lasting is the time constant of the slow estimate, over which an excess below
+	// Config.Surge must last before units are moved for it.
+	Lasting time.Duration
 	// StaleAfter is the age after which a member without reports gets no new units
 	// and its estimates start to fade.
 	StaleAfter time.Duration
@@ -27,7 +30,7 @@
 func DefaultLoadConfig(members int) LoadConfig {
 	interval := ReportInterval(members)
 	return LoadConfig{
-		Rise: 6 * time.Second, Fall: 12 * time.Second,
+		Rise: 6 * time.Second, Fall: 12 * time.Second, Lasting: time.Minute,
 		StaleAfter: max(30*time.Second, 5*interval), HalfLife: time.Minute,
 		KeyTTL: max(20*time.Second, 3*interval), MaxErrors: 10, Deadband: 0.02,
 	}
--- a/planner/loadmodel.go
+++ b/planner/loadmodel.go
@@ -53,6 +53,7 @@
 type estimate struct {
 	value float64
 	shown float64 // what plans see, see LoadConfig.Deadband
+	slow  float64 // smoothed over LoadConfig.Lasting
 	at    time.Time
 }
 
@@ -124,13 +125,14 @@
 		value = max(value, e.value)
 	}
 	if e.at.IsZero() {
-		e.value = value
+		e.value, e.slow = value, value
 	} else {
 		tau := m.cfg.Rise
 		if value < e.value {
 			tau = m.cfg.Fall
 		}
 		e.value += (value - e.value) * (1 - math.Exp(-elapsed.Seconds()/tau.Seconds()))
+		e.slow += (value - e.slow) * (1 - math.Exp(-elapsed.Seconds()/m.cfg.Lasting.Seconds()))
 	}
 	if math.Abs(e.value-e.shown) > m.cfg.Deadband*e.shown {
 		e.shown = e.value
--- a/planner/loadsync.go
+++ b/planner/loadsync.go
@@ -109,7 +109,7 @@
 		}
 		old.ranges = ranges
 		for _, hash := range slices.Sorted(maps.Keys(taken)) {
-			old.shift(hash, taken[hash])
+			old.shift(hash, taken[hash].value, taken[hash].slow)
 		}
 	}
 	old.syncHot(svc)
@@ -134,6 +134,7 @@
 		share := (float64(min(end, last)-max(s.ranges[i].start, start)) + 1) / (float64(end-s.ranges[i].start) + 1)
 		sum.value += share * s.ranges[i].value
 		sum.shown += share * s.ranges[i].shown
+		sum.slow += share * s.ranges[i].slow
 		if s.ranges[i].at.After(sum.at) {
 			sum.at = s.ranges[i].at
 		}
@@ -143,13 +144,14 @@
 }
 
 // takeKeys takes the loads of the heavy keys from their ranges and returns them.
-func (s *serviceLoad) takeKeys() map[uint64]float64 {
-	taken := make(map[uint64]float64, len(s.keys))
+func (s *serviceLoad) takeKeys() map[uint64]estimate {
+	taken := make(map[uint64]estimate, len(s.keys))
 	for _, hash := range slices.Sorted(maps.Keys(s.keys)) {
 		e := s.keys[hash]
 		if i := s.rangeIndex(hash); i >= 0 {
-			taken[hash] = min(e.value, s.ranges[i].value)
-			s.shift(hash, -taken[hash])
+			r := &s.ranges[i]
+			taken[hash] = estimate{value: min(e.value, r.value), slow: min(e.slow, r.slow)}
+			s.shift(hash, -taken[hash].value, -taken[hash].slow)
 		}
 	}
 	return taken
@@ -163,24 +165,24 @@
 			hot[i] = s.hot[j]
 		} else if e := s.keys[h.Hash]; e != nil {
 			hot[i].estimate = *e
-			s.shift(h.Hash, -e.value)
+			s.shift(h.Hash, -e.value, -e.slow)
 		}
 		delete(s.keys, h.Hash)
 	}
 	for _, h := range s.hot {
 		_, ok := slices.BinarySearchFunc(hot, h.hash, func(a hotLoad, t uint64) int { return cmp.Compare(a.hash, t) })
 		if !ok {
-			s.shift(h.hash, h.value)
+			s.shift(h.hash, h.value, h.slow)
 		}
 	}
 	s.hot = hot
 }
 
-// shift adds load to the range that holds hash.
-func (s *serviceLoad) shift(hash uint64, load float64) {
+// shift adds load, and slow to the slow estimate, to the range that holds hash.
+func (s *serviceLoad) shift(hash uint64, load, slow float64) {
 	if i := s.rangeIndex(hash); i >= 0 {
 		r := &s.ranges[i]
-		r.value, r.shown = max(0, r.value+load), max(0, r.shown+load)
+		r.value, r.shown, r.slow = max(0, r.value+load), max(0, r.shown+load), max(0, r.slow+slow)
 	}
 }
 
@@ -243,6 +245,6 @@
 		return
 	}
 	e.value = (e.value + mean) / 2
-	e.shown = e.value
+	e.shown, e.slow = e.value, (e.slow+mean)/2
 	e.at = e.at.Add(m.cfg.HalfLife)
 }
--- a/planner/rebalance.go
+++ b/planner/rebalance.go
@@ -116,8 +116,9 @@
 	}
 	id := cluster.Unit{Service: v.name, Start: m.key.hash, Hot: true}
 	v.emit(cluster.Entry{Kind: cluster.EntryHotKeyIsolated, Unit: id})
-	hot := &unitView{id: id, owner: m.unit.owner, target: noMember, load: m.load}
+	hot := &unitView{id: id, owner: m.unit.owner, target: noMember, load: m.load, slow: min(m.key.slow, m.unit.slow)}
 	m.unit.load = max(0, m.unit.load-m.load)
+	m.unit.slow -= hot.slow
 	m.unit.keys = slices.DeleteFunc(m.unit.keys, func(k keyView) bool { return k.hash == id.Start })
 	v.hotCount++
 	owner := &v.members[hot.owner]
@@ -198,6 +199,7 @@
 		if u.owner == r.owner {
 			v.emit(cluster.Entry{Kind: cluster.EntryHotKeyCleared, Unit: u.id})
 			r.load += u.load
+			r.slow += u.slow
 			v.hotCount--
 			continue
 		}
--- a/planner/reshape.go
+++ b/planner/reshape.go
@@ -39,7 +39,7 @@
 			if left.owner == u.owner && u.owner != noMember && !left.moving() && !u.moving() &&
 				left.load+u.load < limit && left.width+u.width <= width {
 				v.emit(cluster.Entry{Kind: cluster.EntryRangeMerged, Unit: u.id})
-				left.load, left.width = left.load+u.load, left.width+u.width
+				left.load, left.width, left.slow = left.load+u.load, left.width+u.width, left.slow+u.slow
 				left.keys = append(left.keys, u.keys...)
 				merges++
 				continue
@@ -104,12 +104,13 @@
 	}
 	at := u.id.Start + uint64(u.width*(1<<63))
 	v.emit(cluster.Entry{Kind: cluster.EntryRangeSplit, Unit: u.id, At: at})
-	keys, rest := u.keys, u.load
+	keys, rest, slow := u.keys, u.load, u.slow
 	for _, k := range keys {
 		rest -= k.load
+		slow -= k.slow
 	}
 	u.width /= 2
-	u.load, u.keys = max(0, rest)/2, nil
+	u.load, u.slow, u.keys = max(0, rest)/2, max(0, slow)/2, nil
 	right := *u
 	right.id.Start = at
 	for _, k := range keys {
@@ -119,12 +120,18 @@
 		}
 		half.keys = append(half.keys, k)
 		half.load += k.load
+		half.slow += k.slow
 	}
 	return right, true
 }
 
-// over reports whether member i is over the trigger by at least MinExcess.
+// over reports whether member i is over the trigger by at least MinExcess, and either
+// lastingly or over Surge.
 func (v *view) over(i int) bool {
-	u := v.members[i].util()
-	return u > v.mean*v.cfg.Trigger && u-v.mean*v.cfg.Settle > v.cfg.MinExcess
+	m := &v.members[i]
+	u := m.util()
+	if u <= v.mean*v.cfg.Trigger || u-v.mean*v.cfg.Settle <= v.cfg.MinExcess {
+		return false
+	}
+	return u > v.mean*v.cfg.Surge || m.use(m.slow) > v.slowMean*v.cfg.Trigger
 }
--- a/planner/view.go
+++ b/planner/view.go
@@ -22,6 +22,7 @@
 	// total is the load in slots, slots the capacity of the members that stay, and
 	// mean their quotient.
 	total, slots, mean float64
+	slowMean           float64 // mean of the slow estimates
 	known              float64 // share of the width whose load was reported
 	openMoves          int     // open moves of members that stay
 	urgentMoves        int     // open moves of members that leave
@@ -39,6 +40,7 @@
 	eligible bool
 	limit    float64
 	load     float64 // with open moves done
+	slow     float64 // the same of the slow estimates
 	units    []*unitView
 	done     bool // nothing more can be moved away in this plan
 }
@@ -48,12 +50,14 @@
 	owner, target int // indices of members, or noMember
 	epoch         uint64
 	load, width   float64
+	slow          float64
 	keys          []keyView // heavy keys inside a range
 }
 
 type keyView struct {
 	hash uint64
 	load float64
+	slow float64
 }
 
 const noMember = -1
@@ -96,22 +100,22 @@
 	density := v.density(loads)
 	v.ranges = make([]unitView, 0, len(svc.Ranges)+cfg.Splits)
 	for i, r := range svc.Ranges {
-		u := unitView{id: cluster.Unit{Service: name, Start: r.Start}, width: svc.Width(i), load: loads.ranges[i].shown}
+		u := unitView{id: cluster.Unit{Service: name, Start: r.Start}, width: svc.Width(i), load: loads.ranges[i].shown, slow: loads.ranges[i].slow}
 		if loads.ranges[i].at.IsZero() {
-			u.load = density * u.width
+			u.load, u.slow = density*u.width, density*u.width
 		}
 		v.setOwners(&u, r.Ownership, state, load)
 		v.ranges = append(v.ranges, u)
 	}
 	v.hot = make([]unitView, 0, len(svc.HotKeys))
 	for i, h := range svc.HotKeys {
-		u := unitView{id: cluster.Unit{Service: name, Start: h.Hash, Hot: true}, load: loads.hot[i].shown}
+		u := unitView{id: cluster.Unit{Service: name, Start: h.Hash, Hot: true}, load: loads.hot[i].shown, slow: loads.hot[i].slow}
 		v.setOwners(&u, h.Ownership, state, load)
 		v.hot = append(v.hot, u)
 	}
 	for hash, e := range loads.keys {
 		if i := loads.rangeIndex(hash); i >= 0 {
-			v.ranges[i].keys = append(v.ranges[i].keys, keyView{hash: hash, load: e.shown})
+			v.ranges[i].keys = append(v.ranges[i].keys, keyView{hash: hash, load: e.shown, slow: e.slow})
 		}
 	}
 	for i := range v.ranges {
@@ -175,13 +179,15 @@
 	v.total, v.slots, v.openMoves, v.urgentMoves = 0, 0, 0, 0
 	for i := range v.members {
 		m := &v.members[i]
-		m.load, m.units = 0, m.units[:0]
+		m.load, m.slow, m.units = 0, 0, m.units[:0]
 		if m.serves && !m.leaving {
 			v.slots += float64(max(1, m.member.Slots))
 		}
 	}
+	slow := 0.0
 	v.each(func(u *unitView) {
 		v.total += u.load
+		slow += u.slow
 		if u.owner == noMember {
 			return
 		}
@@ -192,11 +198,12 @@
 		}
 		holder := &v.members[u.holder()]
 		holder.load += u.load
+		holder.slow += u.slow
 		holder.units = append(holder.units, u)
 	})
-	v.mean = 0
+	v.mean, v.slowMean = 0, 0
 	if v.slots > 0 {
-		v.mean = v.total / v.slots
+		v.mean, v.slowMean = v.total/v.slots, slow/v.slots
 	}
 }
 
@@ -249,6 +256,8 @@
 	}
 	from.load -= u.load
 	to.load += u.load
+	from.slow -= u.slow
+	to.slow += u.slow
 	for i := range from.units {
 		if from.units[i] == u {
 			from.units = append(from.units[:i], from.units[i+1:]...)
