--- a/internal/policybench/events.go
+++ b/internal/policybench/events.go
@@ -12,6 +12,10 @@
 
 // finishMoves completes the moves that were open in the last second.
 func (s *sim) finishMoves(t int) error {
+	if !s.moving {
+		return nil
+	}
+	s.moving = false
 	var entries []cluster.Entry
 	for _, svc := range s.services {
 		assigned := s.state.Services[svc.name]
@@ -27,6 +31,7 @@
 		}
 		finish := func(id cluster.Unit, o cluster.Ownership, width float64) {
 			to := s.servers[o.MovingTo]
+			s.moving = s.moving || !o.MovingTo.IsZero()
 			if o.MovingTo.IsZero() || to == nil || to.dead || s.servers[o.Owner].dead {
 				return
 			}
@@ -47,9 +52,13 @@
 func (s *sim) moved(svc *service, id cluster.Unit, width, total, gap float64, t int) {
 	keys := width / float64(len(s.services))
 	s.result.KeyChurn += keys
+	if t >= s.series.Duration-lateTime {
+		s.result.LateMoves++
+	}
 	s.result.Unavailable += max(keys*s.size.Keys, 1) * gap
 	if s.lostAt >= 0 && t < s.lostAt+lossTime {
 		s.result.LossMoved += keys / s.lostKeys
+		s.result.LossKeys += keys
 	}
 	list := svc.ranges
 	if id.Hot {
@@ -73,19 +82,25 @@
 	return sum / float64(len(s.services))
 }
 
-func (s *sim) events(t int) error {
+// loses reports whether sv is lost in second t.
+func (s *sim) loses(sv *server, t int) bool {
 	e := s.series.Events
 	if e.LoseZoneAt > 0 && t == e.LoseZoneAt {
-		last := s.size.member("", s.size.Zones-1, 0).Zone
-		for _, sv := range s.sorted() {
-			if s.state.Members[sv.session].Zone == last {
-				sv.dead = true
-				s.lost = append(s.lost, sv.session)
-				s.lostKeys += s.keysOf(sv.session)
-			}
+		return s.state.Members[sv.session].Zone == s.size.member("", s.size.Zones-1, 0).Zone
+	}
+	return e.LoseOneAt > 0 && t == e.LoseOneAt && sv.index == e.LoseIndex && sv.service == s.services[0].name
+}
+
+func (s *sim) events(t int) error {
+	e := s.series.Events
+	for _, sv := range s.sorted() {
+		if s.loses(sv, t) {
+			sv.dead = true
+			s.lost = append(s.lost, sv.session)
+			s.lostKeys += s.keysOf(sv.session)
+			s.lostAt = t
+			s.result.ForcedChurn = s.lostKeys
 		}
-		s.result.ForcedChurn += s.lostKeys
-		s.lostAt = t
 	}
 	var entries []cluster.Entry
 	s.draining = slices.DeleteFunc(s.draining, func(session cluster.Session) bool {
@@ -223,6 +238,7 @@
 	entries := s.policy.Plan(s.state, s.load, losses, s.now(t))
 	s.result.PlanMax = max(s.result.PlanMax, time.Since(began))
 	first := len(s.state.Services) == 0
+	s.moving = s.moving || len(entries) > 0
 	if err := s.apply(entries); err != nil {
 		return err
 	}
