Spread the keys of an idle service over members that join later

Cause: with no load to balance, all units stayed on the instance that joined first; make demo showed one owner in two of three starts. Change: planner.spread moves ranges to members that own under 70 % of their share of the keys while the mean load is under 1 % of the slots.

--- a/planner/config.go
+++ b/planner/config.go
@@ -27,6 +27,9 @@
 	// MinExcess is the least excess, as a share of a member's slots, for which units
 	// are moved. It keeps an almost idle service still.
 	MinExcess float64
+	// Idle is the mean load for each slot under which a service counts as idle: units
+	// are then moved to members that own few keys. A higher value moves keys for less.
+	Idle float64
 	// MoveCost is the price of a move and KeyCost the price of moving 1/n of the keys
 	// in a service of n members, in the unit of gain: the share of the mean load of a
 	// member by which the excess falls. A move must gain more than it costs.
@@ -67,7 +70,7 @@
 func DefaultConfig() Config {
 	return Config{
 		RangesPerMember: 8,
-		Trigger:         1.18, Settle: 1.10, Surge: 1.3, Ceiling: 1.10, Low: 0.7, MinExcess: 0.01,
+		Trigger:         1.18, Settle: 1.10, Surge: 1.3, Ceiling: 1.10, Low: 0.7, MinExcess: 0.01, Idle: 0.01,
 		MoveCost: 0.005, KeyCost: 0.1, KeyOverGain: 0.05,
 		OpenMoves: 0.125, MinOpenMoves: 6, UrgentMoves: 4096,
 		IsolateShare: 0.06, ClearShare: 0.03, MaxHotKeys: 8,
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -41,6 +41,7 @@
 			v.evacuate()
 			v.clearHotKeys()
 			v.rebalance()
+			v.spread()
 		}
 		entries = append(entries, v.entries...)
 	}
