Replace draining witnesses; validate the configuration

Cause: two witnesses that drain and stop at once ended the lease of their holder, because a witness was replaced only after it fell silent. Change: a draining witness is replaced within ReplaceSpread if another can be chosen. Config has validator tags.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -26,7 +26,7 @@
 	breaks  breaks
 
 	members Members
-	others  map[cluster.Session]bool      // the sessions that may be witnesses
+	others  map[cluster.Session]bool      // possible witnesses; false for draining ones
 	avoid   map[cluster.Session]time.Time // do not choose before this time
 
 	current *grantSet // committed; nil before the first commit
@@ -118,7 +118,7 @@
 		h.members = e
 		h.others = make(map[cluster.Session]bool, len(e.Members))
 		for _, m := range others(e.Self, e.Members) {
-			h.others[m.Session] = true
+			h.others[m.Session] = m.State != cluster.MemberDraining
 		}
 	case Fenced:
 		h.stop(StoppedFenced)
--- a/lease/schedule_test.go
+++ b/lease/schedule_test.go
@@ -169,6 +169,7 @@
 // Guards against slow takeovers: with the store up, a killed holder is fenced within
 // 2 s, and within the 3 s of the service target if the planner is killed.
 func TestKilledHolderIsFenced(t *testing.T) {
+	worst := map[time.Duration]time.Duration{} // by limit
 	for seed := range uint64(210) {
 		size := 2 + int(seed%7)
 		s := newSim(seed, size, DefaultConfig(), breaks{})
@@ -186,11 +187,13 @@
 		start := s.now
 		s.run(start + 10*time.Second)
 		at, ok := s.fencedAt[session]
+		worst[limit] = max(worst[limit], at-start)
 		if !ok || at-start > limit || len(s.fencedAt) != 1 {
 			t.Errorf("seed %d, %d nodes: fenced=%v after %v, limit %v, %d fences",
 				seed, size, ok, at-start, limit, len(s.fencedAt))
 		}
 	}
+	t.Logf("slowest fences by limit: %v", worst)
 }
 
 // Guards against leases that depend on the store: while it is down for 10 minutes, a
@@ -254,3 +257,54 @@
 		t.Fatal(fmt.Sprint("not fenced after confirmation: ", session))
 	}
 }
+
+// Guards against leases that end although only witnesses are in trouble: one is cut
+// off in one direction, or two drain and then stop at once. No live holder may lose
+// its lease or be fenced, and the witnesses must be replaced.
+func TestWitnessesAreReplaced(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newSim(seed, 7, DefaultConfig(), breaks{})
+		s.run(20 * time.Second)
+		holder := s.nodes[0]
+		before := holder.holder.Set()
+		stopped := map[*simNode]bool{}
+		s.check = func() {
+			for _, n := range s.nodes {
+				if !stopped[n] && !n.holder.Valid(n.clock()) {
+					s.fail("%s lost its lease", n.session)
+				}
+			}
+		}
+		var bad []cluster.Session
+		if seed%2 == 0 {
+			bad = before.Witnesses[:1]
+			pair := [2]int{holder.index, s.node(bad[0])}
+			if seed%4 == 0 {
+				pair[0], pair[1] = pair[1], pair[0]
+			}
+			s.cut[pair] = time.Hour
+		} else {
+			bad = before.Witnesses[:2]
+			for i := range s.members {
+				if slices.Contains(bad, s.members[i].Session) {
+					s.members[i].State = cluster.MemberDraining
+				}
+			}
+			s.feed(cluster.Session{})
+		}
+		s.run(32 * time.Second)
+		for _, w := range bad {
+			if holder.holder.Set().index(w) >= 0 {
+				t.Errorf("seed %d: %v is still a witness", seed, w)
+			}
+			if n := s.nodes[s.node(w)]; seed%2 == 1 {
+				stopped[n] = true
+				n.kill()
+			}
+		}
+		s.run(45 * time.Second)
+		if s.failure != "" || len(s.fencedAt) != len(stopped) {
+			t.Errorf("seed %d: %s; %d fenced", seed, s.failure, len(s.fencedAt))
+		}
+	}
+}
--- a/lease/takeover_test.go
+++ b/lease/takeover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-playground/validator/v10"
 
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/platform"
@@ -68,3 +69,16 @@
 		}
 	}
 }
+
+// Guards against defaults or tags that contradict each other.
+func TestDefaultConfigIsValid(t *testing.T) {
+	v := validator.New()
+	c := DefaultConfig()
+	if err := v.Struct(c); err != nil {
+		t.Error(err)
+	}
+	c.RenewInterval = c.GrantDuration
+	if v.Struct(c) == nil {
+		t.Error("renewals as rare as expiries are accepted")
+	}
+}
