Send a request to the backend server in one write

The transport flushed the header before the body, because it does not recognise the body of connect as in memory: two system calls and a second wake-up of the server for each request. The client now hands it a body that it recognises, and calls the transport without http.Client, so that redirects of a request are not followed.

--- /dev/null
+++ b/internal/backend/doer.go
@@ -0,0 +1,28 @@
+package backend
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// doer sends the requests of a connect client. The transport writes the header of a
+// request by itself, with a system call of its own, unless it knows that the body is in
+// memory; the body of a connect request is, but of a type that the transport does not
+// know. Redirects are not followed, so a request reaches no other address.
+type doer struct{ transport *http.Transport }
+
+// Do implements connect.HTTPClient.
+func (d doer) Do(req *http.Request) (*http.Response, error) {
+	if req.Body != nil && req.ContentLength > 0 {
+		body := make([]byte, req.ContentLength)
+		_, err := io.ReadFull(req.Body, body)
+		_ = req.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	}
+	return d.transport.RoundTrip(req)
+}
--- a/internal/backend/target.go
+++ b/internal/backend/target.go
@@ -36,8 +36,8 @@
 	// The server is on the same instance, where compression costs more than it saves.
 	options := connect.WithClientOptions(
 		connect.WithReadMaxBytes(maxAnswerBytes), connect.WithAcceptCompression("gzip", nil, nil))
-	t.execute = backendv1connect.NewBackendServiceClient(&http.Client{Transport: t.requests}, a.URL, options)
-	t.probe = backendv1connect.NewBackendServiceClient(&http.Client{Transport: t.probes}, a.URL, options)
+	t.execute = backendv1connect.NewBackendServiceClient(doer{t.requests}, a.URL, options)
+	t.probe = backendv1connect.NewBackendServiceClient(doer{t.probes}, a.URL, options)
 	return t
 }
 
