Wake requests with a strike only if one waits

The end of each request closed a channel and made another one under the lock of the quarantine, although a request rarely waits for it. The channel is now made by the first request that waits.

--- a/internal/daemon/suspects.go
+++ b/internal/daemon/suspects.go
@@ -15,11 +15,11 @@
 type suspects struct {
 	mu      sync.Mutex
 	table   *quarantine.Table
-	changed chan struct{} // closed and replaced when a waiting request may be able to run
+	changed chan struct{} // closed when a waiting request may be able to run; nil if none waits
 }
 
 func newSuspects(session cluster.Session, known []quarantine.Record, now time.Time) *suspects {
-	s := &suspects{table: quarantine.New(quarantine.Config{Session: session}), changed: make(chan struct{})}
+	s := &suspects{table: quarantine.New(quarantine.Config{Session: session})}
 	s.table.Merge(known, now)
 	return s
 }
@@ -44,6 +44,9 @@
 	case quarantine.Refuse:
 		return quarantine.Ticket{}, nil, decision.Err(now)
 	case quarantine.Wait:
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
 		return quarantine.Ticket{}, s.changed, nil
 	default:
 		return decision.Ticket, nil, nil
@@ -91,8 +94,10 @@
 }
 
 func (s *suspects) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
 }
 
 // waitForChange waits until changed is closed. The request that waits has not run.
