Keep request metrics by their labels

Each request formatted the names of its histogram and counter and looked them up under the lock of the metrics set. They are now found by their labels in a concurrent map.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -63,7 +63,7 @@
 	begin := time.Now()
 	entry, err := r.check(&request)
 	if err != nil {
-		r.metrics.request(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
+		r.metrics.requests.finished(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
 		return outcome{}, err
 	}
 	deadline := begin.Add(entry.Limits.Timeout())
@@ -74,7 +74,7 @@
 	defer cancel()
 	r.budget.FirstTry()
 	out, err := r.try(ctx, request, entry, deadline)
-	r.metrics.request(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
+	r.metrics.requests.finished(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
 	out.requestID = request.RequestID
 	if err != nil {
 		r.log.Info("request failed", zap.String("request", request.RequestID), zap.String("service", request.Service), zap.Error(err))
