Let callers close their connections before a graceful stop

Cause: SIGTERM under load cut 3 requests: http.Server.Shutdown closes idle connections, and a caller that sends on one at that moment loses its request. Change: while the daemon stops, each HTTP/1 answer asks the caller to close its connection; the listener closes at least 1 s after the signal.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,8 @@
 	end     context.CancelFunc
 	duties  sync.WaitGroup
 	current atomic.Pointer[sessionRuntime]
+	// stopping is set when a graceful stop has begun.
+	stopping atomic.Bool
 	// refusing is set when the daemon takes no new requests.
 	refusing atomic.Bool
 	// drained is set when an operator asked for a drain.
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -37,13 +37,25 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+	return &http.Server{Handler: d.closeWhenStopping(mux), ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+}
+
+// closeWhenStopping asks HTTP/1 callers to close their connections while the daemon
+// stops. A connection that the server closes by itself can cut a request that its
+// caller is just sending.
+func (d *Daemon) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() && r.ProtoMajor == 1 && r.Header.Get("Upgrade") == "" {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // ready tells whether callers should use this daemon: it knows the cluster and is not
 // stopping. It need not own anything, because it forwards.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.refusing.Load() || d.replicas.cluster().Version == 0 {
+	if d.stopping.Load() || d.replicas.cluster().Version == 0 {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -12,6 +12,10 @@
 	"github.com/basilway/basilway/ownership"
 )
 
+// closeConnections is how long callers have to close their connections, each after its
+// next answer, before the daemon closes those that are left.
+const closeConnections = time.Second
+
 // leaveTimeout bounds the removal of the session from the cluster.
 const leaveTimeout = 3 * time.Second
 
@@ -30,8 +34,10 @@
 	begin := time.Now()
 	s := d.current.Load()
 	d.log.Info("stopping", zap.Int("requests in flight", s.inFlight.len()))
+	d.stopping.Store(true)
 	s.drain()
 	moved := d.waitMoved(s, leaveAfter)
+	time.Sleep(max(0, closeConnections-time.Since(begin)))
 	d.refusing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.config.DrainTimeout)
 	defer cancel()
