Say not_run only when it holds for all calls with the request id

Cause: a repeat of a request that may have run could be answered not_run by a daemon that does not reach the owner, and its caller would send it with a new id. Change: callers set first_call on the first call with an id; without it only the owner, whose memory of ids was asked, says not_run. Requests of a session that ended are cancelled or answered at once. Deadlines are capped at 10 minutes, and the planner's load model follows the size of the cluster. Result: builds; unit tests of dedupe and peer pass.

--- a/dedupe/memory.go
+++ b/dedupe/memory.go
@@ -145,6 +145,12 @@
 	return true
 }
 
+// Known reports whether the memory has an id, in flight or finished.
+func (m *Memory) Known(id uuid.UUID, service string, hash uint64) bool {
+	_, ok := m.space(service).ids[idKey{id, hash}]
+	return ok
+}
+
 func (m *Memory) strengthen(i index, to outcome, answer []byte) bool {
 	r := &m.slab[i]
 	if to == ran && answer != nil && r.outcome != answered && len(answer) <= m.config.MaxAnswerBytes {
--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -23,6 +23,7 @@
 			request.Service, request.Key, request.Method = args[0], args[1], args[2]
 			request.Payload = []byte(payload)
 			if request.RequestId == "" {
+				request.FirstCall = true
 				id, err := uuid.NewV7()
 				if err != nil {
 					return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,6 +177,7 @@
 		case <-s.owner.removed:
 		}
 		d.log.Warn("session was fenced; joining as a new one", zap.Stringer("fenced", s.session))
+		s.inFlight.cancelAll(errLeaseEnded)
 		s.end()
 		d.current.Store(newSessionRuntime(d, s.suspects))
 	}
--- a/internal/daemon/idmemory.go
+++ b/internal/daemon/idmemory.go
@@ -52,8 +52,10 @@
 	return decision, nil
 }
 
-// finish records the outcome of a request that begin let run and wakes its repeats.
-func (m *idMemory) finish(id uuid.UUID, service string, hash uint64, answer []byte, err error, now time.Time) {
+// finish records the outcome of a request that begin let run, wakes its repeats and
+// returns the error to answer. NotRun then holds for the id, unless another daemon handed
+// over meanwhile that the id may have run.
+func (m *idMemory) finish(id uuid.UUID, service string, hash uint64, answer []byte, err error, now time.Time) error {
 	outcome := verdict.Ran
 	if err != nil {
 		outcome = verdict.From(err).Verdict
@@ -64,12 +66,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.memory.Finish(id, service, hash, outcome, answer, now)
+	if outcome == verdict.NotRun && !m.memory.Known(id, service, hash) {
+		forID := *verdict.From(err)
+		forID.ForID = true
+		err = &forID
+	}
 	key := resultKey{id: id, hash: hash}
 	if r := m.results[key]; r != nil {
 		r.answer, r.err = answer, err
 		close(r.done)
 		delete(m.results, key)
 	}
+	return err
 }
 
 // wait returns the result of the same request in flight. If ctx ends first, the
--- a/internal/daemon/localserver.go
+++ b/internal/daemon/localserver.go
@@ -96,7 +96,7 @@
 func (s *localServer) runOnce(ctx context.Context, j *job, id uuid.UUID) (reply wire.Reply, err error) {
 	var answer []byte
 	err = verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "the request did not end")
-	defer func() { s.ids.finish(id, j.request.Service, j.hash, answer, err, time.Now()) }()
+	defer func() { err = s.ids.finish(id, j.request.Service, j.hash, answer, err, time.Now()) }()
 	answer, err = s.run(ctx, j)
 	return s.reply(j, answer, false), err
 }
--- a/internal/daemon/ownerduty.go
+++ b/internal/daemon/ownerduty.go
@@ -190,6 +190,8 @@
 	select {
 	case err := <-wake:
 		return err
+	case <-d.life.Done():
+		return ownership.ErrLeaseLost
 	case <-ctx.Done():
 		d.forget(id)
 		d.box.post(func() { d.step(ownership.RequestCancelled{ID: id}, time.Now()) })
--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -51,9 +51,10 @@
 	onPlan func(time.Duration, int)
 
 	// The fields below are used only in the mailbox's goroutine.
-	load      *planner.LoadModel
-	watch     *lease.RenewalWatch
-	watchedAt time.Time
+	loadInterval time.Duration
+	load         *planner.LoadModel
+	watch        *lease.RenewalWatch
+	watchedAt    time.Time
 	// aliveUntil is until when a stale renewal row of a live session is ignored.
 	aliveUntil map[cluster.Session]time.Time
 	takeovers  map[cluster.Session]*takeover
@@ -239,6 +240,7 @@
 		return
 	}
 	d.urgent = false
+	d.fitLoadModel(len(state.Members))
 	if due || len(fences) > 0 {
 		d.plannedAt = now
 	}
@@ -251,6 +253,16 @@
 	go batch.commit()
 }
 
+// fitLoadModel replaces the load model when the interval of reports has changed by
+// more than half with the size of the cluster. The next reports fill it.
+func (d *planDuty) fitLoadModel(members int) {
+	interval := planner.ReportInterval(members)
+	if d.loadInterval == 0 || interval > d.loadInterval*3/2 || interval < d.loadInterval*2/3 {
+		d.loadInterval = interval
+		d.load = planner.NewLoadModel(planner.DefaultLoadConfig(members))
+	}
+}
+
 func (d *planDuty) readyFences() []lease.CommitFence {
 	var fences []lease.CommitFence
 	for _, t := range d.takeovers {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -24,6 +24,8 @@
 const (
 	// maxKeyBytes bounds keys, methods, tenants and caller names.
 	maxKeyBytes = 1024
+	// maxTimeout bounds a request, because its unit cannot move before it ends.
+	maxTimeout = 10 * time.Minute
 	// maxRoutes bounds how often a request follows a changed route.
 	maxRoutes = 3
 	// routeWait bounds how long a request waits for the cluster version that another
@@ -74,6 +76,9 @@
 	deadline := begin.Add(entry.Limits.Timeout())
 	if d, ok := ctx.Deadline(); ok {
 		deadline = d
+		if limit := begin.Add(maxTimeout); d.After(limit) {
+			deadline = limit
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/internal/daemon/routerapi.go
+++ b/internal/daemon/routerapi.go
@@ -30,7 +30,7 @@
 	}
 	outcome, err := a.router.route(ctx, request)
 	if err != nil {
-		return nil, callError(err)
+		return nil, callError(forAllCalls(err, m))
 	}
 	return connect.NewResponse(&basilwayv1.CallResponse{
 		Payload: outcome.reply.Payload, Verdict: basilwayv1.Verdict_VERDICT_RAN,
@@ -39,6 +39,25 @@
 	}), nil
 }
 
+// forAllCalls makes the verdict of a call one of all calls with its id. NotRun of a call
+// says nothing about earlier ones unless the owner's memory of ids was asked. An id that
+// is too old for that memory did not run if this is its first call, because a request
+// that may have run is not tried again within a call.
+func forAllCalls(err error, m *basilwayv1.CallRequest) error {
+	v := verdict.From(err)
+	if m.FirstCall && v.Reason == verdict.ReasonIDTooOld {
+		return verdict.New(verdict.NotRun, v.Reason,
+			"the request_id was made before its key changed owner; send the request with a new one")
+	}
+	if m.Idempotent || m.FirstCall || v.Verdict != verdict.NotRun || v.ForID || v.Reason == verdict.ReasonInvalid {
+		return err
+	}
+	all := *v
+	all.Verdict = verdict.MayHaveRun
+	all.Message += " (this call did not run; an earlier one with the same request_id may have run, unless first_call is set)"
+	return &all
+}
+
 // NewRequestId implements RouterService.
 func (a *routerAPI) NewRequestId(context.Context, *connect.Request[basilwayv1.NewRequestIdRequest]) (*connect.Response[basilwayv1.NewRequestIdResponse], error) {
 	id, err := uuid.NewV7()
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -70,7 +70,7 @@
 	return func(ctx context.Context, key, id string, payload []byte) (string, bool, error) {
 		reply, err := daemon.Call(ctx, connect.NewRequest(&basilwayv1.CallRequest{
 			Service: c.Service, Key: key, Method: c.Method, Tenant: c.Tenant, RequestId: id, Payload: payload,
-			Idempotent: c.Idempotent,
+			Idempotent: c.Idempotent, FirstCall: true,
 		}))
 		if err != nil {
 			return "", false, err
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -46,6 +46,7 @@
 	RetryAfterMS uint32 `cbor:"3,keyasint,omitempty"`
 	Message      string `cbor:"4,keyasint,omitempty"`
 	Detail       []byte `cbor:"5,keyasint,omitempty"`
+	ForID        bool   `cbor:"6,keyasint,omitempty"`
 }
 
 const (
@@ -106,6 +107,7 @@
 		RetryAfterMS: toMilliseconds(e.RetryAfter),
 		Message:      e.Message[:min(len(e.Message), maxErrorText)],
 		Detail:       detailOf(err),
+		ForID:        e.ForID,
 	}
 	// A cut inside a character would make the text invalid for the decoder.
 	w.Message = string(bytes.ToValidUTF8([]byte(w.Message), nil))
@@ -124,6 +126,7 @@
 			Reason:     verdict.Reason(w.Reason),
 			RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond,
 			Message:    w.Message,
+			ForID:      w.ForID,
 		},
 		Detail: w.Detail,
 		Remote: true,
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -14,6 +14,9 @@
 	Reason Reason
 	// RetryAfter is when to send the request again; 0 if that is of no use.
 	RetryAfter time.Duration
+	// ForID says that NotRun holds for every call with the request's id, because the
+	// owner's memory of ids was asked. Otherwise it holds for this call only.
+	ForID bool
 	// Message explains the cause to a person.
 	Message string
 }
