Measure daemons as separate processes with make bench

The script starts stand-ins and daemons and compares direct, owned and forwarded requests in alternating rounds, measures goodput under overload and after a freeze, and the cost of idle daemons at several sizes. Processor time comes from /proc of the started processes, bytes from the metrics, which now also count messages and connections that were opened.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,7 @@
 # generate needs buf, protoc-gen-go and protoc-gen-connect-go; its output is committed.
 generate:
 	buf generate
+
+# bench takes some minutes; its results are in out/.
+bench: build
+	scripts/bench.sh
--- /dev/null
+++ b/cmd/benchperf/main.go
@@ -0,0 +1,14 @@
+// Command benchperf measures daemons and stand-ins that scripts/bench.sh has started.
+package main
+
+import (
+	"os"
+
+	"github.com/basilway/basilway/internal/perfbench"
+)
+
+func main() {
+	if err := perfbench.Command().Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -27,6 +27,10 @@
 	m.gauge("basilway_peer_late_answers_total", func() float64 { return float64(d.pool.Stats().LateAnswers) })
 	m.gauge("basilway_peer_duplicate_answers_total", func() float64 { return float64(d.pool.Stats().DuplicateAnswers) })
 	m.gauge("basilway_peer_unknown_answers_total", func() float64 { return float64(d.pool.Stats().UnknownAnswers) })
+	m.gauge("basilway_peer_sent_messages_total", func() float64 { return float64(d.pool.Stats().SentMessages) })
+	m.gauge("basilway_peer_received_messages_total", func() float64 { return float64(d.pool.Stats().ReceivedMessages) })
+	m.gauge("basilway_peer_dials_total", func() float64 { return float64(d.pool.Stats().Dials) })
+	m.gauge("basilway_peer_accepts_total", func() float64 { return float64(d.pool.Stats().Accepts) })
 	for kind := wire.KindForward; kind <= wire.KindNotLost; kind++ {
 		m.gauge(fmt.Sprintf("basilway_peer_sent_bytes_total{kind=%q}", kind), func() float64 {
 			return float64(d.pool.Stats().Kinds[uint8(kind)].SentBytes)
--- /dev/null
+++ b/internal/perfbench/scrape.go
@@ -0,0 +1,37 @@
+package perfbench
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// scrape returns the metrics of the daemon at a base URL by name with labels.
+func scrape(url string) (map[string]float64, error) {
+	res, err := http.Get(url + "/metrics")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer res.Body.Close()
+	metrics := map[string]float64{}
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		at := strings.LastIndexByte(lines.Text(), ' ')
+		if at < 0 {
+			continue
+		}
+		if value, err := strconv.ParseFloat(lines.Text()[at+1:], 64); err == nil {
+			metrics[lines.Text()[:at]] = value
+		}
+	}
+	return metrics, trace.Wrap(lines.Err())
+}
+
+// kindOf returns the kind of a name such as prefix{kind="renew"}.
+func kindOf(name, prefix string) (string, bool) {
+	rest, found := strings.CutPrefix(name, prefix+`{kind="`)
+	return strings.TrimSuffix(rest, `"}`), found
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,6 +1,9 @@
 # Functions for scripts that start daemons and stand-ins as separate processes.
 # Sourced by the scripts; expects bash with set -euo pipefail.
 
+# Ports; a script that runs beside others sets its own before it sources this file.
+: "${platform_port:=7399}" "${daemon_ports:=7400}" "${backend_ports:=7500}"
+
 pids=()
 out=$(mktemp -d)
 
@@ -37,24 +40,24 @@
   done
 }
 
-# start_instance I SERVICE [BACKEND FLAGS...] starts daemon I on port 7400+I and its
-# backend server on port 7500+I, in availability zone demo/zone-(I mod 3).
+# start_instance I SERVICE [BACKEND FLAGS...] starts daemon I on port daemon_ports+I and its
+# backend server on port backend_ports+I, in availability zone demo/zone-(I mod 3).
 start_instance() {
   local i=$1 service=$2
   shift 2
   local seeds=()
-  if ((i > 1)); then seeds=(--seeds 127.0.0.1:7401); fi
+  if ((i > 1)); then seeds=(--seeds 127.0.0.1:$((daemon_ports + 1))); fi
   start "daemon-$i" bin/basilwayd --instance "instance-$i" --zone "demo/zone-$((i % 3))" \
-    --listen "127.0.0.1:$((7400 + i))" --platform-url http://127.0.0.1:7399 "${seeds[@]}"
+    --listen "127.0.0.1:$((daemon_ports + i))" --platform-url http://127.0.0.1:$platform_port "${seeds[@]}"
   daemon_pid=$last_pid
-  start "backend-$i" bin/standin backend --listen "127.0.0.1:$((7500 + i))" --service "$service" \
-    --announce "http://127.0.0.1:$((7400 + i))" "$@"
+  start "backend-$i" bin/standin backend --listen "127.0.0.1:$((backend_ports + i))" --service "$service" \
+    --announce "http://127.0.0.1:$((daemon_ports + i))" "$@"
   backend_pid=$last_pid
 }
 
 # owns_all N SERVICE succeeds when N instances own keys of the service.
 owns_all() {
   local owners
-  owners=$(bin/basilway --daemon http://127.0.0.1:7401 owners "$2" | awk 'NR>1 && $4!="" {print $4}' | sort -u | wc -l)
+  owners=$(bin/basilway --daemon http://127.0.0.1:$((daemon_ports + 1)) owners "$2" | awk 'NR>1 && $4!="" {print $4}' | sort -u | wc -l)
   ((owners >= $1))
 }
