--- a/Makefile
+++ b/Makefile
@@ -22,14 +22,16 @@
 generate:
 	buf generate
 
-<<<<<<< HEAD
+# demo starts three instances as separate processes, sends requests and stops them.
+demo: build
+	scripts/demo.sh
+
 # bench-policy measures assignment policies with generated load; the result goes to out/.
 BENCH_POLICY_FLAGS ?= --seed 1
 bench-policy:
 	@mkdir -p out
 	go run ./cmd/benchpolicy --json out/policy.json $(BENCH_POLICY_FLAGS) | tee out/policy.md
-=======
+
 # bench takes some minutes; its results are in out/.
 bench: build
 	scripts/bench.sh
->>>>>>> perf
