Send load reports through a two-level tree in large clusters

Cause: at 1,900 members the planner would hold a connection to each, about 76 MB. Change: above 64 members reports go through relays of about the square root of the members; a server that is down is reported to the planner directly.

--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/basilway/basilway/feed"
 	"github.com/basilway/basilway/internal/peer"
@@ -9,8 +10,6 @@
 	"github.com/basilway/basilway/lease"
 	"github.com/basilway/basilway/ownership"
 	"github.com/basilway/basilway/verdict"
-
-	"time"
 )
 
 // registerHandlers registers what other daemons may ask. Messages of a session go to
@@ -40,8 +39,8 @@
 	register(server, wire.KindReleased, func(ctx context.Context, m ownership.Released) (wire.ReleasedReply, error) {
 		return d.current.Load().plan.handleReleased(ctx, m)
 	})
-	register(server, wire.KindLoad, func(ctx context.Context, m wire.LoadReport) (wire.Ack, error) {
-		return d.current.Load().plan.handleLoad(ctx, m)
+	register(server, wire.KindLoad, func(ctx context.Context, m wire.LoadReports) (wire.Ack, error) {
+		return d.current.Load().load.handle(ctx, m)
 	})
 }
 
--- a/internal/daemon/loadduty.go
+++ b/internal/daemon/loadduty.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/internal/wire"
+	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/planner"
 )
 
@@ -15,6 +17,10 @@
 	loadTick = 250 * time.Millisecond
 	// loadSendTimeout bounds the sending of a report.
 	loadSendTimeout = 2 * time.Second
+	// relayInterval is how long reports of other daemons are collected.
+	relayInterval = time.Second
+	// maxRelayed bounds them; a relay of a cluster of 1,900 has 44.
+	maxRelayed = 1024
 )
 
 // loadDuty measures the load of this session's units and reports it to the planner.
@@ -26,18 +32,24 @@
 	// status returns what is known about the backend server.
 	status func() planner.Status
 	due    chan struct{}
+	// deliver hands reports to this session's own planner.
+	deliver func(wire.LoadReports)
 
 	mu       sync.Mutex
 	recorder *planner.Recorder
 	members  int
 	slots    uint32
 	forced   bool
+	// relayed are reports of other daemons for the planner.
+	relayed   []wire.LoadReport
+	relayedAt time.Time
 }
 
 func newLoadDuty(life context.Context, session cluster.Session, peers transport, state func() *cluster.State) *loadDuty {
 	return &loadDuty{
 		life: life, session: session, peers: peers, state: state,
 		status: func() planner.Status { return planner.Status{} }, due: make(chan struct{}, 1),
+		deliver:  func(wire.LoadReports) {},
 		recorder: planner.NewRecorder(planner.DefaultRecorderConfig(1, 1)),
 	}
 }
@@ -55,14 +67,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	interval := planner.ReportInterval(len(state.Members))
-	if slots != d.slots || interval != planner.ReportInterval(d.members) {
+	interval, before := planner.ReportInterval(len(state.Members)), planner.ReportInterval(d.members)
+	if slots != d.slots || intervalChanged(interval, before) {
 		d.slots, d.members = slots, len(state.Members)
 		d.recorder = planner.NewRecorder(planner.DefaultRecorderConfig(d.members, slots))
 	}
 	d.recorder.SetUnits(state.Version, units, now)
 }
 
+// intervalChanged reports whether a new report interval is worth a new recorder or load
+// model, which start without measurements.
+func intervalChanged(now, before time.Duration) bool {
+	return now > before*3/2 || now < before*2/3
+}
+
 // reportNow asks for a report before its time.
 func (d *loadDuty) reportNow() {
 	d.mu.Lock()
@@ -91,24 +109,74 @@
 
 func (d *loadDuty) report() {
 	state := d.state()
-	address := state.Members[state.Planner].Address
-	if _, member := state.Members[d.session]; !member || address == "" {
+	if _, member := state.Members[d.session]; !member || state.Planner.IsZero() {
 		return
 	}
+	report, due := d.next(state)
+	d.mu.Lock()
+	reports := d.relayed
+	relay := len(reports) > 0 && time.Since(d.relayedAt) >= relayInterval
+	if relay {
+		d.relayed, d.relayedAt = nil, time.Now()
+	}
+	d.mu.Unlock()
+	own := wire.LoadReport{Session: d.session, Report: report}
+	switch {
+	case relay && due:
+		d.send(state, state.Planner, append(reports, own))
+	case relay:
+		d.send(state, state.Planner, reports)
+	case due && report.Down:
+		d.send(state, state.Planner, []wire.LoadReport{own}) // its units cannot be served
+	case due:
+		parent := membership.ReportParent(state.SortedMembers(), d.session, state.Planner)
+		if !d.send(state, parent, []wire.LoadReport{own}) && parent != state.Planner {
+			d.send(state, state.Planner, []wire.LoadReport{own})
+		}
+	}
+}
+
+// next returns the report that is due, if any. A report that is asked for early says only
+// whether the backend server takes requests.
+func (d *loadDuty) next(state *cluster.State) (planner.Report, bool) {
 	status := d.status()
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	report, due := d.recorder.Report(status, time.Now())
 	if !due && d.forced {
-		report = planner.Report{Version: state.Version, Down: status.Down, Occupied: status.Occupied}
+		report, due = planner.Report{Version: state.Version, Down: status.Down, Occupied: status.Occupied}, true
 	}
-	send := due || d.forced
 	d.forced = false
-	d.mu.Unlock()
-	if !send {
-		return
+	return report, due
+}
+
+// send reports whether the reports arrived. Lost ones are replaced by the next.
+func (d *loadDuty) send(state *cluster.State, to cluster.Session, reports []wire.LoadReport) bool {
+	message := wire.LoadReports{Reports: reports}
+	if to == d.session {
+		d.deliver(message)
+		return true
 	}
 	ctx, cancel := context.WithTimeout(d.life, loadSendTimeout)
 	defer cancel()
-	// A lost report is replaced by the next one.
-	_, _ = call[wire.Ack](ctx, d.peers, address, wire.KindLoad, wire.LoadReport{Session: d.session, Report: report})
+	_, err := call[wire.Ack](ctx, d.peers, state.Members[to].Address, wire.KindLoad, message)
+	return err == nil
+}
+
+// handle takes reports of other daemons: the planner uses them, another member passes
+// them on to the planner. A later report of a session replaces an earlier one.
+func (d *loadDuty) handle(_ context.Context, m wire.LoadReports) (wire.Ack, error) {
+	if d.state().Planner == d.session {
+		d.deliver(m)
+		return wire.Ack{}, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range m.Reports {
+		d.relayed = slices.DeleteFunc(d.relayed, func(o wire.LoadReport) bool { return o.Session == r.Session })
+		if len(d.relayed) < maxRelayed {
+			d.relayed = append(d.relayed, r)
+		}
+	}
+	return wire.Ack{}, nil
 }
--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -215,16 +215,18 @@
 	return ok && o.Owner == m.From && o.MovingTo == m.To && o.MoveVersion == m.Move
 }
 
-// handleLoad takes a load report.
-func (d *planDuty) handleLoad(ctx context.Context, m wire.LoadReport) (wire.Ack, error) {
-	return wire.Ack{}, d.box.do(ctx, func() {
+// observeLoad takes load reports.
+func (d *planDuty) observeLoad(m wire.LoadReports) {
+	d.box.post(func() {
 		now := time.Now()
 		d.load.Sync(d.replicas.cluster(), now)
-		wasDown := d.load.Down(m.Session)
-		d.load.Observe(m.Session, m.Report, now)
-		if m.Report.Down && !wasDown {
-			d.urgent = true // its units cannot be served until they move
-			d.plannedAt = time.Time{}
+		for _, r := range m.Reports {
+			wasDown := d.load.Down(r.Session)
+			d.load.Observe(r.Session, r.Report, now)
+			if r.Report.Down && !wasDown {
+				d.urgent = true // its units cannot be served until they move
+				d.plannedAt = time.Time{}
+			}
 		}
 	})
 }
@@ -253,11 +255,11 @@
 	go batch.commit()
 }
 
-// fitLoadModel replaces the load model when the interval of reports has changed by
-// more than half with the size of the cluster. The next reports fill it.
+// fitLoadModel replaces the load model when the interval of reports has changed much
+// with the size of the cluster. The next reports fill it.
 func (d *planDuty) fitLoadModel(members int) {
 	interval := planner.ReportInterval(members)
-	if d.loadInterval == 0 || interval > d.loadInterval*3/2 || interval < d.loadInterval*2/3 {
+	if intervalChanged(interval, d.loadInterval) {
 		d.loadInterval = interval
 		d.load = planner.NewLoadModel(planner.DefaultLoadConfig(members))
 	}
--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -77,6 +77,7 @@
 	s.owner.closeBackend = func() { s.inFlight.cancelAll(errBackendFrozen) }
 	s.owner.askMove = s.askMove
 	s.load.status = d.backend.loadStatus
+	s.load.deliver = s.plan.observeLoad
 }
 
 // start runs the duties.
--- a/internal/wire/move.go
+++ b/internal/wire/move.go
@@ -6,12 +6,17 @@
 	"github.com/basilway/basilway/quarantine"
 )
 
-// LoadReport carries a daemon's load to the planner.
+// LoadReport is the load of one daemon.
 type LoadReport struct {
 	Session cluster.Session `cbor:"1,keyasint"`
 	Report  planner.Report  `cbor:"2,keyasint"`
 }
 
+// LoadReports carries the reports of one or more daemons to the planner.
+type LoadReports struct {
+	Reports []LoadReport `cbor:"1,keyasint"`
+}
+
 // ReleasedReply says whether the planner will commit the new owner.
 type ReleasedReply struct {
 	Accepted bool `cbor:"1,keyasint"`
