Copy only what changes when a cluster version is applied

Cause: each version copied all members and ranges: 2.5 ms and 1.7 MB at 1,900 members (go test -bench State/next ./cluster). Change: the next state shares what no entry changes with the one before it.

--- a/cluster/state.go
+++ b/cluster/state.go
@@ -27,14 +27,14 @@
 	if version != s.Version+1 {
 		return nil, fmt.Errorf("cluster entry %d does not follow version %d", version, s.Version)
 	}
-	next := s.Clone()
+	next := newDraft(s)
 	for i, e := range entries {
 		if err := next.apply(version, e); err != nil {
 			return nil, fmt.Errorf("cluster version %d, entry %d: %w", version, i, err)
 		}
 	}
 	next.Version = version
-	return next, nil
+	return next.State, nil
 }
 
 // Apply moves s to version. On an error s is unchanged; see Next.
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -62,3 +62,27 @@
 	g.Expect(s.Apply(6, []Entry{{Kind: EntryRangeMerged, Unit: half}})).To(Succeed())
 	g.Expect(s.Services["booking"].Ranges).To(HaveLen(1))
 }
+
+// Guards against a published state that changes: readers in other goroutines use it
+// while the next version is made.
+func TestNextLeavesTheStateAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	s := largeState(30)
+	owner, other := s.SortedMembers()[0].Session, s.SortedMembers()[1].Session
+	before, err := s.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	unit := s.UnitsOf(owner)[0]
+	hot := Unit{Service: "booking", Start: 99, Hot: true}
+	for _, entries := range [][]Entry{
+		{{Kind: EntryMemberFenced, Session: owner}, {Kind: EntryOwnerSet, Unit: unit, Session: other}},
+		{{Kind: EntryMemberDraining, Session: owner}, {Kind: EntryMoveBegun, Unit: unit, Session: other}},
+		{{Kind: EntryRangeSplit, Unit: unit, At: unit.Start + 1}, {Kind: EntryHotKeyIsolated, Unit: hot}},
+		{{Kind: EntryPlannerSet, Session: other}},
+	} {
+		_, err := s.Next(s.Version+1, entries)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	after, err := s.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(after).To(Equal(before))
+}
