--- a/planner/rebalance.go
+++ b/planner/rebalance.go
@@ -59,7 +59,9 @@
 // bestMove returns the move away from member from that gains the most excess for its
 // cost. Moving a heavy key moves no other keys, so it may bring a lightly used member
 // over the ceiling if the excess of both members together falls; ranges of the less
-// loaded member then make the rest of the room.
+// loaded member then make the rest of the room. Placing heavy keys on lightly used
+// members is an idea of the paper "TailSieve: Partial-Rollout-Guided Tail Routing",
+// arXiv 2608.22788; docs/POLICY.md compares it with isolating them all first.
 func (v *view) bestMove(from, n int) (move, bool) {
 	m := &v.members[from]
 	excess := m.util() - v.mean*v.cfg.Settle
