--- a/internal/policybench/route.go
+++ b/internal/policybench/route.go
@@ -36,7 +36,6 @@
 	slots   float64
 	units   []*unit // in the order of cluster.State.UnitsOf
 	offered float64 // in this second
-	served  float64 // share of the offered load that finished in this second
 	backlog float64
 	window  [window]float64
 	total   float64 // sum of window
--- a/planner/config.go
+++ b/planner/config.go
@@ -44,6 +44,9 @@
 	// IsolateShare is the least load of a key that is isolated, and ClearShare the
 	// load under which an isolated key returns to its range.
 	IsolateShare, ClearShare float64
+	// HeavyShare is the least load of a key that is isolated before its member is over
+	// Trigger, in services of up to 64 members.
+	HeavyShare float64
 	// MaxHotKeys bounds the isolated keys of a service for each member.
 	MaxHotKeys int
 	// SplitShare is the load over which a range is split, and MergeShare the load
@@ -70,7 +73,7 @@
 		Trigger:         1.18, Settle: 1.10, Surge: 1.3, Ceiling: 1.10, Low: 0.7, MinExcess: 0.01,
 		MoveCost: 0.005, KeyCost: 0.1, KeyOverGain: 0.05,
 		OpenMoves: 0.125, MinOpenMoves: 6, UrgentMoves: 4096,
-		IsolateShare: 0.06, ClearShare: 0.03, MaxHotKeys: 8,
+		IsolateShare: 0.06, ClearShare: 0.03, HeavyShare: 0.25, MaxHotKeys: 8,
 		SplitShare: 0.3, MergeShare: 0.05, Splits: 64, Merges: 64,
 		WarmUp: 30 * time.Second, WarmStart: 0.2,
 		MoveTimeout: 60 * time.Second, ZoneLost: 0.5,
--- a/planner/rebalance.go
+++ b/planner/rebalance.go
@@ -24,6 +24,9 @@
 		return
 	}
 	limit := max(v.cfg.MinOpenMoves, int(v.cfg.OpenMoves*float64(n)))
+	if n <= smallService {
+		v.isolateHeavy(limit, n)
+	}
 	for v.openMoves < limit {
 		from := v.heaviestOver()
 		if from == noMember {
@@ -61,7 +64,7 @@
 // over the ceiling if the excess of both members together falls; ranges of the less
 // loaded member then make the rest of the room. Placing heavy keys on lightly used
 // members is an idea of the paper "TailSieve: Partial-Rollout-Guided Tail Routing",
-// arXiv 2608.22788; docs/POLICY.md compares it with isolating them all first.
+// arXiv 2608.22788, see isolateHeavy.
 func (v *view) bestMove(from, n int) (move, bool) {
 	m := &v.members[from]
 	excess := m.util() - v.mean*v.cfg.Settle
--- a/planner/view.go
+++ b/planner/view.go
@@ -17,7 +17,6 @@
 	indexOf map[cluster.Session]int
 	ranges  []unitView
 	hot     []unitView
-	keys    []keyView
 	entries []cluster.Entry
 	// total is the load in slots, slots the capacity of the members that stay, and
 	// mean their quotient.
