--- a/lease/holder_change.go
+++ b/lease/holder_change.go
@@ -74,6 +74,8 @@
 	switch {
 	case bad > 0 && h.current.Size()-bad < h.current.Quorum():
 		return changeNow
+	case h.current.Size() < MaxWitnesses && h.wrongShape():
+		return changeNow // a young cluster; the loss of one witness, or of the store, may end the lease
 	case bad > 0 || h.wrongShape():
 		return changeSoon
 	}
