Prove invariants with daemons as separate processes

Cause: the invariants were only checked in the decision packages. Change: package internal/prove starts the platform stand-in, daemons and backend servers, cuts, pauses and kills them, and checks executions and answers. The backend server stand-in copies its execution log to a file, so that it outlives a crash.

--- a/internal/backendsim/config.go
+++ b/internal/backendsim/config.go
@@ -3,6 +3,7 @@
 package backendsim
 
 import (
+	"io"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,9 @@
 	AnnounceInterval time.Duration
 	// LogSize bounds the execution log, in entries; 200,000 if 0.
 	LogSize int
+	// LogCopy gets each entry of the execution log as a line of JSON, so that the log
+	// outlives a crash. Optional.
+	LogCopy io.Writer
 	// Seed makes random faults repeatable.
 	Seed uint64
 	// OnCrash runs when the server crashes, after its connections are closed.
--- a/internal/backendsim/executions.go
+++ b/internal/backendsim/executions.go
@@ -1,6 +1,10 @@
 package backendsim
 
-import "sync"
+import (
+	"encoding/json"
+	"io"
+	"sync"
+)
 
 // Execution is one entry of the log: a request that began to run.
 type Execution struct {
@@ -28,7 +32,9 @@
 
 // executions is a bounded log of what ran, with the number of runs for each id.
 type executions struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// out gets each entry as a line of JSON before the request has an effect; nil if unused.
+	out      *json.Encoder
 	size     int
 	ring     []Execution
 	next     int
@@ -37,13 +43,20 @@
 	repeated uint64
 }
 
-func newExecutions(size int) *executions {
-	return &executions{size: size, runs: map[string]int{}}
+func newExecutions(size int, out io.Writer) *executions {
+	l := &executions{size: size, runs: map[string]int{}}
+	if out != nil {
+		l.out = json.NewEncoder(out)
+	}
+	return l
 }
 
 func (l *executions) record(e Execution) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.out != nil {
+		_ = l.out.Encode(e)
+	}
 	if e.RequestID != "" {
 		if l.runs[e.RequestID] > 0 && !e.Idempotent {
 			l.repeated++
--- a/internal/backendsim/server.go
+++ b/internal/backendsim/server.go
@@ -52,7 +52,7 @@
 		started:   time.Now(),
 		listener:  listener,
 		state:     newState(),
-		log:       newExecutions(cfg.LogSize),
+		log:       newExecutions(cfg.LogSize, cfg.LogCopy),
 		grants:    &grants{epochs: map[string]uint64{}},
 		slots:     make(chan struct{}, cfg.Slots),
 		rng:       rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
--- /dev/null
+++ b/internal/prove/scenarios_test.go
@@ -0,0 +1,343 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	basilwayv1 "github.com/basilway/basilway/gen/basilway/v1"
+	"github.com/basilway/basilway/internal/backendsim"
+	"github.com/basilway/basilway/platform/memory"
+)
+
+const (
+	// pastLease is longer than a lease, a takeover and the spread of its result.
+	pastLease = 5 * time.Second
+	// storeOutage is how long the store is down in its scenario.
+	storeOutage = 30 * time.Second
+	// noNewWork is how long a leaving instance may still receive work.
+	noNewWork = 3 * time.Second
+)
+
+// short are the scenarios that every test run includes.
+var short = []scenario{
+	{point: "1, 4, 5", failure: "owner killed", instances: 4, timed: true, fail: killOwner},
+	{point: "6, 7", failure: "SIGTERM under load", instances: 3, fail: func(r *run) { r.terminate(r.nodes[1]) }},
+}
+
+var long = []scenario{
+	{point: "1, 4, 5", failure: "owner paused past its lease, backend checks grants", instances: 4, timed: true, fail: pauseOwner},
+	{point: "1, 4, 5", failure: "owner paused past its lease, backend does not check grants", instances: 4, open: true, timed: true, fail: pauseOwner},
+	{point: "1, 2", failure: "daemon cut from the store", instances: 4, fail: cutStore},
+	{point: "1, 4, 5", failure: "daemon cut from peers in both directions", instances: 4, timed: true, fail: func(r *run) { cutPeers(r, true) }},
+	{point: "1, 4, 5", failure: "daemon cut from peers, outgoing only", instances: 4, timed: true, fail: func(r *run) { cutPeers(r, false) }},
+	{point: "1, 2", failure: "store down for 30 s", instances: 4, fail: storeDown},
+	{point: "1, 2, 5", failure: "store slow and losing answers during moves", instances: 4, fail: storeSlowDuringMoves},
+	{point: "6, 7", failure: "drain under load", instances: 3, fail: drain},
+	{point: "4, 5", failure: "backend server crashed and returned", instances: 3, timed: true, fail: crashBackend},
+	{point: "1, 4, 5", failure: "backend server frozen and returned", instances: 3, fail: freezeBackend},
+	{point: "4, 5", failure: "request that crashes every backend server", instances: 4, fail: poison},
+	{point: "7", failure: "rolling restart", instances: 3, fail: rollingRestart},
+}
+
+// TestScenarios guards the invariants of the design through single failures.
+func TestScenarios(t *testing.T) {
+	scenarios := short
+	if proving {
+		scenarios = append(scenarios, long...)
+	}
+	for _, s := range scenarios {
+		t.Run(s.failure, func(t *testing.T) { prove(t, s, seedOf(t)) })
+	}
+}
+
+func seedOf(t *testing.T) uint64 {
+	if text := os.Getenv("BASILWAY_PROVE_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return seed
+	}
+	return rand.Uint64()
+}
+
+// owner returns the instance that owns the first key.
+func (r *run) owner() *node {
+	for {
+		name := r.ask().ownerOf(r.callers.keys[0])
+		for _, n := range r.nodes {
+			if n.name == name {
+				return n
+			}
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+func killOwner(r *run) {
+	n := r.owner()
+	r.loses(n)
+	n.daemon.kill()
+	r.waitServed()
+}
+
+func pauseOwner(r *run) {
+	n := r.owner()
+	r.loses(n)
+	n.pause()
+	time.Sleep(pastLease)
+	n.resume()
+	r.waitReturned(n)
+}
+
+// waitReturned waits until an instance is a member that owns keys again.
+func (r *run) waitReturned(n *node) {
+	r.callers.setAvoid(n, false)
+	r.waitAllOwn()
+}
+
+func cutStore(r *run) {
+	n := r.owner()
+	before := r.epochs()
+	r.network.set(true, n.storeWays()...)
+	time.Sleep(2 * pastLease)
+	r.expectSameOwners(before)
+	r.network.set(false, n.storeWays()...)
+}
+
+func cutPeers(r *run, both bool) {
+	n := r.owner()
+	r.loses(n)
+	r.network.set(true, n.peerWays(both)...)
+	time.Sleep(pastLease)
+	r.network.set(false, n.peerWays(true)...)
+	r.waitReturned(n)
+}
+
+// epochs returns the owner and epoch of each unit.
+func (r *run) epochs() string {
+	var out string
+	r.wait("the owners are known", func() bool {
+		reply, err := r.ask().owners()
+		if err != nil {
+			return false
+		}
+		out = ""
+		for _, o := range reply.Ranges {
+			out += fmt.Sprintf("%x=%s@%d ", o.Start, o.Instance, o.Epoch)
+		}
+		return true
+	})
+	return out
+}
+
+func (r *run) expectSameOwners(before string) {
+	if after := r.epochs(); after != before {
+		r.violate("ownership changed from %s to %s", before, after)
+	}
+}
+
+func storeDown(r *run) {
+	before := r.epochs()
+	from := time.Now()
+	r.setStore(memory.Faults{Down: true})
+	invalid := 0
+	for time.Since(from) < storeOutage {
+		time.Sleep(10 * pollPause)
+		for _, n := range r.nodes {
+			if s, err := n.status(); err == nil && s.LeaseState != "valid" {
+				invalid++
+			}
+		}
+	}
+	r.expectSameOwners(before)
+	to := time.Now()
+	r.setStore(memory.Faults{})
+	if invalid > 0 {
+		r.violate("%d times a live daemon had no valid lease in the outage", invalid)
+	}
+	r.expectServed("in the store outage", from, to)
+}
+
+// expectServed adds the check that no request failed that was called in a time.
+func (r *run) expectServed(when string, from, to time.Time) {
+	r.checks = append(r.checks, func(requests []request, _ []execution) (bad []string) {
+		for _, q := range requests {
+			for _, a := range q.answers {
+				if a.verdict != ran && a.call.After(from) && a.call.Before(to) {
+					bad = append(bad, fmt.Sprintf("%s a %s to %s, %s after the start, ended as %s (%s) after %s",
+						when, q.method, a.daemon, a.call.Sub(from), a.verdict, a.reason, a.end.Sub(a.call)))
+				}
+			}
+		}
+		return bad
+	})
+}
+
+func storeSlowDuringMoves(r *run) {
+	r.setStore(memory.Faults{Delay: 100 * time.Millisecond, LostAnswers: 0.3, Failures: 0.1})
+	r.add(true)
+	time.Sleep(pastLease)
+	r.drainNode(r.nodes[1])
+	time.Sleep(2 * pastLease)
+	r.setStore(memory.Faults{})
+	r.wait("the drained instance owns nothing", func() bool {
+		s, err := r.nodes[1].status()
+		return err == nil && s.RangesOwned == 0
+	})
+}
+
+func (r *run) drainNode(n *node) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+	defer cancel()
+	if _, err := n.admin.Drain(ctx, connect.NewRequest(&basilwayv1.DrainRequest{})); err != nil {
+		r.t.Logf("drain %s: %v", n.name, err)
+	}
+}
+
+func drain(r *run) {
+	n := r.nodes[1]
+	from := time.Now()
+	r.drainNode(n)
+	time.Sleep(pastLease)
+	r.expectServed("in the drain", from, time.Now())
+	r.expectNoWork(n, from.Add(noNewWork), time.Now())
+}
+
+// expectNoWork adds the check that no request began at an instance in a time.
+func (r *run) expectNoWork(n *node, from, to time.Time) {
+	r.checks = append(r.checks, func(_ []request, executions []execution) (bad []string) {
+		for _, e := range executions {
+			if e.server == n.name && e.StartedUS > from.UnixMicro() && e.StartedUS < to.UnixMicro() {
+				bad = append(bad, fmt.Sprintf("%s got %s %d us after it had to be without new work", n.name, e.RequestID, e.StartedUS-from.UnixMicro()))
+			}
+		}
+		return bad
+	})
+}
+
+// terminate stops an instance gracefully. Callers of the other instances must see no
+// failure; those of the stopping one may be told to use another, or find it gone.
+func (r *run) terminate(n *node) {
+	from := time.Now()
+	n.daemon.signal(syscall.SIGTERM)
+	select {
+	case <-n.daemon.ended:
+	case <-time.After(settleLimit):
+		r.violate("%s did not end within %s", n.name, settleLimit)
+		return
+	}
+	to := time.Now()
+	if n.daemon.code != 0 {
+		r.violate("%s ended with exit code %d", n.name, n.daemon.code)
+	}
+	r.t.Logf("%s stopped within %s", n.name, to.Sub(from))
+	r.expectNoWork(n, from.Add(noNewWork), to.Add(noNewWork))
+	r.checks = append(r.checks, func(requests []request, _ []execution) (bad []string) {
+		for _, q := range requests {
+			for _, a := range q.answers {
+				gone := a.daemon == n.name && (a.verdict == notRun && a.reason == "draining" || strings.Contains(a.reason, "connection refused"))
+				if a.verdict != ran && !gone && a.end.After(from) && a.call.Before(to) {
+					bad = append(bad, fmt.Sprintf("in the stop of %s, a %s to %s, %s after the signal, ended as %s (%s) after %s",
+						n.name, q.method, a.daemon, a.call.Sub(from), a.verdict, a.reason, a.end.Sub(a.call)))
+				}
+			}
+		}
+		return bad
+	})
+}
+
+func rollingRestart(r *run) {
+	for _, n := range r.nodes {
+		r.callers.setAvoid(n, true)
+		r.terminate(n)
+		n.startDaemon()
+		r.waitReturned(n)
+		r.waitServed()
+	}
+}
+
+func crashBackend(r *run) {
+	n := r.owner()
+	r.loses(n)
+	r.callers.setAvoid(n, false) // its daemon lives and knows the new owners
+	n.backend.kill()
+	time.Sleep(pastLease)
+	n.startBackend()
+	r.waitAllOwn()
+}
+
+func freezeBackend(r *run) {
+	n := r.owner()
+	r.loses(n)
+	r.callers.setAvoid(n, false)
+	n.backend.signal(syscall.SIGSTOP)
+	time.Sleep(2 * pastLease)
+	n.backend.signal(syscall.SIGCONT)
+	r.waitAllOwn()
+}
+
+// poison sends a request that crashes the server that runs it, again and again.
+func poison(r *run) {
+	const payload = "crash"
+	done := make(chan struct{})
+	defer close(done)
+	for _, n := range r.nodes {
+		n.control(backendsim.Faults{CrashPayload: payload})
+		go func() { // brings crashed servers back, as the platform does
+			for {
+				select {
+				case <-done:
+					return
+				case <-n.backend.ended:
+				}
+				time.Sleep(time.Second)
+				select {
+				case <-done:
+					return
+				default:
+				}
+				n.startBackend()
+				n.control(backendsim.Faults{CrashPayload: payload})
+			}
+		}()
+	}
+	refused := map[string]int{}
+	for i := 0; time.Since(r.begun) < settleLimit && len(refused) < len(r.nodes); i++ {
+		n := r.nodes[i%len(r.nodes)]
+		a := call(n, request{id: newID(), key: r.callers.keys[i%4], method: "poison", payload: payload}, callLimit)
+		r.t.Logf("poison at %s: %s %s", n.name, a.verdict, a.reason)
+		if a.verdict == notRun && a.reason == "quarantined" {
+			refused[n.name]++
+		} else if len(refused) > 0 && a.verdict != notRun {
+			r.violate("after a refusal elsewhere, %s answered %s (%s)", n.name, a.verdict, a.reason)
+		}
+		time.Sleep(4 * pollPause)
+	}
+	if len(refused) < len(r.nodes) {
+		r.violate("the request was refused by %d of %d daemons", len(refused), len(r.nodes))
+	}
+	r.checks = append(r.checks, func(_ []request, executions []execution) (bad []string) {
+		runs := 0
+		for _, e := range executions {
+			if e.Method == "poison" {
+				runs++
+			}
+		}
+		if runs > 2 {
+			bad = append(bad, fmt.Sprintf("the request crashed %d backend servers", runs))
+		}
+		return bad
+	})
+	r.waitAllOwn()
+	r.waitServed()
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -16,7 +16,7 @@
 const crashStatus = 70
 
 func newBackendCommand() *cobra.Command {
-	var listen string
+	var listen, logFile string
 	var cfg backendsim.Config
 	cmd := &cobra.Command{
 		Use:   "backend",
@@ -29,6 +29,14 @@
 			}
 			cfg.Logger = logger
 			cfg.OnCrash = func() { os.Exit(crashStatus) }
+			if logFile != "" {
+				file, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+				if err != nil {
+					return trace.ConvertSystemError(err)
+				}
+				defer func() { _ = file.Close() }()
+				cfg.LogCopy = file
+			}
 			server, err := backendsim.Start(listen, cfg)
 			if err != nil {
 				return trace.Wrap(err)
@@ -50,6 +58,7 @@
 	flags.BoolVar(&cfg.ChecksGrants, "checks-grants", false, "refuse void and superseded grants")
 	flags.DurationVar(&cfg.AnnounceInterval, "announce-interval", time.Second, "time between announcements")
 	flags.IntVar(&cfg.LogSize, "log-size", 0, "entries of the execution log; 200,000 if 0")
+	flags.StringVar(&logFile, "log-file", "", "file to which each entry of the execution log is appended; none if empty")
 	flags.Uint64Var(&cfg.Seed, "seed", 0, "seed of random faults")
 	return cmd
 }
