--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,8 @@
 	end     context.CancelFunc
 	duties  sync.WaitGroup
 	current atomic.Pointer[sessionRuntime]
+	// stopping is set when a graceful stop has begun.
+	stopping atomic.Bool
 	// refusing is set when the daemon takes no new requests.
 	refusing atomic.Bool
 	// drained is set when an operator asked for a drain.
@@ -174,7 +176,7 @@
 		case <-s.lease.stopped:
 		case <-s.owner.removed:
 		}
-		d.log.Warn("session was fenced; joining as a new one", zap.Stringer("session", s.session))
+		d.log.Warn("session was fenced; joining as a new one", zap.Stringer("fenced", s.session))
 		s.end()
 		d.current.Store(newSessionRuntime(d, s.suspects))
 	}
