--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -51,9 +51,10 @@
 	onPlan func(time.Duration, int)
 
 	// The fields below are used only in the mailbox's goroutine.
-	load      *planner.LoadModel
-	watch     *lease.RenewalWatch
-	watchedAt time.Time
+	loadInterval time.Duration
+	load         *planner.LoadModel
+	watch        *lease.RenewalWatch
+	watchedAt    time.Time
 	// aliveUntil is until when a stale renewal row of a live session is ignored.
 	aliveUntil map[cluster.Session]time.Time
 	takeovers  map[cluster.Session]*takeover
@@ -214,16 +215,18 @@
 	return ok && o.Owner == m.From && o.MovingTo == m.To && o.MoveVersion == m.Move
 }
 
-// handleLoad takes a load report.
-func (d *planDuty) handleLoad(ctx context.Context, m wire.LoadReport) (wire.Ack, error) {
-	return wire.Ack{}, d.box.do(ctx, func() {
+// observeLoad takes load reports.
+func (d *planDuty) observeLoad(m wire.LoadReports) {
+	d.box.post(func() {
 		now := time.Now()
 		d.load.Sync(d.replicas.cluster(), now)
-		wasDown := d.load.Down(m.Session)
-		d.load.Observe(m.Session, m.Report, now)
-		if m.Report.Down && !wasDown {
-			d.urgent = true // its units cannot be served until they move
-			d.plannedAt = time.Time{}
+		for _, r := range m.Reports {
+			wasDown := d.load.Down(r.Session)
+			d.load.Observe(r.Session, r.Report, now)
+			if r.Report.Down && !wasDown {
+				d.urgent = true // its units cannot be served until they move
+				d.plannedAt = time.Time{}
+			}
 		}
 	})
 }
@@ -239,6 +242,7 @@
 		return
 	}
 	d.urgent = false
+	d.fitLoadModel(len(state.Members))
 	if due || len(fences) > 0 {
 		d.plannedAt = now
 	}
@@ -251,6 +255,16 @@
 	go batch.commit()
 }
 
+// fitLoadModel replaces the load model when the interval of reports has changed much
+// with the size of the cluster. The next reports fill it.
+func (d *planDuty) fitLoadModel(members int) {
+	interval := planner.ReportInterval(members)
+	if intervalChanged(interval, d.loadInterval) {
+		d.loadInterval = interval
+		d.load = planner.NewLoadModel(planner.DefaultLoadConfig(members))
+	}
+}
+
 func (d *planDuty) readyFences() []lease.CommitFence {
 	var fences []lease.CommitFence
 	for _, t := range d.takeovers {
