--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -12,6 +12,7 @@
 	forwarded *vm.Counter
 	received  *vm.Counter
 	retries   *vm.Counter
+	moveWait  *vm.Histogram
 	planTime  *vm.Histogram
 	moves     *vm.Counter
 	requests  *requestMetrics
@@ -24,6 +25,7 @@
 		forwarded: set.NewCounter("basilway_requests_forwarded_total"),
 		received:  set.NewCounter("basilway_requests_received_from_daemons_total"),
 		retries:   set.NewCounter("basilway_retries_total"),
+		moveWait:  set.NewHistogram("basilway_move_wait_seconds"),
 		planTime:  set.NewHistogram("basilway_plan_duration_seconds"),
 		moves:     set.NewCounter("basilway_plan_entries_total"),
 		requests:  &requestMetrics{set: set},
--- a/internal/daemon/ownerduty.go
+++ b/internal/daemon/ownerduty.go
@@ -39,6 +39,8 @@
 	closeBackend func()
 	// askMove tells the planner that units must move away.
 	askMove func(ownership.MoveReason)
+	// queuedFor is called with the time that each request waited for its unit to move.
+	queuedFor func(time.Duration)
 	// unitsChanged is called after the list of owned units may have changed.
 	unitsChanged func()
 	// closed is closed when a drained daemon owns nothing.
@@ -61,7 +63,7 @@
 	return &ownerDuty{
 		life: life, log: log, session: config.Self, peers: peers, ids: ids, suspects: suspects,
 		gate: machine.Gate(), machine: machine, box: newMailbox(ownerMailboxSize),
-		closeBackend: func() {}, askMove: func(ownership.MoveReason) {}, unitsChanged: func() {},
+		closeBackend: func() {}, askMove: func(ownership.MoveReason) {}, unitsChanged: func() {}, queuedFor: func(time.Duration) {},
 		closed: make(chan struct{}), removed: make(chan struct{}), queued: map[uint64]chan error{},
 	}
 }
@@ -177,6 +179,8 @@
 
 // queue waits until the machine starts or rejects a request of a moving unit.
 func (d *ownerDuty) queue(ctx context.Context, service string, hash uint64, deadline time.Time) error {
+	begin := time.Now()
+	defer func() { d.queuedFor(time.Since(begin)) }()
 	id := d.queuedID.Add(1)
 	wake := make(chan error, 1)
 	d.mu.Lock()
--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -76,6 +76,7 @@
 	s.owner.state = d.replicas.cluster
 	s.owner.closeBackend = func() { s.inFlight.cancelAll(errBackendFrozen) }
 	s.owner.askMove = s.askMove
+	s.owner.queuedFor = func(wait time.Duration) { d.metrics.moveWait.Update(wait.Seconds()) }
 	s.load.status = d.backend.loadStatus
 	s.load.deliver = s.plan.observeLoad
 }
