Commit releases 5 ms after the first of a batch

Cause: releases waited for the planner's tick of 50 ms while requests queued. Change: the first release of a batch schedules the commit.

--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -20,6 +20,9 @@
 	// planTick is how often takeovers step and fences and releases are committed.
 	// Losses and moves that end within one tick share a transaction.
 	planTick = 50 * time.Millisecond
+	// releaseDelay is how long the first release of a batch waits for others, because the
+	// requests of its unit wait meanwhile.
+	releaseDelay = 5 * time.Millisecond
 	// planInterval is the time between plans without a loss.
 	planInterval = time.Second
 	// planCommitTimeout bounds one commit of the planner.
@@ -201,6 +204,11 @@
 	err := d.box.do(ctx, func() {
 		state := d.replicas.cluster()
 		if accepted = state.Planner == d.session && releaseHolds(state, m); accepted {
+			if !d.urgent {
+				time.AfterFunc(releaseDelay, func() {
+					d.box.post(func() { d.commitIfDue(d.replicas.cluster(), time.Now()) })
+				})
+			}
 			d.released[m.Unit] = m
 			d.urgent = true
 		}
