--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -66,12 +66,13 @@
 		r.metrics.requests.finished(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
 		return outcome{}, err
 	}
-	deadline := begin.Add(entry.Limits.Timeout())
-	if d, ok := ctx.Deadline(); ok {
-		deadline = d
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = begin.Add(entry.Limits.Timeout())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	r.budget.FirstTry()
 	out, err := r.try(ctx, request, entry, deadline)
 	r.metrics.requests.finished(entry.Service, entry.Owner, className(entry), time.Since(begin), err)
