--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -42,7 +42,7 @@
   begin_stage
   start_instance 1 booking --slots 64
   local owner_pid=$daemon_pid
-  start daemon-2 bin/basilwayd --instance instance-2 --zone demo/zone-2 --listen "127.0.0.1:$((daemon_ports + 2))" \
+  start daemon-2 env ${daemon_env:-} bin/basilwayd --instance instance-2 --zone demo/zone-2 --listen "127.0.0.1:$((daemon_ports + 2))" \
     --platform-url "http://127.0.0.1:$platform_port" --seeds "127.0.0.1:$((daemon_ports + 1))"
   local forwarder_pid=$last_pid
   apply_entry
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -47,7 +47,7 @@
   shift 2
   local seeds=()
   if ((i > 1)); then seeds=(--seeds 127.0.0.1:$((daemon_ports + 1))); fi
-  start "daemon-$i" bin/basilwayd --instance "instance-$i" --zone "demo/zone-$((i % 3))" \
+  start "daemon-$i" env ${daemon_env:-} bin/basilwayd --instance "instance-$i" --zone "demo/zone-$((i % 3))" \
     --listen "127.0.0.1:$((daemon_ports + i))" --platform-url http://127.0.0.1:$platform_port "${seeds[@]}"
   daemon_pid=$last_pid
   start "backend-$i" bin/standin backend --listen "127.0.0.1:$((backend_ports + i))" --service "$service" \
