--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -55,8 +55,8 @@
 	load         *planner.LoadModel
 	watch        *lease.RenewalWatch
 	watchedAt    time.Time
-	// watched holds the sessions whose witness may be the store.
-	watched map[cluster.Session]bool
+	// peersOnly holds the sessions whose row was seen to name no store as witness.
+	peersOnly map[cluster.Session]bool
 	// aliveUntil is until when a stale renewal row of a live session is ignored.
 	aliveUntil map[cluster.Session]time.Time
 	takeovers  map[cluster.Session]*takeover
@@ -80,7 +80,7 @@
 		notLost: func(cluster.Session, uint64) {}, onPlan: func(time.Duration, int) {},
 		load:       planner.NewLoadModel(planner.DefaultLoadConfig(1)),
 		watch:      lease.NewRenewalWatch(),
-		watched:    map[cluster.Session]bool{},
+		peersOnly:  map[cluster.Session]bool{},
 		aliveUntil: map[cluster.Session]time.Time{},
 		takeovers:  map[cluster.Session]*takeover{}, released: map[cluster.Unit]ownership.Released{},
 	}
