Keep the verdict of earlier tries; check racing operators

Change: the verdict covers all tries. The proof checks the catalogue entry as a compare-and-set register, pairs of failures, and its own checks with broken histories.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,9 @@
 # bench takes some minutes; its results are in out/.
 bench: build
 	scripts/bench.sh
+
+# prove runs all failures with separate processes and the long property tests, and writes
+# the table to prove-out. A part of the scenarios and short property tests run in test.
+prove:
+	BASILWAY_SCHEDULES=10000 go test -count=1 -timeout 60m ./lease ./ownership ./dedupe ./quarantine ./admission
+	BASILWAY_PROVE=1 BASILWAY_PROVE_OUT=$(CURDIR)/prove-out go test -count=1 -timeout 60m -v ./internal/prove
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -138,7 +138,9 @@
 
 // try sends the request, and sends it again as far as the verdict, the retry budget
 // and the deadline allow. Following a changed route is not a retry.
-func (r *router) try(ctx context.Context, request wire.Request, entry catalogue.Entry, deadline time.Time) (outcome, error) {
+func (r *router) try(ctx context.Context, request wire.Request, entry catalogue.Entry, deadline time.Time) (_ outcome, failed error) {
+	mayHaveRun := false
+	defer func() { failed = afterAttempts(failed, mayHaveRun) }()
 	hash := keyspace.Hash(request.Service, request.Key)
 	fingerprint := quarantine.NewFingerprint(request.Service, request.Method, request.Payload)
 	tries, routes := 0, 0
@@ -157,6 +159,7 @@
 			continue
 		}
 		v := verdict.From(err)
+		mayHaveRun = mayHaveRun || v.Verdict != verdict.NotRun
 		if v.Reason == verdict.ReasonBackendCrashed {
 			return outcome{}, v // another try could crash the next backend server
 		}
@@ -172,6 +175,19 @@
 	}
 }
 
+// afterAttempts returns the error of the last attempt for the request as a whole: if an
+// earlier attempt may have run, that the last one did not run is not enough.
+func afterAttempts(err error, mayHaveRun bool) error {
+	if err == nil || !mayHaveRun {
+		return err
+	}
+	v := *verdict.From(err)
+	if v.Verdict == verdict.NotRun && !v.ForID {
+		v.Verdict = verdict.MayHaveRun
+	}
+	return &v
+}
+
 // attempt sends the request once, to the backend server beside this daemon or to the
 // owner's daemon.
 func (r *router) attempt(ctx context.Context, request wire.Request, entry catalogue.Entry, hash uint64) (outcome, error) {
