Write the proof's table after each scenario

Cause: a proof that is aborted, or a scenario that misses a condition, left no row. Change: the table is written after each run, and a missed condition counts as one violation.

--- a/internal/prove/report_test.go
+++ b/internal/prove/report_test.go
@@ -62,13 +62,20 @@
 		r.P50MS = r.times[len(r.times)/2].Milliseconds()
 		r.MaxMS = r.times[len(r.times)-1].Milliseconds()
 	}
+	// Written after each run, so that an aborted proof leaves what it had found.
+	if err := writeReport(); err != nil {
+		fmt.Fprintln(os.Stderr, "table not written:", err)
+	}
 }
 
-// printReport prints the table and, with BASILWAY_PROVE_OUT, writes it to a folder.
+// printReport prints the table.
 func printReport() {
-	if len(report.rows) == 0 {
-		return
+	if len(report.rows) > 0 {
+		fmt.Print("\n" + table())
 	}
+}
+
+func table() string {
 	var b strings.Builder
 	b.WriteString("| invariants | failure | runs | requests | violations | lost keys | unavailable p50 / max (ms) | breaks that the checks catch |\n")
 	b.WriteString("| --- | --- | ---: | ---: | ---: | ---: | ---: | --- |\n")
@@ -82,21 +89,24 @@
 	for _, r := range pureBreaks {
 		fmt.Fprintf(&b, "| %s | %s | - | - | - | - | - | %s |\n", r.Point, r.Failure, strings.Join(r.Breaks, ", "))
 	}
-	fmt.Print("\n" + b.String())
+	return b.String()
+}
+
+// writeReport writes the table to the folder in BASILWAY_PROVE_OUT, if there is one.
+func writeReport() error {
 	dir := os.Getenv("BASILWAY_PROVE_OUT")
 	if dir == "" {
-		return
+		return nil
 	}
 	data, err := json.MarshalIndent(report.rows, "", "  ")
-	if err == nil {
-		err = os.MkdirAll(dir, 0o755)
+	if err != nil {
+		return err
 	}
-	for name, content := range map[string][]byte{"prove.json": data, "prove.md": []byte(b.String())} {
-		if err == nil {
-			err = os.WriteFile(filepath.Join(dir, name), content, 0o644)
-		}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
 	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "table not written:", err)
+	if err := os.WriteFile(filepath.Join(dir, "prove.json"), data, 0o644); err != nil {
+		return err
 	}
+	return os.WriteFile(filepath.Join(dir, "prove.md"), []byte(table()), 0o644)
 }
--- a/internal/prove/run_test.go
+++ b/internal/prove/run_test.go
@@ -127,6 +127,12 @@
 // prove runs a scenario once and checks everything that happened.
 func prove(t *testing.T, s scenario, seed uint64) {
 	t.Logf("seed %d", seed)
+	recorded := false
+	defer func() {
+		if !recorded { // a condition was not met in time
+			record(s.point, s.failure, 0, 1, nil, 0, breaksOf(s.failure))
+		}
+	}()
 	r := &run{testCluster: newCluster(t, s.instances, !s.open), begun: time.Now()}
 	r.callers = startCallers(r.testCluster, seed)
 	done := make(chan struct{})
@@ -177,6 +183,7 @@
 		}
 	}
 	t.Logf("%s: %d requests, answers %v, %d executions, unavailable %v", s.failure, len(requests), counts, len(executions), times)
+	recorded = true
 	record(s.point, s.failure, len(requests), len(r.violations), times, len(r.lost), breaksOf(s.failure))
 	for _, v := range r.violations {
 		t.Error(v)
