--- a/internal/prove/run_test.go
+++ b/internal/prove/run_test.go
@@ -41,8 +41,7 @@
 	open bool
 	// timed asserts the 3 s target for the keys that are lost.
 	timed bool
-	// breaks names the deliberate breaks that the checks were shown to catch.
-	fail func(*run)
+	fail  func(*run)
 }
 
 func (r *run) violate(format string, args ...any) {
@@ -128,6 +127,12 @@
 // prove runs a scenario once and checks everything that happened.
 func prove(t *testing.T, s scenario, seed uint64) {
 	t.Logf("seed %d", seed)
+	recorded := false
+	defer func() {
+		if !recorded { // a condition was not met in time
+			record(s.point, s.failure, 0, 1, nil, 0, breaksOf(s.failure))
+		}
+	}()
 	r := &run{testCluster: newCluster(t, s.instances, !s.open), begun: time.Now()}
 	r.callers = startCallers(r.testCluster, seed)
 	done := make(chan struct{})
@@ -178,7 +183,8 @@
 		}
 	}
 	t.Logf("%s: %d requests, answers %v, %d executions, unavailable %v", s.failure, len(requests), counts, len(executions), times)
-	record(s.point, s.failure, len(requests), len(r.violations), times, len(r.lost), breaksOf[s.failure])
+	recorded = true
+	record(s.point, s.failure, len(requests), len(r.violations), times, len(r.lost), breaksOf(s.failure))
 	for _, v := range r.violations {
 		t.Error(v)
 	}
