Tell the daemons that a change of owners concerns directly

Also missing: the cost of the state at the target size. Change: records that set owners or move units go to the daemons named in them; make bench-state fills the feed with members that do not run.

--- a/internal/daemon/clusterwriter.go
+++ b/internal/daemon/clusterwriter.go
@@ -14,6 +14,10 @@
 // appended at the same time. Daemons that start together compete for the head.
 const clusterAttempts = 50
 
+// maxNotified bounds the daemons that are told of a change directly; the others learn
+// it by the spread.
+const maxNotified = 128
+
 // clusterWriter appends to the cluster feed.
 type clusterWriter struct {
 	replicas *replicas
@@ -57,5 +61,26 @@
 	if err != nil {
 		return err
 	}
+	w.replicas.notify(concerned(state, entries), feed.TopicCluster, []feed.Record{rec})
 	return w.replicas.offerWait(context.WithoutCancel(ctx), feed.TopicCluster, []feed.Record{rec})
 }
+
+// concerned returns the addresses of the daemons that a change of owners is about. They
+// are told directly, because their keys are not served until they know.
+func concerned(state *cluster.State, entries []cluster.Entry) []string {
+	sessions := map[cluster.Session]bool{}
+	for _, e := range entries {
+		switch e.Kind {
+		case cluster.EntryOwnerSet, cluster.EntryMoveBegun, cluster.EntryMoveCancelled:
+			owned, _ := state.Get(e.Unit)
+			sessions[owned.Owner], sessions[owned.MovingTo], sessions[e.Session] = true, true, true
+		}
+	}
+	var addresses []string
+	for session := range sessions {
+		if address := state.Members[session].Address; address != "" && len(addresses) < maxNotified {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
--- a/internal/daemon/replicas.go
+++ b/internal/daemon/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,7 +113,15 @@
 }
 
 func (r *replicas) push(ctx context.Context, topic string, records []feed.Record, from string) {
-	targets := r.spread.PushTargets(from)
+	r.sendRecords(ctx, r.spread.PushTargets(from), topic, records)
+}
+
+// notify sends records to certain daemons.
+func (r *replicas) notify(addresses []string, topic string, records []feed.Record) {
+	r.sendRecords(context.Background(), slices.DeleteFunc(addresses, func(a string) bool { return a == r.address }), topic, records)
+}
+
+func (r *replicas) sendRecords(ctx context.Context, targets []string, topic string, records []feed.Record) {
 	for start := 0; start < len(records); start += pushBatch {
 		batch := records[start:min(start+pushBatch, len(records))]
 		body, err := wire.Encode(wire.Push{Topic: topic, Records: batch, From: r.address})
@@ -122,7 +131,11 @@
 		}
 		for _, target := range targets {
 			// A lost push is repaired by the next comparison of versions.
-			go func() { _ = r.peers.Notify(ctx, target, uint8(wire.KindPush), body) }()
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+				defer cancel()
+				_ = r.peers.Notify(ctx, target, uint8(wire.KindPush), body)
+			}()
 		}
 	}
 }
--- a/internal/perfbench/command.go
+++ b/internal/perfbench/command.go
@@ -16,7 +16,7 @@
 	root := &cobra.Command{
 		Use: "benchperf", Short: "Measures daemons and stand-ins that run as separate processes", SilenceUsage: true,
 	}
-	root.AddCommand(pathsCommand(), overloadCommand(), idleCommand(), reportCommand())
+	root.AddCommand(pathsCommand(), overloadCommand(), idleCommand(), fillCommand(), reportCommand())
 	return root
 }
 
