Tell daemons of first calls in the proof, check repeats strictly

Cause: main answers 'not run' for a first call only if it is marked as one. Change: callers mark it; 'not run' for a repeat of a non-idempotent id now counts too.

--- a/internal/prove/caller_test.go
+++ b/internal/prove/caller_test.go
@@ -147,8 +147,6 @@
 		a := call(l.pick(rng, false), r, callLimit)
 		r.answers = append(r.answers, a)
 		if a.verdict != maybe {
-			// A "not run" for a repeat is about the repeat, so the id stays uncertain; the
-			// caller gives it up like one whose repeats are all uncertain.
 			break
 		}
 		if l.stopped(repeatPause) {
@@ -177,6 +175,7 @@
 	a := answer{daemon: n.name, call: time.Now()}
 	reply, err := n.router.Call(ctx, connect.NewRequest(&basilwayv1.CallRequest{
 		Service: service, Key: r.key, Method: r.method, Idempotent: r.idempotent, RequestId: r.id, Payload: []byte(r.payload),
+		FirstCall: len(r.answers) == 0,
 	}))
 	a.end = time.Now()
 	if err != nil {
--- a/internal/prove/checks_test.go
+++ b/internal/prove/checks_test.go
@@ -36,14 +36,15 @@
 	return bad
 }
 
-// checkNotRun returns the requests that ran although each of their answers was "not
-// run". An answer to a repeat speaks of the repeat only.
+// checkNotRun returns the requests that ran although an answer was "not run". Such an
+// answer to a repeat of an idempotent request speaks of the repeat only.
 func checkNotRun(requests []request, executions []execution) (bad []string) {
 	where := byID(executions)
 	for _, r := range requests {
-		certain := len(r.answers) > 0
-		for _, a := range r.answers {
-			certain = certain && a.verdict == notRun
+		refused := func(a answer) bool { return a.verdict == notRun }
+		certain := slices.ContainsFunc(r.answers, refused)
+		if r.idempotent {
+			certain = certain && !slices.ContainsFunc(r.answers, func(a answer) bool { return !refused(a) })
 		}
 		if runs := where[r.id]; certain && len(runs) > 0 {
 			a := r.answers[0]
--- a/internal/prove/scenarios_test.go
+++ b/internal/prove/scenarios_test.go
@@ -337,7 +337,9 @@
 	for i := 0; time.Since(r.begun) < settleLimit && len(refused) < len(r.nodes); i++ {
 		n := r.nodes[i%len(r.nodes)]
 		a := call(n, request{id: newID(), key: r.callers.keys[i%4], method: "poison", payload: payload}, callLimit)
-		r.t.Logf("poison at %s: %s %s", n.name, a.verdict, a.reason)
+		if i < 8 {
+			r.t.Logf("poison at %s: %s %s", n.name, a.verdict, a.reason)
+		}
 		if a.verdict == notRun && a.reason == "quarantined" {
 			refused[n.name]++
 		} else if len(refused) > 0 && a.verdict != notRun {
