--- a/dedupe/config.go
+++ b/dedupe/config.go
@@ -7,9 +7,9 @@
 	DefaultRetention = 10 * time.Minute
 	// DefaultMaxAhead is the bound on the clock difference of daemons.
 	DefaultMaxAhead = 200 * time.Millisecond
-	// DefaultMaxIDs keeps the memory without answers under half of the 32 MB that
-	// control may use on a node.
-	DefaultMaxIDs = 100_000
+	// DefaultMaxIDs keeps the ids and the answers under half of the 32 MB that control
+	// may use on a node. At 5,800 non-idempotent requests a second it lasts 8 s.
+	DefaultMaxIDs = 50_000
 	// DefaultMaxAnswerBytes bounds the kept answers.
 	DefaultMaxAnswerBytes = 4 << 20
 	// evictionBatch is the share of MaxIDs that one eviction drops at most. It
@@ -24,7 +24,7 @@
 	// MaxAhead is how far ahead of the daemon's clock an id may be stamped. Smaller
 	// refuses callers whose clocks are right; larger raises the floors of takeovers.
 	MaxAhead time.Duration
-	// MaxIDs bounds the ids kept, in flight or finished; each takes about 130 bytes.
+	// MaxIDs bounds the ids kept, in flight or finished; each takes about 195 bytes.
 	// With fewer, the floor follows the clock more closely, and slow repeats are
 	// answered MayHaveRun instead of with the kept answer.
 	MaxIDs int
--- a/dedupe/memory.go
+++ b/dedupe/memory.go
@@ -23,6 +23,7 @@
 	count       int
 	answers     list
 	answerBytes int
+	stats       Stats
 	breaks      breaks
 }
 
@@ -37,6 +38,24 @@
 // Len returns the number of ids kept.
 func (m *Memory) Len() int { return m.count }
 
+// Stats are figures for metrics.
+type Stats struct {
+	// IDs and AnswerBytes are what is kept now.
+	IDs, AnswerBytes int
+	// Evicted counts the ids dropped before their retention ended. While it grows,
+	// floors follow the clock more closely than Config.Retention.
+	Evicted uint64
+	// AnswersDropped counts the answers dropped before their id.
+	AnswersDropped uint64
+}
+
+// Stats returns the current figures.
+func (m *Memory) Stats() Stats {
+	s := m.stats
+	s.IDs, s.AnswerBytes = m.count, m.answerBytes
+	return s
+}
+
 func (m *Memory) space(service string) *space {
 	s := m.spaces[service]
 	if s == nil {
@@ -131,6 +150,7 @@
 	if to == ran && answer != nil && r.outcome != answered && len(answer) <= m.config.MaxAnswerBytes {
 		for m.answerBytes+len(answer) > m.config.MaxAnswerBytes {
 			m.dropAnswer(m.answers.head)
+			m.stats.AnswersDropped++
 		}
 		r.outcome, r.answer = answered, answer
 		m.answerBytes += len(answer)
@@ -195,6 +215,7 @@
 			return
 		}
 		m.drop(from, largest)
+		m.stats.Evicted++
 	}
 }
 
