--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -77,7 +77,7 @@
 		parse: func(c *Config, s string) error { return parseDuration(&c.DrainTimeout, s) }},
 	{flag: "metrics", value: "true", about: "serve metrics on the address of --listen", allowed: "true or false",
 		parse: func(c *Config, s string) (err error) { c.Metrics, err = strconv.ParseBool(s); return err }},
-	{flag: "request-ids", value: "100000", allowed: "1000 to 10000000",
+	{flag: "request-ids", value: "50000", allowed: "1000 to 10000000",
 		about: "number of recent request ids in memory; with fewer, repeats are told sooner that they may have run",
 		parse: func(c *Config, s string) error { return parseInt(&c.RequestIDs, s) }},
 }
