Split the daemon's long files by duty

Change: takeovers, the exchange of replicas and the following of routes have files of their own; no code changed.

--- a/internal/daemon/replicas.go
+++ b/internal/daemon/replicas.go
@@ -188,42 +188,6 @@
 	}
 }
 
-// exchange compares versions with a peer, takes what this daemon lacks and sends
-// what the peer lacks.
-func (r *replicas) exchange(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	versions, err := r.versions(ctx)
-	if err != nil {
-		return
-	}
-	reply, err := call[wire.DigestReply](ctx, r.peers, address, wire.KindDigest, wire.Digest{Versions: versions})
-	if err != nil {
-		r.log.Debug("version comparison failed", zap.String("peer", address), zap.Error(err))
-		return
-	}
-	for topic, records := range reply.Records {
-		r.offer(ctx, topic, records, address)
-	}
-	for _, topic := range reply.NeedSnapshot {
-		r.fetchSnapshot(ctx, address, topic)
-	}
-	for topic, theirs := range reply.Versions {
-		if versions[topic] > theirs {
-			r.sendMissing(ctx, address, topic, theirs)
-		}
-	}
-}
-
-func (r *replicas) fetchSnapshot(ctx context.Context, address, topic string) {
-	snapshot, err := call[feed.Snapshot](ctx, r.peers, address, wire.KindSnapshot, wire.SnapshotRequest{Topic: topic})
-	if err != nil {
-		r.log.Warn("snapshot from peer failed", zap.String("peer", address), zap.Error(err))
-		return
-	}
-	r.restore(ctx, topic, snapshot)
-}
-
 func (r *replicas) restore(ctx context.Context, topic string, snapshot feed.Snapshot) {
 	_ = r.box.do(ctx, func() {
 		before := r.feeds[topic].Version()
@@ -236,19 +200,6 @@
 	})
 }
 
-func (r *replicas) sendMissing(ctx context.Context, address, topic string, after uint64) {
-	var records []feed.Record
-	if r.box.do(ctx, func() { records, _ = r.feeds[topic].Since(after, pushBatch) }) != nil || len(records) == 0 {
-		return
-	}
-	body, err := wire.Encode(wire.Push{Topic: topic, Records: records, From: r.address})
-	if err != nil {
-		r.log.Error("encode push", zap.Error(err))
-		return
-	}
-	_ = r.peers.Notify(ctx, address, uint8(wire.KindPush), body)
-}
-
 func (r *replicas) versions(ctx context.Context) (map[string]uint64, error) {
 	versions := make(map[string]uint64, len(r.feeds))
 	err := r.box.do(ctx, func() {
@@ -304,38 +255,3 @@
 		}
 	}
 }
-
-// handleDigest answers a peer's comparison of versions.
-func (r *replicas) handleDigest(ctx context.Context, digest wire.Digest) (wire.DigestReply, error) {
-	reply := wire.DigestReply{Versions: map[string]uint64{}, Records: map[string][]feed.Record{}}
-	err := r.box.do(ctx, func() {
-		for topic, replica := range r.feeds {
-			reply.Versions[topic] = replica.Version()
-			records, kept := replica.Since(digest.Versions[topic], pushBatch)
-			if !kept {
-				reply.NeedSnapshot = append(reply.NeedSnapshot, topic)
-			} else if len(records) > 0 {
-				reply.Records[topic] = records
-			}
-		}
-	})
-	if err != nil {
-		return wire.DigestReply{}, err
-	}
-	return reply, nil
-}
-
-// handleSnapshot answers a peer's request for a snapshot.
-func (r *replicas) handleSnapshot(ctx context.Context, request wire.SnapshotRequest) (feed.Snapshot, error) {
-	var snapshot feed.Snapshot
-	var snapErr error
-	err := r.box.do(ctx, func() {
-		if replica := r.feeds[request.Topic]; replica != nil {
-			snapshot, snapErr = replica.Snapshot()
-		}
-	})
-	if err != nil {
-		return feed.Snapshot{}, err
-	}
-	return snapshot, snapErr
-}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -12,10 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/catalogue"
-	"github.com/basilway/basilway/internal/peer"
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/keyspace"
-	"github.com/basilway/basilway/ownership"
 	"github.com/basilway/basilway/quarantine"
 	"github.com/basilway/basilway/retry"
 	"github.com/basilway/basilway/verdict"
@@ -214,79 +211,6 @@
 	return call[wire.Reply](ctx, r.peers, address, wire.KindForward, request)
 }
 
-// followRoute reports whether the request failed because the route has changed and
-// this daemon now knows the new one.
-func (r *router) followRoute(ctx context.Context, err error) bool {
-	var detail wire.NotOwner
-	if found, decodeErr := peer.DecodeDetail(err, &detail); found && decodeErr == nil {
-		if detail.Address != "" {
-			r.replicas.requestPull(detail.Address)
-		}
-		return r.waitForVersion(ctx, detail.Version)
-	}
-	var lost *ownership.LostError
-	if errors.As(err, &lost) {
-		return r.waitForVersion(ctx, lost.Version)
-	}
-	if verdict.From(err).Reason == verdict.ReasonPeerLost {
-		r.pullSoon()
-	}
-	return false
-}
-
-// pullSoon asks a random member for news, because it may know who took a lost
-// daemon's keys over.
-func (r *router) pullSoon() {
-	now := time.Now().UnixNano()
-	last := r.pulledAt.Load()
-	if now-last < int64(pullInterval) || !r.pulledAt.CompareAndSwap(last, now) {
-		return
-	}
-	for _, m := range r.replicas.cluster().Members { // the order of a map is random
-		r.replicas.requestPull(m.Address)
-		return
-	}
-}
-
-// waitForVersion waits until this daemon knows a cluster version.
-func (r *router) waitForVersion(ctx context.Context, version uint64) bool {
-	limit := time.Now().Add(routeWait)
-	for r.replicas.cluster().Version < version {
-		if time.Now().After(limit) || sleepContext(ctx, 2*time.Millisecond) != nil {
-			return false
-		}
-	}
-	return true
-}
-
-// handleForward runs a request that another daemon forwarded. It is never forwarded
-// again, so routes that differ cannot make a loop.
-func (r *router) handleForward(ctx context.Context, request wire.Request) (wire.Reply, error) {
-	r.metrics.received.Inc()
-	if r.draining() {
-		return wire.Reply{}, errDraining()
-	}
-	entry, ok := r.replicas.book().Get(request.Service)
-	if !ok {
-		// The sender knows a later catalogue; the class only ranks the request.
-		entry = catalogue.Entry{Service: request.Service, Class: catalogue.ClassStandard}
-	}
-	if _, ok := ctx.Deadline(); !ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, entry.Limits.Timeout())
-		defer cancel()
-	}
-	hash := keyspace.Hash(request.Service, request.Key)
-	reply, err := r.session().server.serve(ctx, request, entry, hash)
-	var lost *ownership.LostError
-	if errors.As(err, &lost) {
-		detail := wire.NotOwner{Version: lost.Version, Owner: lost.Owner,
-			Address: r.replicas.cluster().Members[lost.Owner].Address}
-		return wire.Reply{}, peer.WithDetail(verdict.From(err), detail)
-	}
-	return reply, err
-}
-
 func errDraining() error {
 	return verdict.New(verdict.NotRun, verdict.ReasonDraining,
 		"this daemon is stopping; use another one").WithRetryAfter(drainingRetryAfter)
