Enforce catalogue edits at once; answer rejected requests at once

Cause: limits of an edited entry reached admission only with the next change of the cluster, so an accepted edit was not in force; found by reading. The new spec also showed that a rate-limited request was tried again until its deadline. Change: a new catalogue version sets the limits; overloaded and rate_limited are the caller's answer at once, with the time to come back.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,6 +93,7 @@
 	loader := feed.NewLoader(config.Table, config.Objects)
 	d.replicas = newReplicas(log, loader, d.pool, config.Address, spread)
 	d.replicas.onCluster = d.clusterChanged
+	d.replicas.onCatalogue = d.updateLimits
 	writer := feed.NewWriter(config.Table)
 	d.writer = &clusterWriter{replicas: d.replicas, writer: writer}
 	d.editor = &editor{replicas: d.replicas, writer: writer}
--- a/internal/daemon/replicas.go
+++ b/internal/daemon/replicas.go
@@ -46,15 +46,17 @@
 
 	// onCluster is called in the mailbox's goroutine after each new cluster version.
 	onCluster func(*cluster.State)
-	pulls     chan string
-	polls     chan struct{}
+	// onCatalogue is called there after each new catalogue version.
+	onCatalogue func()
+	pulls       chan string
+	polls       chan struct{}
 }
 
 func newReplicas(log *zap.Logger, loader *feed.Loader, peers transport, address string, spread *membership.Spread) *replicas {
 	r := &replicas{
 		log: log, box: newMailbox(replicaMailboxSize), loader: loader, peers: peers, address: address,
 		clusterApplier: newClusterApplier(), catalogueApplier: newCatalogueApplier(),
-		spread: spread, onCluster: func(*cluster.State) {},
+		spread: spread, onCluster: func(*cluster.State) {}, onCatalogue: func() {},
 		pulls: make(chan string, 8), polls: make(chan struct{}, 1),
 	}
 	r.feeds = map[string]*feed.Replica{
@@ -104,7 +106,8 @@
 }
 
 func (r *replicas) changed(topic string) {
-	if topic != feed.TopicCluster {
+	if topic == feed.TopicCatalogue {
+		r.onCatalogue()
 		return
 	}
 	state := r.cluster()
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -159,8 +159,8 @@
 		}
 		v := verdict.From(err)
 		mayHaveRun = mayHaveRun || v.Verdict != verdict.NotRun
-		if v.Reason == verdict.ReasonBackendCrashed {
-			return outcome{}, v // another try could crash the next backend server
+		if final(v.Reason) {
+			return outcome{}, v
 		}
 		decision := r.policy.Next(retry.Attempt{Err: v, Idempotent: request.Idempotent, Tries: tries, Deadline: deadline},
 			r.budget, time.Now(), newRand())
@@ -174,6 +174,13 @@
 	}
 }
 
+// final reports whether an error is the caller's answer at once, although another try
+// could succeed. A request that crashed a backend server could crash the next one, and
+// tries of rejected requests would keep an overloaded server overloaded.
+func final(r verdict.Reason) bool {
+	return r == verdict.ReasonBackendCrashed || r == verdict.ReasonOverloaded || r == verdict.ReasonRateLimited
+}
+
 // afterAttempts returns the error of the last attempt for the request as a whole: if an
 // earlier attempt may have run, that the last one did not run is not enough.
 func afterAttempts(err error, mayHaveRun bool) error {
--- a/internal/daemon/suite_test.go
+++ b/internal/daemon/suite_test.go
@@ -202,6 +202,32 @@
 		Expect(value.(*basilwayv1.CatalogueConflict).Current.Class).To(Equal("background"))
 	})
 
+	It("enforces an edited limit on every daemon without a restart", func() {
+		get, err := nodes[0].catalogue().GetEntries(context.Background(),
+			connect.NewRequest(&basilwayv1.GetEntriesRequest{Service: "booking"}))
+		Expect(err).NotTo(HaveOccurred())
+		limited := get.Msg.Entries[0]
+		limited.Limits = &basilwayv1.Limits{RatePerSecond: 0.001, Burst: 1}
+		version, err := nodes[1].apply(limited, limited.Version)
+		Expect(err).NotTo(HaveOccurred())
+		// Each backend server lets one more request through at most.
+		for i, n := range nodes {
+			Eventually(func() string {
+				_, err := n.call(add(fmt.Sprintf("limited-%d-%d", i, time.Now().UnixNano())))
+				if err == nil {
+					return ""
+				}
+				_, reason := detail(err)
+				return reason
+			}).Should(Equal("rate_limited"))
+		}
+		_, err = nodes[2].apply(entry("booking"), version)
+		Expect(err).NotTo(HaveOccurred())
+		for i, n := range nodes {
+			Eventually(func() error { _, err := n.call(add(fmt.Sprintf("free-%d", i))); return err }).Should(Succeed())
+		}
+	})
+
 	It("refuses edits while the store is down and goes on serving", func() {
 		store.SetFaults(memory.Faults{Down: true})
 		_, err := nodes[0].apply(entry("late"), 0)
