--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -106,3 +106,59 @@
 	g.Expect(r.Restore(Snapshot{Version: 2})).To(Succeed())
 	g.Expect(r.Version()).To(BeEquivalentTo(3))
 }
+
+// sum is an Applier whose state is the number of records applied.
+type sum struct{ version, records uint64 }
+
+func (s *sum) ApplyRecord(version uint64, _ []byte) error {
+	s.version, s.records = version, s.records+1
+	return nil
+}
+
+func (s *sum) RestoreSnapshot(snapshot Snapshot) error {
+	s.version, s.records = snapshot.Version, uint64(snapshot.Body[0])<<8|uint64(snapshot.Body[1])
+	return nil
+}
+
+func (s *sum) TakeSnapshot() (Snapshot, error) {
+	return Snapshot{Version: s.version, Body: []byte{byte(s.records >> 8), byte(s.records)}}, nil
+}
+
+// Guards against records that are deleted before a snapshot holds them, and against
+// snapshots that pile up in the object store.
+func TestReadersStartFromSnapshotAfterTheLogIsCut(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	store := memory.New(memory.Rates{}, 1)
+	writer, loader := NewWriter(store), NewLoader(store, store.Objects())
+	const records, every, keep = 600, 50, 100
+	state := &sum{}
+	replica := NewReplica("t", 16, state)
+	for v := range uint64(records) {
+		rec, err := writer.Append(ctx, "t", v, []byte("x"), platform.Txn{})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = replica.Offer([]Record{rec})
+		g.Expect(err).NotTo(HaveOccurred())
+		if rec.Version%every == 0 {
+			snapshot, err := replica.Snapshot()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(loader.Archive(ctx, "t", snapshot, keep)).To(Succeed())
+		}
+	}
+	names, err := store.Objects().List(ctx, "snapshot/")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names).To(HaveLen(snapshotSlots))
+	first, err := loader.Records(ctx, "t", 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first[0].Version).To(BeEquivalentTo(records - keep + 1))
+	late := &sum{}
+	reader := NewReplica("t", 16, late)
+	snapshot, err := loader.LatestSnapshot(ctx, "t")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reader.Restore(snapshot)).To(Succeed())
+	rest, err := loader.Records(ctx, "t", reader.Version())
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = reader.Offer(rest)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(late.records).To(BeEquivalentTo(records))
+}
--- a/feed/loader.go
+++ b/feed/loader.go
@@ -51,29 +51,63 @@
 
 // LatestSnapshot reads the latest snapshot; its version is 0 if there is none.
 func (l *Loader) LatestSnapshot(ctx context.Context, topic string) (Snapshot, error) {
-	names, err := l.objects.List(ctx, snapshotPrefix(topic))
-	if err != nil || len(names) == 0 {
+	snapshots, err := l.snapshots(ctx, topic)
+	if err != nil {
 		return Snapshot{}, err
 	}
-	data, err := l.objects.Get(ctx, names[len(names)-1])
+	var latest Snapshot
+	for _, s := range snapshots {
+		if s.Version > latest.Version {
+			latest = s
+		}
+	}
+	return latest, nil
+}
+
+// snapshots reads all snapshots of topic by the names of their objects.
+func (l *Loader) snapshots(ctx context.Context, topic string) (map[string]Snapshot, error) {
+	names, err := l.objects.List(ctx, snapshotPrefix(topic))
 	if err != nil {
-		return Snapshot{}, err
+		return nil, err
 	}
-	var s Snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
-		return Snapshot{}, fmt.Errorf("feed %s snapshot: %w", topic, err)
+	out := make(map[string]Snapshot, len(names))
+	for _, name := range names {
+		data, err := l.objects.Get(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		var s Snapshot
+		if err := cbor.Unmarshal(data, &s); err != nil {
+			return nil, fmt.Errorf("object %s: %w", name, err)
+		}
+		out[name] = s
 	}
-	return s, nil
+	return out, nil
 }
 
-// Archive stores a snapshot and then deletes the log rows that are keep or more
-// versions before it. A reader that needs deleted rows starts from the snapshot.
+// Archive stores a snapshot in place of the oldest one and then deletes the log rows that
+// are keep or more versions before it. A reader that needs deleted rows starts from the
+// snapshot. It does nothing if a later snapshot is stored already.
 func (l *Loader) Archive(ctx context.Context, topic string, s Snapshot, keep uint64) error {
 	data, err := cbor.Marshal(s)
 	if err != nil {
 		return err
 	}
-	if err := l.objects.Put(ctx, snapshotName(topic, s.Version), data); err != nil {
+	stored, err := l.snapshots(ctx, topic)
+	if err != nil {
+		return err
+	}
+	name := snapshotName(topic, 0)
+	for slot := range uint64(snapshotSlots) {
+		candidate := snapshotName(topic, slot)
+		if stored[candidate].Version >= s.Version {
+			return nil
+		}
+		if stored[candidate].Version < stored[name].Version {
+			name = candidate
+		}
+	}
+	if err := l.objects.Put(ctx, name, data); err != nil {
 		return err
 	}
 	if s.Version <= keep {
--- a/feed/record.go
+++ b/feed/record.go
@@ -45,11 +45,16 @@
 	return fmt.Sprintf("%s%020d", LogPrefix(topic), version)
 }
 
+// snapshotSlots is the number of snapshots kept of a topic. Several are kept, because a
+// reader may be reading the one before the latest.
+const snapshotSlots = 4
+
 // snapshotPrefix returns the prefix of the topic's snapshots in the object store.
 func snapshotPrefix(topic string) string { return "snapshot/" + topic + "/" }
 
-func snapshotName(topic string, version uint64) string {
-	return fmt.Sprintf("%s%020d", snapshotPrefix(topic), version)
+// snapshotName returns the name of the object in a slot.
+func snapshotName(topic string, slot uint64) string {
+	return fmt.Sprintf("%s%d", snapshotPrefix(topic), slot)
 }
 
 type head struct {
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -37,6 +37,9 @@
 	// payload by some hundred bytes; hand-overs of busy units need several MB.
 	MaxFrameBytes int
 
+	// DisableMetrics leaves out /metrics.
+	DisableMetrics bool
+
 	Lease     lease.Config
 	Spread    membership.Config
 	Admission admission.Config
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -31,7 +31,9 @@
 	mux.Handle(basilwayv1connect.NewAdminServiceHandler(&adminAPI{daemon: d}, options, guarded))
 	mux.Handle(d.backend.announceHandler(d.listener.Addr(), d.config.OperatorKeys, options))
 	mux.Handle(peer.Path, d.pool)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.write(w) })
+	if !d.config.DisableMetrics {
+		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { d.metrics.write(w) })
+	}
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.ready)
 	protocols := new(http.Protocols)
--- a/internal/daemoncli/command.go
+++ b/internal/daemoncli/command.go
@@ -109,7 +109,7 @@
 	out := daemon.Config{
 		Instance: c.Instance, Zone: c.Zone, Listen: c.Listen.String(), PeerListen: c.PeerListen.String(),
 		PeerKeys: c.PeerKeys, OperatorKeys: c.OperatorKeys, DrainTimeout: c.DrainTimeout,
-		MaxRequestIDs: c.RequestIDs, MaxPayloadBytes: c.MaxPayloadBytes,
+		DisableMetrics: !c.Metrics, MaxRequestIDs: c.RequestIDs, MaxPayloadBytes: c.MaxPayloadBytes,
 		Lease: leaseConfig(c), Spread: membership.DefaultConfig(),
 		Table: client, Objects: client.Objects(),
 	}
