Hand cluster changes to a session only after it has started

Cause: while a daemon read the feeds at its start, the first change was handed to duties that did not run yet; the read timed out after 5 s and the daemon went on with the warning that the store is not reachable. Found by reading. Change: a session takes changes once its duties run, and then the latest state.

--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -36,6 +36,8 @@
 	// wanted is the member entry that the cluster feed should have.
 	wanted   atomic.Pointer[cluster.Member]
 	draining atomic.Bool
+	// started is set when the duties run; before that nobody takes their messages.
+	started atomic.Bool
 }
 
 func newSessionRuntime(d *Daemon, known *suspects) *sessionRuntime {
@@ -86,12 +88,16 @@
 	for _, duty := range []func(){s.lease.run, s.owner.run, s.plan.run, s.load.run, s.watchLease, s.keepMember} {
 		s.daemon.duties.Go(duty)
 	}
+	s.started.Store(true)
 	s.backendChanged()
 	s.clusterChanged(s.daemon.replicas.cluster())
 }
 
 // clusterChanged hands a new cluster state to the duties.
 func (s *sessionRuntime) clusterChanged(state *cluster.State) {
+	if !s.started.Load() {
+		return
+	}
 	_ = s.owner.handle(s.life, ownership.StateApplied{State: state})
 	self := s.member()
 	if known, ok := state.Members[s.session]; ok {
@@ -103,6 +109,9 @@
 
 // backendChanged hands the state of the backend server to the duties.
 func (s *sessionRuntime) backendChanged() {
+	if !s.started.Load() {
+		return
+	}
 	member := s.member()
 	s.wanted.Store(&member)
 	_ = s.owner.handle(s.life, ownership.BackendChanged{State: s.daemon.backend.ownershipState()})
