End the children of a killed proof; wait for owners at the start again

Cause: an aborted proof left its daemons behind. Change: children get a parent-death signal from a thread that stays, and the test process ends with its parent. The scenarios wait until each instance owns units, as at first.

--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -62,7 +62,7 @@
 	nodes    []*node
 }
 
-// newCluster starts instances and waits until all of them are members.
+// newCluster starts instances and waits until each of them owns units.
 func newCluster(t *testing.T, instances int, checkGrants bool) *testCluster {
 	t.Helper()
 	c := &testCluster{t: t, dir: t.TempDir(), network: newNetwork(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
@@ -83,7 +83,7 @@
 		_, err := c.nodes[0].apply("critical", 0, 0)
 		return err == nil || connect.CodeOf(err) == connect.CodeAborted
 	})
-	c.waitJoined()
+	c.waitAllOwn()
 	if instances > lease.MaxWitnesses {
 		c.waitSteady()
 	}
@@ -291,16 +291,19 @@
 	}
 }
 
-// waitJoined waits until all running instances are members, nothing moves, and all of
-// them know the same assignment. How many keys each owns is up to the planner.
-func (c *testCluster) waitJoined() {
+// waitAllOwn waits until all running instances are members and own units, nothing moves,
+// and all of them know the same assignment.
+func (c *testCluster) waitAllOwn() {
 	c.t.Helper()
-	c.wait("all instances are members and nothing moves", func() bool {
+	c.wait("all instances own units and nothing moves", func() bool {
+		owners := map[string]bool{}
 		versions := map[uint64]bool{}
+		live := 0
 		for _, n := range c.nodes {
 			if !n.daemon.alive() {
 				continue
 			}
+			live++
 			reply, err := n.owners()
 			if err != nil {
 				return false
@@ -310,6 +313,7 @@
 				if r.MovingTo != "" || r.Instance == "" {
 					return false
 				}
+				owners[r.Instance] = true
 			}
 			status, err := n.status()
 			if err != nil || !slices.ContainsFunc(status.Members, func(m *basilwayv1.MemberStatus) bool {
@@ -318,6 +322,6 @@
 				return false
 			}
 		}
-		return len(versions) == 1
+		return len(owners) == live && len(versions) == 1
 	})
 }
--- a/internal/prove/process_test.go
+++ b/internal/prove/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,8 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	go runStarter()
+	go exitWithParent(os.Getppid())
 	os.Exit(func() int {
 		dir, err := os.MkdirTemp("", "basilway-prove-")
 		if err != nil {
@@ -28,7 +31,10 @@
 		binaries = dir
 		build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "./cmd/basilwayd", "./cmd/standin")
 		build.Dir = filepath.Join("..", "..")
-		if out, err := build.CombinedOutput(); err != nil {
+		build.SysProcAttr = childAttributes()
+		var out []byte
+		onStarter(func() { out, err = build.CombinedOutput() })
+		if err != nil {
 			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 			return 1
 		}
@@ -38,6 +44,39 @@
 	}())
 }
 
+// starts are the functions that runStarter calls.
+var starts = make(chan func())
+
+// runStarter calls the functions that start children. The parent-death signal of a child
+// comes when the thread that started it ends, so this thread stays until the process ends.
+func runStarter() {
+	runtime.LockOSThread()
+	for f := range starts {
+		f()
+	}
+}
+
+// onStarter calls f on the thread of runStarter and waits for its return.
+func onStarter(f func()) {
+	done := make(chan struct{})
+	starts <- func() {
+		defer close(done)
+		f()
+	}
+	<-done
+}
+
+// exitWithParent ends the test process when its parent ends: the go command does not end
+// the tests when it is killed.
+func exitWithParent(parent int) {
+	for range time.Tick(time.Second) {
+		if os.Getppid() != parent {
+			fmt.Fprintln(os.Stderr, "the parent process ended")
+			os.Exit(1)
+		}
+	}
+}
+
 // process is a child of the test. Its output goes to a file.
 type process struct {
 	cmd   *exec.Cmd
@@ -71,7 +110,9 @@
 			}
 		})
 	}
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.SysProcAttr = childAttributes()
+	onStarter(func() { err = p.cmd.Start() })
+	if err != nil {
 		t.Fatal(err)
 	}
 	go func() {
--- a/internal/prove/scenarios_test.go
+++ b/internal/prove/scenarios_test.go
@@ -124,7 +124,7 @@
 // waitReturned waits until an instance is a member again.
 func (r *run) waitReturned(n *node) {
 	r.callers.setAvoid(n, false)
-	r.waitJoined()
+	r.waitAllOwn()
 }
 
 func cutStore(r *run) {
@@ -295,7 +295,7 @@
 	n.backend.kill()
 	time.Sleep(pastLease)
 	n.startBackend()
-	r.waitJoined()
+	r.waitAllOwn()
 }
 
 func freezeBackend(r *run) {
@@ -305,7 +305,7 @@
 	n.backend.signal(syscall.SIGSTOP)
 	time.Sleep(2 * pastLease)
 	n.backend.signal(syscall.SIGCONT)
-	r.waitJoined()
+	r.waitAllOwn()
 }
 
 // poison sends a request that crashes the server that runs it, again and again.
@@ -362,7 +362,7 @@
 		}
 		return bad
 	})
-	r.waitJoined()
+	r.waitAllOwn()
 	r.waitServed()
 }
 
@@ -414,7 +414,7 @@
 				group.Go(func() { pairs[names[0]](r, r.nodes[nodes[0]]) })
 				group.Go(func() { time.Sleep(offset); pairs[names[1]](r, r.nodes[nodes[1]]) })
 				group.Wait()
-				r.waitJoined()
+				r.waitAllOwn()
 			}}, seed)
 		})
 	}
