Check the histories of the proof with porcupine

Cause: the checks of the register of owners and of the catalogue entry were own code only. Change: porcupine models of a key's owner by epoch, of at-most-once for each request id, and of a catalogue entry under compare-and-set with unknown outcomes. They run beside the exact checks in each scenario.

--- a/internal/prove/operators_test.go
+++ b/internal/prove/operators_test.go
@@ -109,7 +109,9 @@
 	})
 	var bad []string
 	for _, n := range c.nodes {
-		bad = append(bad, checkRegister(n.history(), edits)...)
+		log := n.history()
+		bad = append(bad, checkRegister(log, edits)...)
+		bad = append(bad, checkEntryHistory(log, edits, historyLimit)...)
 	}
 	t.Logf("%d edits %v", len(edits), counts)
 	record("8", operatorRace, len(edits), len(bad), nil, 0, breaksOf(operatorRace))
--- a/internal/prove/run_test.go
+++ b/internal/prove/run_test.go
@@ -160,6 +160,8 @@
 		{"own answer", checkAnswers(requests, executions)},
 		{"one owner at a time (executions)", checkOwners(executions)},
 		{"one owner at a time (answers)", checkEpochs(requests)},
+		{"one owner at a time (porcupine)", checkOwnerHistory(requests, historyLimit)},
+		{"runs at most once (porcupine)", checkOnceHistory(requests, executions, historyLimit)},
 		{"one assignment at each version", checkFeed(r.samples)},
 	} {
 		r.report(c.name, c.bad)
