Log the reasons of the answers of a scenario

Cause: the log counted verdicts only, which does not tell a refused request of a draining daemon from one that was over a limit. Change: the counts of a scenario are by verdict and reason.

--- a/internal/prove/run_test.go
+++ b/internal/prove/run_test.go
@@ -181,7 +181,8 @@
 	counts := map[string]int{}
 	for _, q := range requests {
 		for _, a := range q.answers {
-			counts[a.verdict]++
+			reason, _, _ := strings.Cut(a.reason, ":") // the text of transport errors has ports
+			counts[strings.TrimSuffix(a.verdict+", "+reason, ", ")]++
 		}
 	}
 	t.Logf("%s: %d requests, answers %v, %d executions, unavailable %v", s.failure, len(requests), counts, len(executions), times)
