--- a/internal/daemon/ownerduty.go
+++ b/internal/daemon/ownerduty.go
@@ -19,7 +19,7 @@
 	// ownerMailboxSize bounds the events that wait for the owner duty.
 	ownerMailboxSize = 4096
 	// ownerTick is the resolution of the owner duty's timers.
-	ownerTick = 50 * time.Millisecond
+	ownerTick = 20 * time.Millisecond
 	// handOverTimeout bounds one attempt to send a hand-over message.
 	handOverTimeout = time.Second
 )
