Answer 'starting' until the catalogue was read once

Change: until both feeds were read once, requests get not_run with reason starting and a time to come back; /readyz says so as well.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,8 @@
 	end     context.CancelFunc
 	duties  sync.WaitGroup
 	current atomic.Pointer[sessionRuntime]
+	// loaded is set when the feeds were read once.
+	loaded atomic.Bool
 	// stopping is set when a graceful stop has begun.
 	stopping atomic.Bool
 	// refusing is set when the daemon takes no new requests.
@@ -105,7 +107,7 @@
 	d.backend = newBackendLink(d)
 	d.router = &router{
 		log: log, replicas: d.replicas, peers: d.pool, session: d.current.Load,
-		budget: retry.NewSharedBudget(retry.BudgetConfig{}), metrics: d.metrics, draining: d.refusing.Load,
+		budget: retry.NewSharedBudget(retry.BudgetConfig{}), metrics: d.metrics, draining: d.refusing.Load, loaded: d.loaded.Load,
 		maxPayloadBytes: config.MaxPayloadBytes,
 	}
 	d.current.Store(newSessionRuntime(d, newSuspects(cluster.Session{}, nil, time.Now())))
@@ -140,6 +142,7 @@
 	}
 	d.log.Info("daemon started", zap.String("address", d.config.Address), zap.String("zone", d.config.Zone))
 	d.loadFeeds(ctx)
+	d.loaded.Store(true)
 	d.runSessions(ctx)
 	select {
 	case err := <-served:
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -57,7 +57,7 @@
 // ready tells whether callers should use this daemon: it knows the cluster and is not
 // stopping. It need not own anything, because it forwards.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.replicas.cluster().Version == 0 {
+	if d.stopping.Load() || !d.loaded.Load() || d.replicas.cluster().Version == 0 {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -47,6 +47,8 @@
 	budget   *retry.SharedBudget
 	policy   retry.Policy
 	metrics  *metrics
+	// loaded reports whether the daemon has read the catalogue and the cluster once.
+	loaded func() bool
 	// draining reports whether the daemon takes no new requests.
 	draining func() bool
 	// pulledAt is when news were asked for because of a lost daemon, in Unix ns.
@@ -96,6 +98,10 @@
 	if r.draining() {
 		return catalogue.Entry{}, errDraining()
 	}
+	if !r.loaded() {
+		return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonStarting,
+			"this daemon has not read the catalogue yet; use another one").WithRetryAfter(startRetry)
+	}
 	if request.Service == "" || request.Key == "" {
 		return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "service and key must not be empty")
 	}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -65,6 +65,10 @@
 	if r.draining() {
 		return wire.Reply{}, errDraining()
 	}
+	if !r.loaded() {
+		return wire.Reply{}, verdict.New(verdict.NotRun, verdict.ReasonStarting,
+			"this daemon has not read the cluster yet").WithRetryAfter(startRetry)
+	}
 	entry, ok := r.replicas.book().Get(request.Service)
 	if !ok {
 		// The sender knows a later catalogue; the class only ranks the request.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -15,6 +15,7 @@
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonDraining       Reason = "draining"
+	ReasonStarting       Reason = "starting"
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonRepeated       Reason = "repeated_request"
 	ReasonIDTooOld       Reason = "request_id_too_old"
