Check the work of a session that left by its incarnation

The trace shows the old process ended 1.2 s after the signal and the executions 3 s after it. Change: executions carry the incarnation of the grant; the check goes by it and has no end, where it ended 3 s after the exit before.

--- a/internal/backendsim/execute.go
+++ b/internal/backendsim/execute.go
@@ -42,7 +42,8 @@
 	s.log.record(Execution{
 		RequestID: msg.GetRequestId(), Service: msg.GetService(), Key: msg.GetKey(), Method: msg.GetMethod(),
 		Tenant: msg.GetTenant(), Idempotent: msg.GetIdempotent(), Instance: msg.GetGrant().GetInstance(),
-		Epoch: msg.GetGrant().GetEpoch(), StartedUS: time.Now().UnixMicro(),
+		Incarnation: msg.GetGrant().GetIncarnation(),
+		Epoch:       msg.GetGrant().GetEpoch(), StartedUS: time.Now().UnixMicro(),
 	})
 	faults := s.Faults()
 	if faults.CrashPayload != "" && faults.CrashPayload == string(msg.GetPayload()) {
--- a/internal/backendsim/executions.go
+++ b/internal/backendsim/executions.go
@@ -15,7 +15,9 @@
 	Tenant     string `json:"tenant"`
 	Idempotent bool   `json:"idempotent"`
 	Instance   string `json:"instance"`
-	Epoch      uint64 `json:"epoch"`
+	// Incarnation is that of the session in the grant.
+	Incarnation uint64 `json:"incarnation"`
+	Epoch       uint64 `json:"epoch"`
 	// StartedUS is the unix time in microseconds.
 	StartedUS int64 `json:"started_us"`
 }
--- a/internal/prove/scenarios_test.go
+++ b/internal/prove/scenarios_test.go
@@ -247,9 +247,27 @@
 	})
 }
 
+// expectNoWorkOf adds the check that a session that left sent no request after a time.
+// The instance's next session may: a restarted daemon serves again within 2 s.
+func (r *run) expectNoWorkOf(n *node, incarnation string, from time.Time) {
+	r.checks = append(r.checks, func(_ []request, executions []execution) (bad []string) {
+		for _, e := range executions {
+			if e.server == n.name && fmt.Sprintf("%016x", e.Incarnation) == incarnation && e.StartedUS > from.UnixMicro() {
+				bad = append(bad, fmt.Sprintf("%s got %s %d us after it had to be without new work", n.name, e.RequestID, e.StartedUS-from.UnixMicro()))
+			}
+		}
+		return bad
+	})
+}
+
 // terminate stops an instance gracefully. Callers of the other instances must see no
 // failure; those of the stopping one may be told to use another, or find it gone.
 func (r *run) terminate(n *node) {
+	before, err := n.status()
+	if err != nil {
+		r.violate("%s has no status before its stop: %v", n.name, err)
+		return
+	}
 	from := time.Now()
 	n.daemon.signal(syscall.SIGTERM)
 	select {
@@ -263,7 +281,7 @@
 		r.violate("%s ended with exit code %d", n.name, n.daemon.code)
 	}
 	r.t.Logf("%s stopped within %s", n.name, to.Sub(from))
-	r.expectNoWork(n, from.Add(noNewWork), to.Add(noNewWork))
+	r.expectNoWorkOf(n, before.Incarnation, from.Add(noNewWork))
 	r.checks = append(r.checks, func(requests []request, _ []execution) (bad []string) {
 		for _, q := range requests {
 			for _, a := range q.answers {
