Name the test of quarantine that breaks a rule

Cause: the proof's table said that there is none. Change: TestOneCrashIsOneStrike, which gives a strike for each request instead of each crash and asserts that it is noticed, is named.

--- a/internal/prove/report_test.go
+++ b/internal/prove/report_test.go
@@ -31,7 +31,7 @@
 	{Point: "1", Failure: "lease schedules", Breaks: []string{"lease: TestBreaksAreNoticed"}},
 	{Point: "1, 2, 6", Failure: "ownership schedules", Breaks: []string{"ownership: TestModelDetectsBreaks"}},
 	{Point: "5", Failure: "request ids", Breaks: []string{"dedupe: TestModelDetectsBreaks"}},
-	{Point: "4, 5", Failure: "crashing requests", Breaks: []string{"none (quarantine has no test with broken rules)"}},
+	{Point: "4, 5", Failure: "crashing requests", Breaks: []string{"quarantine: TestOneCrashIsOneStrike"}},
 	{Point: "3, 4", Failure: "admission", Breaks: []string{"admission: TestBrokenRulesAreNoticed"}},
 }
 
