Keep the floor margin in one place; remove a dead hook and field

Cause: the margin of request id floors after a loss, a safety constant, stood in three packages, which could drift apart; ownerDuty.unitsChanged and localServer.log were not used. Change: planner and daemon take ownership.DefaultFloorMargin; the unused ones are gone.

--- a/internal/daemon/localserver.go
+++ b/internal/daemon/localserver.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/admission"
 	"github.com/basilway/basilway/catalogue"
@@ -26,7 +25,6 @@
 
 // localServer runs requests for keys that this session owns.
 type localServer struct {
-	log      *zap.Logger
 	session  cluster.Session
 	owner    *ownerDuty
 	lease    *leaseClock
--- a/internal/daemon/ownerduty.go
+++ b/internal/daemon/ownerduty.go
@@ -41,8 +41,6 @@
 	askMove func(ownership.MoveReason)
 	// queuedFor is called with the time that each request waited for its unit to move.
 	queuedFor func(time.Duration)
-	// unitsChanged is called after the list of owned units may have changed.
-	unitsChanged func()
 	// closed is closed when a drained daemon owns nothing.
 	closed chan struct{}
 	// removed is closed when the cluster state no longer has this session.
@@ -63,7 +61,7 @@
 	return &ownerDuty{
 		life: life, log: log, session: config.Self, peers: peers, ids: ids, suspects: suspects,
 		gate: machine.Gate(), machine: machine, box: newMailbox(ownerMailboxSize),
-		closeBackend: func() {}, askMove: func(ownership.MoveReason) {}, unitsChanged: func() {}, queuedFor: func(time.Duration) {},
+		closeBackend: func() {}, askMove: func(ownership.MoveReason) {}, queuedFor: func(time.Duration) {},
 		closed: make(chan struct{}), removed: make(chan struct{}), queued: map[uint64]chan error{},
 	}
 }
@@ -98,9 +96,6 @@
 	for _, action := range d.machine.Handle(event, now) {
 		d.perform(action)
 	}
-	if _, ok := event.(ownership.StateApplied); ok {
-		d.unitsChanged()
-	}
 }
 
 func (d *ownerDuty) perform(action ownership.Action) {
--- a/internal/daemon/planbatch.go
+++ b/internal/daemon/planbatch.go
@@ -58,7 +58,7 @@
 		losses.Fenced = append(losses.Fenced, f.Session)
 	}
 	now := time.Now()
-	losses.FloorMS = now.Add(floorMargin).UnixMilli()
+	losses.FloorMS = now.Add(ownership.DefaultFloorMargin).UnixMilli()
 	entries := b.endedMoves(state)
 	if !b.plan {
 		return entries, extra, nil
--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -27,9 +27,6 @@
 	planInterval = time.Second
 	// planCommitTimeout bounds one commit of the planner.
 	planCommitTimeout = 3 * time.Second
-	// floorMargin is the bound on how far ahead an id may be stamped (200 ms) plus the
-	// bound on the clock difference of daemons (200 ms).
-	floorMargin = 400 * time.Millisecond
 	// takeRoleChance is the chance a tick of a member to become planner while there is
 	// none, times the number of members.
 	takeRoleChance = 0.5
--- a/internal/daemon/sessionruntime.go
+++ b/internal/daemon/sessionruntime.go
@@ -52,7 +52,7 @@
 	s.plan = newPlanDuty(life, log, session, d.config.Table, d.pool, d.replicas, d.writer, d.config.Lease, newRand())
 	s.load = newLoadDuty(life, session, d.pool, d.replicas.cluster)
 	s.server = &localServer{
-		log: log, session: session, owner: s.owner, lease: s.lease.clock, ids: d.ids, suspects: s.suspects,
+		session: session, owner: s.owner, lease: s.lease.clock, ids: d.ids, suspects: s.suspects,
 		slots: d.slots, backend: d.backend.client, serves: d.backend.serves, inFlight: s.inFlight, load: s.load,
 	}
 	s.connect()
--- a/planner/config.go
+++ b/planner/config.go
@@ -90,8 +90,3 @@
 	// FloorMS is the floor of their units in Unix ms, see cluster.Ownership.
 	FloorMS int64
 }
-
-// unknownFloor is added to the time of the plan for a unit that lost its owner in an
-// earlier version: by then the old lease had ended, and ids may be stamped up to 200 ms
-// ahead by clocks that differ by up to 200 ms.
-const unknownFloor = 400 * time.Millisecond
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/ownership"
 )
 
 // Plan returns the entries to commit next, or none. It synchronizes load with state
@@ -128,7 +129,8 @@
 		}
 		floor := v.floorMS
 		if floor == 0 && u.epoch != 0 {
-			floor = v.now.Add(unknownFloor).UnixMilli()
+			// The old lease had ended by now, because the unit has no owner.
+			floor = v.now.Add(ownership.DefaultFloorMargin).UnixMilli()
 		}
 		m := &v.members[to]
 		v.emit(cluster.Entry{Kind: cluster.EntryOwnerSet, Unit: u.id, Session: m.member.Session, FloorMS: floor})
