--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -7,20 +7,20 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/basilway/basilway/platform"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 // lossy answers a commit with ErrUnknown, before or after it took effect, and lets a
 // rival write in between.
 type lossy struct {
-	platform.Table
+	metastore.Table
 	apply bool
 	rival func()
 	fired bool
 }
 
-func (l *lossy) Commit(ctx context.Context, txn platform.Txn) error {
+func (l *lossy) Commit(ctx context.Context, txn metastore.Txn) error {
 	if l.fired {
 		return l.Table.Commit(ctx, txn)
 	}
@@ -33,7 +33,7 @@
 	if l.rival != nil {
 		l.rival()
 	}
-	return platform.ErrUnknown
+	return metastore.ErrUnknown
 }
 
 // Guards against an edit that is reported wrongly after its answer was lost.
@@ -46,7 +46,7 @@
 		{"applied", true, false, nil},
 		{"not applied", false, false, nil},
 		{"applied, then a rival wrote", true, true, nil},
-		{"not applied, a rival won", false, true, platform.ErrConflict},
+		{"not applied, a rival won", false, true, metastore.ErrConflict},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -60,11 +60,11 @@
 					after = 1
 				}
 				table.rival = func() {
-					_, err := NewWriter(store).Append(ctx, "t", after, []byte("rival"), platform.Txn{})
+					_, err := NewWriter(store).Append(ctx, "t", after, []byte("rival"), metastore.Txn{})
 					g.Expect(err).NotTo(HaveOccurred())
 				}
 			}
-			_, err := NewWriter(table).Append(ctx, "t", 0, []byte("mine"), platform.Txn{})
+			_, err := NewWriter(table).Append(ctx, "t", 0, []byte("mine"), metastore.Txn{})
 			if c.want == nil {
 				g.Expect(err).NotTo(HaveOccurred())
 			} else {
@@ -135,7 +135,7 @@
 	state := &sum{}
 	replica := NewReplica("t", 16, state)
 	for v := range uint64(records) {
-		rec, err := writer.Append(ctx, "t", v, []byte("x"), platform.Txn{})
+		rec, err := writer.Append(ctx, "t", v, []byte("x"), metastore.Txn{})
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = replica.Offer([]Record{rec})
 		g.Expect(err).NotTo(HaveOccurred())
--- a/feed/loader.go
+++ b/feed/loader.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // scanBatch is the number of log rows read at once.
@@ -14,12 +14,12 @@
 
 // Loader reads feeds from the platform.
 type Loader struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   metastore.Table
+	objects metastore.ObjectStore
 }
 
 // NewLoader returns a Loader.
-func NewLoader(table platform.Table, objects platform.ObjectStore) *Loader {
+func NewLoader(table metastore.Table, objects metastore.ObjectStore) *Loader {
 	return &Loader{table: table, objects: objects}
 }
 
@@ -117,12 +117,12 @@
 	if err != nil {
 		return err
 	}
-	var txn platform.Txn
+	var txn metastore.Txn
 	for _, row := range rows {
 		if row.Key > LogKey(topic, s.Version-keep) {
 			break
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Writes = append(txn.Writes, metastore.Write{Key: row.Key, Delete: true})
 	}
 	if len(txn.Writes) == 0 {
 		return nil
--- a/feed/writer.go
+++ b/feed/writer.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // resolveInterval is the pause between attempts to learn the fate of a write whose
@@ -18,29 +18,29 @@
 
 // Writer appends records to the feeds of a table. It is safe for concurrent use.
 type Writer struct {
-	table platform.Table
+	table metastore.Table
 }
 
 // NewWriter returns a Writer for table.
-func NewWriter(table platform.Table) *Writer { return &Writer{table: table} }
+func NewWriter(table metastore.Table) *Writer { return &Writer{table: table} }
 
 // Append writes body as version after+1 of topic. The extra conditions and writes
 // are part of the same transaction.
 //
-// Errors: platform.ErrConflict if the head is not at version after or an extra
-// condition does not hold, platform.ErrUnavailable if nothing was written, and
-// platform.ErrUnknown if ctx ended before the outcome of a write was known.
-func (w *Writer) Append(ctx context.Context, topic string, after uint64, body []byte, extra platform.Txn) (Record, error) {
+// Errors: metastore.ErrConflict if the head is not at version after or an extra
+// condition does not hold, metastore.ErrUnavailable if nothing was written, and
+// metastore.ErrUnknown if ctx ended before the outcome of a write was known.
+func (w *Writer) Append(ctx context.Context, topic string, after uint64, body []byte, extra metastore.Txn) (Record, error) {
 	headRow, err := w.table.Get(ctx, HeadKey(topic))
 	if err != nil {
-		return Record{}, fmt.Errorf("%w: read head: %w", platform.ErrUnavailable, err)
+		return Record{}, fmt.Errorf("%w: read head: %w", metastore.ErrUnavailable, err)
 	}
 	current, err := decodeHead(headRow.Value)
 	if err != nil {
 		return Record{}, err
 	}
 	if current != after {
-		return Record{}, fmt.Errorf("%w: feed %s is at version %d, not %d", platform.ErrConflict, topic, current, after)
+		return Record{}, fmt.Errorf("%w: feed %s is at version %d, not %d", metastore.ErrConflict, topic, current, after)
 	}
 	rec := Record{Version: after + 1, Token: uuid.New(), Body: body}
 	txn, err := appendTxn(topic, headRow.Version, rec, extra)
@@ -50,22 +50,22 @@
 	return rec, w.commit(ctx, topic, rec, txn)
 }
 
-func appendTxn(topic string, headRowVersion uint64, rec Record, extra platform.Txn) (platform.Txn, error) {
+func appendTxn(topic string, headRowVersion uint64, rec Record, extra metastore.Txn) (metastore.Txn, error) {
 	headValue, err := encodeHead(rec.Version)
 	if err != nil {
-		return platform.Txn{}, err
+		return metastore.Txn{}, err
 	}
 	logValue, err := cbor.Marshal(rec)
 	if err != nil {
-		return platform.Txn{}, err
+		return metastore.Txn{}, err
 	}
 	logKey := LogKey(topic, rec.Version)
-	return platform.Txn{
-		Conditions: append([]platform.Condition{
+	return metastore.Txn{
+		Conditions: append([]metastore.Condition{
 			{Key: HeadKey(topic), Version: headRowVersion},
 			{Key: logKey, Version: 0},
 		}, extra.Conditions...),
-		Writes: append([]platform.Write{
+		Writes: append([]metastore.Write{
 			{Key: HeadKey(topic), Value: headValue},
 			{Key: logKey, Value: logValue},
 		}, extra.Writes...),
@@ -75,18 +75,18 @@
 // commit sends the transaction until its outcome is known. Sending it again is safe:
 // its condition on the head row holds at most once. A conflict after a lost answer
 // may be our own earlier attempt, so the log row decides.
-func (w *Writer) commit(ctx context.Context, topic string, rec Record, txn platform.Txn) error {
+func (w *Writer) commit(ctx context.Context, topic string, rec Record, txn metastore.Txn) error {
 	inDoubt := false
 	for {
 		err := w.table.Commit(ctx, txn)
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConflict) && !inDoubt:
+		case errors.Is(err, metastore.ErrConflict) && !inDoubt:
 			return err
-		case errors.Is(err, platform.ErrUnavailable) && !inDoubt:
+		case errors.Is(err, metastore.ErrUnavailable) && !inDoubt:
 			return err
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, metastore.ErrConflict):
 			mine, readErr := w.isMine(ctx, topic, rec)
 			if readErr == nil && mine {
 				return nil
@@ -94,11 +94,11 @@
 			if readErr == nil {
 				return err
 			}
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, metastore.ErrUnavailable):
 			inDoubt = true
 		}
 		if waitErr := sleep(ctx, resolveInterval); waitErr != nil {
-			return fmt.Errorf("%w: feed %s version %d: %w", platform.ErrUnknown, topic, rec.Version, err)
+			return fmt.Errorf("%w: feed %s version %d: %w", metastore.ErrUnknown, topic, rec.Version, err)
 		}
 	}
 }
@@ -131,7 +131,7 @@
 		return err
 	}
 	if current >= version {
-		return fmt.Errorf("%w: feed %s version %d is archived", platform.ErrUnknown, topic, version)
+		return fmt.Errorf("%w: feed %s version %d is archived", metastore.ErrUnknown, topic, version)
 	}
 	return nil
 }
--- a/internal/connectplatform/client.go
+++ b/internal/connectplatform/client.go
@@ -10,7 +10,7 @@
 
 	platformv1 "github.com/basilway/basilway/gen/basilway/platform/v1"
 	"github.com/basilway/basilway/gen/basilway/platform/v1/platformv1connect"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 const (
@@ -32,7 +32,7 @@
 	Timeout time.Duration
 }
 
-// Client implements platform.Table; Objects returns its platform.ObjectStore. It is
+// Client implements metastore.Table; Objects returns its metastore.ObjectStore. It is
 // safe for concurrent use.
 type Client struct {
 	timeout   time.Duration
@@ -42,7 +42,7 @@
 	faults    platformv1connect.FaultServiceClient
 }
 
-var _ platform.Table = (*Client)(nil)
+var _ metastore.Table = (*Client)(nil)
 
 // NewClient returns a client. It connects on the first call.
 func NewClient(cfg Config) *Client {
@@ -69,21 +69,21 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements metastore.Table.
+func (c *Client) Get(ctx context.Context, key string) (metastore.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	res, err := c.table.Get(ctx, connect.NewRequest(&platformv1.GetRequest{Key: key}))
 	if err != nil {
-		return platform.Row{}, decodeRead(err)
+		return metastore.Row{}, decodeRead(err)
 	}
 	row := fromWireRow(res.Msg.GetRow())
 	row.Key = key
 	return row, nil
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements metastore.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]metastore.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	res, err := c.table.Scan(ctx, connect.NewRequest(&platformv1.ScanRequest{
@@ -92,15 +92,15 @@
 	if err != nil {
 		return nil, decodeRead(err)
 	}
-	rows := make([]platform.Row, 0, len(res.Msg.GetRows()))
+	rows := make([]metastore.Row, 0, len(res.Msg.GetRows()))
 	for _, row := range res.Msg.GetRows() {
 		rows = append(rows, fromWireRow(row))
 	}
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements metastore.Table.
+func (c *Client) Commit(ctx context.Context, txn metastore.Txn) error {
 	req := &platformv1.CommitRequest{}
 	for _, cond := range txn.Conditions {
 		req.Conditions = append(req.Conditions, &platformv1.Condition{Key: cond.Key, Version: cond.Version})
@@ -115,6 +115,6 @@
 	return decodeWrite(err, &sent)
 }
 
-func fromWireRow(row *platformv1.Row) platform.Row {
-	return platform.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()}
+func fromWireRow(row *platformv1.Row) metastore.Row {
+	return metastore.Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion()}
 }
--- a/internal/connectplatform/connectplatform_test.go
+++ b/internal/connectplatform/connectplatform_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/basilway/basilway/internal/connectplatform"
-	"github.com/basilway/basilway/platform"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 func start(t *testing.T) *connectplatform.Client {
@@ -24,10 +24,10 @@
 	return client
 }
 
-func put(key, value string, version uint64) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: []byte(value)}},
+func put(key, value string, version uint64) metastore.Txn {
+	return metastore.Txn{
+		Conditions: []metastore.Condition{{Key: key, Version: version}},
+		Writes:     []metastore.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -39,14 +39,14 @@
 	g.Expect(row.Version).To(BeZero())
 	g.Expect(c.Commit(ctx, put("a/1", "x", 0))).To(Succeed())
 	g.Expect(c.Commit(ctx, put("a/2", "y", 0))).To(Succeed())
-	g.Expect(c.Commit(ctx, put("a/1", "z", 0))).To(MatchError(platform.ErrConflict))
+	g.Expect(c.Commit(ctx, put("a/1", "z", 0))).To(MatchError(metastore.ErrConflict))
 	rows, err := c.Scan(ctx, "a/", "a/1", 10)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(rows).To(HaveLen(1))
 	g.Expect(string(rows[0].Value)).To(Equal("y"))
 
 	_, err = c.Objects().Get(ctx, "o")
-	g.Expect(err).To(MatchError(platform.ErrNotFound))
+	g.Expect(err).To(MatchError(metastore.ErrNotFound))
 	g.Expect(c.Objects().Put(ctx, "o", []byte("data"))).To(Succeed())
 	g.Expect(c.Objects().List(ctx, "")).To(Equal([]string{"o"}))
 	g.Expect(c.Objects().Get(ctx, "o")).To(Equal([]byte("data")))
@@ -57,11 +57,11 @@
 func TestOutcomeOfFaults(t *testing.T) {
 	g, ctx, c := NewWithT(t), context.Background(), start(t)
 	g.Expect(c.SetFaults(ctx, memory.Faults{LostAnswers: 1})).To(Succeed())
-	g.Expect(c.Commit(ctx, put("a", "x", 0))).To(MatchError(platform.ErrUnknown))
+	g.Expect(c.Commit(ctx, put("a", "x", 0))).To(MatchError(metastore.ErrUnknown))
 	g.Expect(c.SetFaults(ctx, memory.Faults{Down: true})).To(Succeed())
-	g.Expect(c.Commit(ctx, put("b", "x", 0))).To(MatchError(platform.ErrUnavailable))
+	g.Expect(c.Commit(ctx, put("b", "x", 0))).To(MatchError(metastore.ErrUnavailable))
 	_, err := c.Get(ctx, "a")
-	g.Expect(err).To(MatchError(platform.ErrUnavailable))
+	g.Expect(err).To(MatchError(metastore.ErrUnavailable))
 	g.Expect(c.SetFaults(ctx, memory.Faults{})).To(Succeed())
 	row, err := c.Get(ctx, "a")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -84,20 +84,20 @@
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		url := "http://" + l.Addr().String()
 		NewWithT(t).Expect(l.Close()).To(Succeed())
-		NewWithT(t).Expect(commit(url, 10*time.Second)).To(MatchError(platform.ErrUnavailable))
+		NewWithT(t).Expect(commit(url, 10*time.Second)).To(MatchError(metastore.ErrUnavailable))
 	})
 	t.Run("no answer", func(t *testing.T) {
 		release := make(chan struct{})
 		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 		defer s.Close()
 		defer close(release)
-		NewWithT(t).Expect(commit(s.URL, 100*time.Millisecond)).To(MatchError(platform.ErrUnknown))
+		NewWithT(t).Expect(commit(s.URL, 100*time.Millisecond)).To(MatchError(metastore.ErrUnknown))
 	})
 	t.Run("error of an intermediary", func(t *testing.T) {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
 		defer s.Close()
-		NewWithT(t).Expect(commit(s.URL, 10*time.Second)).To(MatchError(platform.ErrUnknown))
+		NewWithT(t).Expect(commit(s.URL, 10*time.Second)).To(MatchError(metastore.ErrUnknown))
 	})
 }
--- a/internal/connectplatform/faults.go
+++ b/internal/connectplatform/faults.go
@@ -7,7 +7,7 @@
 	"connectrpc.com/connect"
 
 	platformv1 "github.com/basilway/basilway/gen/basilway/platform/v1"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 // SetFaults replaces the faults of the stand-in. It works while the store is down.
--- a/internal/connectplatform/objects.go
+++ b/internal/connectplatform/objects.go
@@ -6,18 +6,18 @@
 	"connectrpc.com/connect"
 
 	platformv1 "github.com/basilway/basilway/gen/basilway/platform/v1"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
-// Objects implements platform.ObjectStore.
+// Objects implements metastore.ObjectStore.
 type Objects struct{ client *Client }
 
-var _ platform.ObjectStore = Objects{}
+var _ metastore.ObjectStore = Objects{}
 
 // Objects returns the object store of the platform.
 func (c *Client) Objects() Objects { return Objects{client: c} }
 
-// Put implements platform.ObjectStore.
+// Put implements metastore.ObjectStore.
 func (o Objects) Put(ctx context.Context, name string, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, o.client.timeout)
 	defer cancel()
@@ -27,7 +27,7 @@
 	return decodeWrite(err, &sent)
 }
 
-// Get implements platform.ObjectStore.
+// Get implements metastore.ObjectStore.
 func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.client.timeout)
 	defer cancel()
@@ -38,7 +38,7 @@
 	return res.Msg.GetData(), nil
 }
 
-// List implements platform.ObjectStore.
+// List implements metastore.ObjectStore.
 func (o Objects) List(ctx context.Context, prefix string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.client.timeout)
 	defer cancel()
--- a/internal/connectplatform/outcome.go
+++ b/internal/connectplatform/outcome.go
@@ -11,7 +11,7 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // outcomeHeader marks errors that the store itself produced. An error without it may
@@ -25,18 +25,18 @@
 	outcomeNotFound    = "not_found"
 )
 
-// encodeError returns the wire form of an error of platform/memory. ErrUnknown has
+// encodeError returns the wire form of an error of metastore/memory. ErrUnknown has
 // none: the caller drops the connection instead.
 func encodeError(err error) error {
 	var wire *connect.Error
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrConflict):
 		wire = connect.NewError(connect.CodeAborted, err)
 		wire.Meta().Set(outcomeHeader, outcomeConflict)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, metastore.ErrNotFound):
 		wire = connect.NewError(connect.CodeNotFound, err)
 		wire.Meta().Set(outcomeHeader, outcomeNotFound)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, metastore.ErrUnavailable):
 		wire = connect.NewError(connect.CodeUnavailable, err)
 		wire.Meta().Set(outcomeHeader, outcomeUnavailable)
 	default:
@@ -66,7 +66,7 @@
 	if kind := definite(err); kind != nil {
 		return fmt.Errorf("%w: %w", kind, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", metastore.ErrUnavailable, err)
 }
 
 // decodeWrite maps the error of a write. Only an error of the store, or a request that
@@ -79,9 +79,9 @@
 		return fmt.Errorf("%w: %w", kind, err)
 	}
 	if !sent.connected.Load() {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", metastore.ErrUnavailable, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	return fmt.Errorf("%w: %w", metastore.ErrUnknown, err)
 }
 
 // definite returns the platform error that the store itself answered, or nil.
@@ -92,11 +92,11 @@
 	}
 	switch wire.Meta().Get(outcomeHeader) {
 	case outcomeConflict:
-		return platform.ErrConflict
+		return metastore.ErrConflict
 	case outcomeNotFound:
-		return platform.ErrNotFound
+		return metastore.ErrNotFound
 	case outcomeUnavailable:
-		return platform.ErrUnavailable
+		return metastore.ErrUnavailable
 	}
 	return nil
 }
--- a/internal/connectplatform/server.go
+++ b/internal/connectplatform/server.go
@@ -10,8 +10,8 @@
 
 	platformv1 "github.com/basilway/basilway/gen/basilway/platform/v1"
 	"github.com/basilway/basilway/gen/basilway/platform/v1/platformv1connect"
-	"github.com/basilway/basilway/platform"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 // maxScanRows bounds the answer of one Scan.
@@ -55,15 +55,15 @@
 // Commit implements TableServiceHandler. A lost answer drops the connection, so that
 // the client cannot tell it from a broken network.
 func (s tableServer) Commit(ctx context.Context, req *connect.Request[platformv1.CommitRequest]) (*connect.Response[platformv1.CommitResponse], error) {
-	var txn platform.Txn
+	var txn metastore.Txn
 	for _, c := range req.Msg.GetConditions() {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: c.GetKey(), Version: c.GetVersion()})
+		txn.Conditions = append(txn.Conditions, metastore.Condition{Key: c.GetKey(), Version: c.GetVersion()})
 	}
 	for _, w := range req.Msg.GetWrites() {
-		txn.Writes = append(txn.Writes, platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
+		txn.Writes = append(txn.Writes, metastore.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
 	}
 	err := s.store.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, metastore.ErrUnknown) {
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
@@ -121,6 +121,6 @@
 	}), nil
 }
 
-func toWireRow(row platform.Row) *platformv1.Row {
+func toWireRow(row metastore.Row) *platformv1.Row {
 	return &platformv1.Row{Key: row.Key, Value: row.Value, Version: row.Version}
 }
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -18,7 +18,7 @@
 	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
 	"github.com/basilway/basilway/internal/backendsim"
 	"github.com/basilway/basilway/internal/daemon"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 const (
--- a/internal/daemon/catalogueapi.go
+++ b/internal/daemon/catalogueapi.go
@@ -8,7 +8,7 @@
 
 	"github.com/basilway/basilway/catalogue"
 	basilwayv1 "github.com/basilway/basilway/gen/basilway/v1"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -88,10 +88,10 @@
 		return out
 	case errors.As(err, &invalid):
 		return callError(verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%v", err))
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, metastore.ErrUnknown):
 		return callError(verdict.New(verdict.MayHaveRun, verdict.ReasonInternal,
 			"the store did not confirm the edit; read the entry again before repeating it: %v", err))
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrUnavailable), errors.Is(err, metastore.ErrConflict):
 		return callError(verdict.New(verdict.NotRun, verdict.ReasonNoStore, "the edit was not made: %v", err).
 			WithRetryAfter(storeRetryAfter))
 	default:
--- a/internal/daemon/clusterwriter.go
+++ b/internal/daemon/clusterwriter.go
@@ -7,7 +7,7 @@
 
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/feed"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // clusterAttempts bounds how often an append is repeated because another daemon
@@ -27,7 +27,7 @@
 // update appends the entries that build returns for the latest state, with the extra
 // conditions and writes in the same transaction. After a conflict on the head it
 // calls build again with the new state. It returns nil if build has no entries.
-func (w *clusterWriter) update(ctx context.Context, build func(*cluster.State) ([]cluster.Entry, platform.Txn, error)) error {
+func (w *clusterWriter) update(ctx context.Context, build func(*cluster.State) ([]cluster.Entry, metastore.Txn, error)) error {
 	for range clusterAttempts {
 		state := w.replicas.cluster()
 		entries, extra, err := build(state)
@@ -35,21 +35,21 @@
 			return err
 		}
 		err = w.append(ctx, state, entries, extra)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, metastore.ErrConflict) {
 			return err
 		}
 		before := state.Version
 		if err := w.replicas.catchUp(ctx, feed.TopicCluster); err != nil {
-			return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+			return fmt.Errorf("%w: %w", metastore.ErrUnavailable, err)
 		}
 		if w.replicas.cluster().Version == before {
 			return err // an extra condition failed, not the one on the head
 		}
 	}
-	return fmt.Errorf("%w: too many appends to the cluster feed at once", platform.ErrUnavailable)
+	return fmt.Errorf("%w: too many appends to the cluster feed at once", metastore.ErrUnavailable)
 }
 
-func (w *clusterWriter) append(ctx context.Context, state *cluster.State, entries []cluster.Entry, extra platform.Txn) error {
+func (w *clusterWriter) append(ctx context.Context, state *cluster.State, entries []cluster.Entry, extra metastore.Txn) error {
 	if err := state.Check(entries); err != nil {
 		return err
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -7,7 +7,7 @@
 	"github.com/basilway/basilway/internal/config"
 	"github.com/basilway/basilway/lease"
 	"github.com/basilway/basilway/membership"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // Config configures a Daemon.
@@ -44,8 +44,8 @@
 	Spread    membership.Config
 	Admission admission.Config
 
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   metastore.Table
+	Objects metastore.ObjectStore
 }
 
 const (
--- a/internal/daemon/editor.go
+++ b/internal/daemon/editor.go
@@ -8,7 +8,7 @@
 
 	"github.com/basilway/basilway/catalogue"
 	"github.com/basilway/basilway/feed"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // editAttempts bounds how often an edit is repeated because another entry was edited
@@ -23,7 +23,7 @@
 
 // apply commits a change if the entry is at version expected. The error is a
 // *catalogue.ConflictError, a *catalogue.ValidationError, or wraps
-// platform.ErrUnavailable (nothing was written) or platform.ErrUnknown.
+// metastore.ErrUnavailable (nothing was written) or metastore.ErrUnknown.
 func (e *editor) apply(ctx context.Context, change catalogue.Change, expected uint64) (catalogue.Entry, uint64, error) {
 	for range editAttempts {
 		book := e.replicas.book()
@@ -38,10 +38,10 @@
 		if err != nil {
 			return catalogue.Entry{}, 0, err
 		}
-		rec, err := e.writer.Append(ctx, feed.TopicCatalogue, book.Version(), body, platform.Txn{})
-		if errors.Is(err, platform.ErrConflict) {
+		rec, err := e.writer.Append(ctx, feed.TopicCatalogue, book.Version(), body, metastore.Txn{})
+		if errors.Is(err, metastore.ErrConflict) {
 			if err := e.replicas.catchUp(ctx, feed.TopicCatalogue); err != nil {
-				return catalogue.Entry{}, 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+				return catalogue.Entry{}, 0, fmt.Errorf("%w: %w", metastore.ErrUnavailable, err)
 			}
 			continue
 		}
@@ -50,7 +50,7 @@
 		}
 		return e.publish(ctx, change, rec)
 	}
-	return catalogue.Entry{}, 0, fmt.Errorf("%w: too many edits at once", platform.ErrUnavailable)
+	return catalogue.Entry{}, 0, fmt.Errorf("%w: too many edits at once", metastore.ErrUnavailable)
 }
 
 // outdated reports whether the store had a later catalogue than book, which is then
--- a/internal/daemon/leaseduty.go
+++ b/internal/daemon/leaseduty.go
@@ -10,7 +10,7 @@
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/lease"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // leaseMailboxSize bounds the events that wait for the lease duty.
@@ -22,7 +22,7 @@
 	log     *zap.Logger
 	config  lease.Config
 	session cluster.Session
-	table   platform.Table
+	table   metastore.Table
 	peers   transport
 	box     *mailbox
 	clock   *leaseClock
@@ -47,7 +47,7 @@
 	load    map[cluster.Session]int
 }
 
-func newLeaseDuty(life context.Context, log *zap.Logger, config lease.Config, session cluster.Session, table platform.Table, peers transport, rng *rand.Rand) *leaseDuty {
+func newLeaseDuty(life context.Context, log *zap.Logger, config lease.Config, session cluster.Session, table metastore.Table, peers transport, rng *rand.Rand) *leaseDuty {
 	return &leaseDuty{
 		life: life, log: log, config: config, session: session, table: table, peers: peers,
 		box: newMailbox(leaseMailboxSize), clock: &leaseClock{}, stopped: make(chan struct{}),
@@ -221,7 +221,7 @@
 	return d.state().Members[session].Address
 }
 
-func (d *leaseDuty) commit(attempt uint64, txn platform.Txn) {
+func (d *leaseDuty) commit(attempt uint64, txn metastore.Txn) {
 	callCtx, cancel := context.WithTimeout(d.life, storeReadTimeout)
 	defer cancel()
 	err := d.table.Commit(callCtx, txn)
--- a/internal/daemon/memberduty.go
+++ b/internal/daemon/memberduty.go
@@ -9,7 +9,7 @@
 
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/lease"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 const (
@@ -51,8 +51,8 @@
 	if len(s.memberEntries(s.daemon.replicas.cluster())) == 0 {
 		return nil
 	}
-	return s.daemon.writer.update(ctx, func(state *cluster.State) ([]cluster.Entry, platform.Txn, error) {
-		return s.memberEntries(state), platform.Txn{}, nil
+	return s.daemon.writer.update(ctx, func(state *cluster.State) ([]cluster.Entry, metastore.Txn, error) {
+		return s.memberEntries(state), metastore.Txn{}, nil
 	})
 }
 
@@ -87,11 +87,11 @@
 	if err := s.lease.leave(ctx); err != nil {
 		return err
 	}
-	return s.daemon.writer.update(ctx, func(state *cluster.State) ([]cluster.Entry, platform.Txn, error) {
+	return s.daemon.writer.update(ctx, func(state *cluster.State) ([]cluster.Entry, metastore.Txn, error) {
 		if _, ok := state.Members[s.session]; !ok {
-			return nil, platform.Txn{}, nil
+			return nil, metastore.Txn{}, nil
 		}
-		rows := platform.Txn{Writes: []platform.Write{
+		rows := metastore.Txn{Writes: []metastore.Write{
 			{Key: lease.SessionKey(s.session), Delete: true},
 			{Key: lease.RenewalKey(s.session), Delete: true},
 		}}
--- a/internal/daemon/planbatch.go
+++ b/internal/daemon/planbatch.go
@@ -8,9 +8,9 @@
 
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/lease"
+	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/ownership"
 	"github.com/basilway/basilway/planner"
-	"github.com/basilway/basilway/platform"
 )
 
 // planBatch is one transaction of the planner: fences of lost sessions, ends of moves
@@ -46,11 +46,11 @@
 
 // build returns the entries for a state. Releases come first, so that the plan sees
 // the moves that end.
-func (b *planBatch) build(state *cluster.State) ([]cluster.Entry, platform.Txn, error) {
+func (b *planBatch) build(state *cluster.State) ([]cluster.Entry, metastore.Txn, error) {
 	if state.Planner != b.duty.session {
-		return nil, platform.Txn{}, platform.ErrConflict
+		return nil, metastore.Txn{}, metastore.ErrConflict
 	}
-	var extra platform.Txn
+	var extra metastore.Txn
 	var losses planner.Losses
 	for _, f := range b.fences {
 		extra.Conditions = append(extra.Conditions, f.Conditions...)
--- a/internal/daemon/planduty.go
+++ b/internal/daemon/planduty.go
@@ -10,9 +10,9 @@
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/lease"
+	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/ownership"
 	"github.com/basilway/basilway/planner"
-	"github.com/basilway/basilway/platform"
 )
 
 const (
@@ -37,7 +37,7 @@
 	log      *zap.Logger
 	life     context.Context
 	session  cluster.Session
-	table    platform.Table
+	table    metastore.Table
 	peers    transport
 	replicas *replicas
 	writer   *clusterWriter
@@ -73,7 +73,7 @@
 	reporter cluster.Session
 }
 
-func newPlanDuty(life context.Context, log *zap.Logger, session cluster.Session, table platform.Table, peers transport, r *replicas, w *clusterWriter, leaseConfig lease.Config, rng *rand.Rand) *planDuty {
+func newPlanDuty(life context.Context, log *zap.Logger, session cluster.Session, table metastore.Table, peers transport, r *replicas, w *clusterWriter, leaseConfig lease.Config, rng *rand.Rand) *planDuty {
 	return &planDuty{
 		life: life, log: log, session: session, table: table, peers: peers, replicas: r, writer: w,
 		lease: leaseConfig, config: planner.DefaultConfig(), box: newMailbox(planMailboxSize), rng: rng,
@@ -131,11 +131,11 @@
 		ctx, cancel := context.WithTimeout(d.life, planCommitTimeout)
 		defer cancel()
 		before := d.replicas.cluster().Planner
-		err := d.writer.update(ctx, func(s *cluster.State) ([]cluster.Entry, platform.Txn, error) {
+		err := d.writer.update(ctx, func(s *cluster.State) ([]cluster.Entry, metastore.Txn, error) {
 			if _, ok := s.Members[d.session]; !ok || s.Planner != before {
-				return nil, platform.Txn{}, nil
+				return nil, metastore.Txn{}, nil
 			}
-			return []cluster.Entry{{Kind: cluster.EntryPlannerSet, Session: d.session}}, platform.Txn{}, nil
+			return []cluster.Entry{{Kind: cluster.EntryPlannerSet, Session: d.session}}, metastore.Txn{}, nil
 		})
 		if err != nil {
 			d.log.Debug("planner role not taken", zap.Error(err))
--- a/internal/daemon/suite_test.go
+++ b/internal/daemon/suite_test.go
@@ -21,7 +21,7 @@
 	"github.com/basilway/basilway/internal/config"
 	"github.com/basilway/basilway/internal/daemon"
 	"github.com/basilway/basilway/lease"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 func TestDaemon(t *testing.T) {
--- a/internal/perfbench/fill.go
+++ b/internal/perfbench/fill.go
@@ -11,7 +11,7 @@
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/feed"
 	"github.com/basilway/basilway/internal/connectplatform"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // rangesPerMember is the number of ranges that the planner keeps for each member of a
@@ -45,7 +45,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = feed.NewWriter(client).Append(ctx, feed.TopicCluster, 0, body, platform.Txn{})
+	_, err = feed.NewWriter(client).Append(ctx, feed.TopicCluster, 0, body, metastore.Txn{})
 	return trace.Wrap(err)
 }
 
--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -21,7 +21,7 @@
 	"github.com/basilway/basilway/internal/backendsim"
 	"github.com/basilway/basilway/internal/connectplatform"
 	"github.com/basilway/basilway/lease"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 const (
--- a/internal/prove/operators_test.go
+++ b/internal/prove/operators_test.go
@@ -13,7 +13,7 @@
 	"connectrpc.com/connect"
 
 	basilwayv1 "github.com/basilway/basilway/gen/basilway/v1"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 const (
--- a/internal/prove/scenarios_test.go
+++ b/internal/prove/scenarios_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/basilway/basilway/internal/backendsim"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 const (
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/basilway/basilway/internal/connectplatform"
-	"github.com/basilway/basilway/platform/memory"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 func newPlatformCommand() *cobra.Command {
--- a/lease/action.go
+++ b/lease/action.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // Action is what the caller has to do.
@@ -16,13 +16,13 @@
 // CommitRow commits the holder's session row. The answer is Committed.
 type CommitRow struct {
 	Attempt uint64
-	Txn     platform.Txn
+	Txn     metastore.Txn
 }
 
 // CommitRenewal writes the holder's renewal row. The answer is Committed.
 type CommitRenewal struct {
 	Attempt uint64
-	Txn     platform.Txn
+	Txn     metastore.Txn
 }
 
 // ReadRow reads the holder's session row. The answer is RowRead.
@@ -90,8 +90,8 @@
 type CommitFence struct {
 	Attempt    uint64
 	Session    cluster.Session
-	Conditions []platform.Condition
-	Writes     []platform.Write
+	Conditions []metastore.Condition
+	Writes     []metastore.Write
 }
 
 // NeedOperator says that too few witness incarnations still run to decide that the
--- a/lease/event.go
+++ b/lease/event.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // Event is an input of a state machine. The messages Renew, Granted, Refused, Seal
@@ -23,9 +23,9 @@
 	Attempt uint64
 	Outcome Outcome
 	// Session is the session row.
-	Session platform.Row
+	Session metastore.Row
 	// Renewal is the renewal row for ReadLostRow.
-	Renewal platform.Row
+	Renewal metastore.Row
 	// RenewalSince is what RenewalWatch.Observe returned for Renewal; its zero value
 	// means that the row was not watched before.
 	RenewalSince Since
--- a/lease/explore_test.go
+++ b/lease/explore_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // The exploration runs one holder, three witnesses and one takeover through all
@@ -35,7 +35,7 @@
 	witnesses [3]*Witness
 	takeover  *Takeover
 	messages  []exploreMessage
-	row       platform.Row
+	row       metastore.Row
 	commits   []exploreCommit // asked for, not yet applied
 	restarted bool
 	exploring bool // messages beyond exploreInFlight are lost
@@ -44,7 +44,7 @@
 type exploreCommit struct {
 	fence   bool
 	attempt uint64
-	txn     platform.Txn
+	txn     metastore.Txn
 }
 
 func exploreSession(name string) cluster.Session {
@@ -157,7 +157,7 @@
 		case CommitRow:
 			w.commits = append(w.commits, exploreCommit{attempt: a.Attempt, txn: a.Txn})
 		case CommitFence:
-			w.commits = append(w.commits, exploreCommit{fence: true, attempt: a.Attempt, txn: platform.Txn{
+			w.commits = append(w.commits, exploreCommit{fence: true, attempt: a.Attempt, txn: metastore.Txn{
 				Conditions: a.Conditions, Writes: a.Writes}})
 		case ReadRow: // reads are immediate
 			w.act(w.holder.Handle(w.now, RowRead{Attempt: a.Attempt, Outcome: OutcomeApplied, Session: w.row}))
@@ -189,7 +189,7 @@
 	outcome := OutcomeConflict
 	if len(c.txn.Conditions) == 0 || c.txn.Conditions[0].Version == w.row.Version {
 		outcome = OutcomeApplied
-		w.row = platform.Row{Key: c.txn.Writes[0].Key, Value: c.txn.Writes[0].Value, Version: w.row.Version + 1}
+		w.row = metastore.Row{Key: c.txn.Writes[0].Key, Value: c.txn.Writes[0].Value, Version: w.row.Version + 1}
 	}
 	if lost {
 		outcome = OutcomeUnknown
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // phase is the state of a change of the witness set.
@@ -164,14 +164,14 @@
 	}
 	h.sequence++
 	h.current.store().noteSent(h.sequence, now)
-	h.do(CommitRenewal{Attempt: h.sequence, Txn: platform.Txn{
-		Conditions: []platform.Condition{{Key: SessionKey(h.session), Version: h.rowVersion}},
-		Writes:     []platform.Write{h.renewalWrite()},
+	h.do(CommitRenewal{Attempt: h.sequence, Txn: metastore.Txn{
+		Conditions: []metastore.Condition{{Key: SessionKey(h.session), Version: h.rowVersion}},
+		Writes:     []metastore.Write{h.renewalWrite()},
 	}})
 }
 
-func (h *Holder) renewalWrite() platform.Write {
-	return platform.Write{Key: RenewalKey(h.session), Value: RenewalRow{Sequence: h.sequence}.Encode()}
+func (h *Holder) renewalWrite() metastore.Write {
+	return metastore.Write{Key: RenewalKey(h.session), Value: RenewalRow{Sequence: h.sequence}.Encode()}
 }
 
 func (h *Holder) granted(now time.Time, m Granted) {
--- a/lease/holder_change.go
+++ b/lease/holder_change.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // urgency is how soon the witness set must change.
@@ -164,9 +164,9 @@
 	h.phase, h.lastCommit = phaseCommitting, now
 	h.sequence++
 	h.commitAttempt, h.resend = h.sequence, false
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: SessionKey(h.session), Version: h.rowVersion}},
-		Writes: []platform.Write{{Key: SessionKey(h.session),
+	txn := metastore.Txn{
+		Conditions: []metastore.Condition{{Key: SessionKey(h.session), Version: h.rowVersion}},
+		Writes: []metastore.Write{{Key: SessionKey(h.session),
 			Value: SessionRow{Set: h.next.Set, State: RowActive}.Encode()}},
 	}
 	if h.next.Store {
--- a/lease/outcome.go
+++ b/lease/outcome.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // Outcome is what is known about an operation on the table.
@@ -26,11 +26,11 @@
 	switch {
 	case err == nil:
 		return OutcomeApplied
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, metastore.ErrUnknown):
 		return OutcomeUnknown
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, metastore.ErrConflict):
 		return OutcomeConflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, metastore.ErrUnavailable):
 		return OutcomeNotApplied
 	default:
 		return OutcomeUnknown
--- a/lease/row.go
+++ b/lease/row.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // SessionKey returns the key of a session's row.
@@ -78,7 +78,7 @@
 func (r RenewalRow) Encode() []byte { return encode(r) }
 
 // DecodeSessionRow reverses SessionRow.Encode. Its error means a corrupt row.
-func DecodeSessionRow(row platform.Row) (SessionRow, error) {
+func DecodeSessionRow(row metastore.Row) (SessionRow, error) {
 	var r SessionRow
 	if err := cbor.Unmarshal(row.Value, &r); err != nil {
 		return SessionRow{}, fmt.Errorf("row %s: %w", row.Key, err)
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // simEpoch is the start of true time in all simulations.
@@ -64,7 +64,7 @@
 	s := &sim{rng: rand.New(rand.NewPCG(seed, seed)), cfg: cfg, breaks: b, latency: 5 * time.Millisecond,
 		tick: cfg.TickInterval, cut: map[[2]int]time.Duration{},
 		fencedAt: map[cluster.Session]time.Duration{}, needOp: map[cluster.Session]bool{}}
-	s.table = &simTable{sim: s, rows: map[string]platform.Row{}, cut: map[int]time.Duration{}}
+	s.table = &simTable{sim: s, rows: map[string]metastore.Row{}, cut: map[int]time.Duration{}}
 	for i := range nodes {
 		n := &simNode{sim: s, index: i, rate: 0.99 + 0.02*s.rng.Float64(), offset: s.duration(time.Hour)}
 		if s.rng.IntN(2) == 0 {
@@ -171,7 +171,7 @@
 // simTable is the model of the table.
 type simTable struct {
 	sim      *sim
-	rows     map[string]platform.Row
+	rows     map[string]metastore.Row
 	version  uint64
 	downTill time.Duration
 	cut      map[int]time.Duration // nodes that cannot reach the table
@@ -183,7 +183,7 @@
 	return t.sim.now >= t.downTill && t.sim.now >= t.cut[node]
 }
 
-func (t *simTable) apply(txn platform.Txn) Outcome {
+func (t *simTable) apply(txn metastore.Txn) Outcome {
 	for _, c := range txn.Conditions {
 		if t.rows[c.Key].Version != c.Version {
 			return OutcomeConflict
@@ -195,7 +195,7 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+		t.rows[w.Key] = metastore.Row{Key: w.Key, Value: w.Value, Version: t.version}
 		if row, err := DecodeSessionRow(t.rows[w.Key]); err == nil && row.State == RowFenced {
 			session, err := cluster.ParseSession(w.Key[len("session/"):])
 			if err != nil {
@@ -208,7 +208,7 @@
 }
 
 // commit applies txn after a delay and answers node once.
-func (t *simTable) commit(node int, txn platform.Txn, answer func(Outcome)) {
+func (t *simTable) commit(node int, txn metastore.Txn, answer func(Outcome)) {
 	s := t.sim
 	reply := func(d time.Duration, o Outcome) {
 		s.after(d, func() { s.nodes[node].do(func() { answer(o) }) })
@@ -232,14 +232,14 @@
 }
 
 // read answers node with the rows of keys, each read at its own instant in order.
-func (t *simTable) read(node int, keys []string, answer func(Outcome, []platform.Row)) {
+func (t *simTable) read(node int, keys []string, answer func(Outcome, []metastore.Row)) {
 	s := t.sim
-	var rows []platform.Row
+	var rows []metastore.Row
 	var next func()
 	next = func() {
 		if !t.reachable(node) {
 			s.after(s.duration(200*time.Millisecond), func() {
-				s.nodes[node].do(func() { answer(OutcomeNotApplied, make([]platform.Row, len(keys))) })
+				s.nodes[node].do(func() { answer(OutcomeNotApplied, make([]metastore.Row, len(keys))) })
 			})
 			return
 		}
--- a/lease/simnode_test.go
+++ b/lease/simnode_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // simNode is one daemon: its clock, its state machines and its fate.
@@ -119,7 +119,7 @@
 		if m.Session == n.session {
 			continue
 		}
-		n.sim.table.read(n.index, []string{RenewalKey(m.Session)}, func(o Outcome, rows []platform.Row) {
+		n.sim.table.read(n.index, []string{RenewalKey(m.Session)}, func(o Outcome, rows []metastore.Row) {
 			if o == OutcomeApplied {
 				n.watch.Observe(n.clock(), m.Session, rows[0].Version)
 			}
@@ -175,7 +175,7 @@
 		case CommitRenewal:
 			s.table.commit(n.index, a.Txn, func(o Outcome) { n.answer(life, Committed{a.Attempt, o}) })
 		case ReadRow:
-			s.table.read(n.index, []string{a.Key}, func(o Outcome, rows []platform.Row) {
+			s.table.read(n.index, []string{a.Key}, func(o Outcome, rows []metastore.Row) {
 				n.answer(life, RowRead{Attempt: a.Attempt, Outcome: o, Session: rows[0]})
 			})
 		case SendGranted:
@@ -221,7 +221,7 @@
 		switch a := action.(type) {
 		case ReadLostRow:
 			keys := []string{SessionKey(a.Session), RenewalKey(a.Session)}
-			s.table.read(n.index, keys, func(o Outcome, rows []platform.Row) {
+			s.table.read(n.index, keys, func(o Outcome, rows []metastore.Row) {
 				r := RowRead{Attempt: a.Attempt, Outcome: o, Session: rows[0], Renewal: rows[1]}
 				if o == OutcomeApplied {
 					r.RenewalSince = n.watch.Observe(n.clock(), a.Session, rows[1].Version)
@@ -231,7 +231,7 @@
 		case SendSeal:
 			n.toWitness(a.Seal.Witness, a.Seal)
 		case CommitFence:
-			txn := platform.Txn{Conditions: a.Conditions, Writes: a.Writes}
+			txn := metastore.Txn{Conditions: a.Conditions, Writes: a.Writes}
 			s.table.commit(n.index, txn, func(o Outcome) { handle(Committed{a.Attempt, o}) })
 		case NeedOperator:
 			s.needOp[a.Session] = true
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 type takeoverPhase uint8
@@ -253,17 +253,17 @@
 	t.phase = takeoverCommitting
 	t.attempt++
 	key := SessionKey(t.session)
-	fence := CommitFence{Attempt: t.attempt, Session: t.session, Writes: []platform.Write{
+	fence := CommitFence{Attempt: t.attempt, Session: t.session, Writes: []metastore.Write{
 		{Key: key, Value: SessionRow{Set: t.set, State: RowFenced}.Encode()}}}
 	if !t.breaks.unconditionalFence {
-		fence.Conditions = append(fence.Conditions, platform.Condition{Key: key, Version: t.version})
+		fence.Conditions = append(fence.Conditions, metastore.Condition{Key: key, Version: t.version})
 	}
 	if store {
 		fence.Conditions = append(fence.Conditions,
-			platform.Condition{Key: RenewalKey(t.session), Version: t.renewal.Version})
+			metastore.Condition{Key: RenewalKey(t.session), Version: t.renewal.Version})
 	}
 	if t.set.Store {
-		fence.Writes = append(fence.Writes, platform.Write{Key: RenewalKey(t.session), Delete: true})
+		fence.Writes = append(fence.Writes, metastore.Write{Key: RenewalKey(t.session), Delete: true})
 	}
 	t.do(fence)
 }
--- a/lease/takeover_test.go
+++ b/lease/takeover_test.go
@@ -8,7 +8,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // Guards against seals that promise nothing for the row: of another generation, of a
@@ -20,7 +20,7 @@
 	o := NewTakeover(DefaultConfig(), session, named[0])
 	o.Handle(now, Tick{})
 	o.Handle(now, RowRead{Attempt: 1, Outcome: OutcomeApplied,
-		Session: platform.Row{Key: SessionKey(session), Value: row.Encode(), Version: 9}})
+		Session: metastore.Row{Key: SessionKey(session), Value: row.Encode(), Version: 9}})
 	restarted := cluster.Session{Instance: "b", Incarnation: 2}
 	stranger := cluster.Session{Instance: "d", Incarnation: 1}
 	foreign := []Sealed{
--- a/platform/memory/objects.go
+++ b/metastore/memory/objects.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
 // Objects is the object store of a Store.
@@ -15,7 +15,7 @@
 // Objects returns the object store that shares s's rates and faults.
 func (s *Store) Objects() Objects { return Objects{store: s} }
 
-// Put implements platform.ObjectStore.
+// Put implements metastore.ObjectStore.
 func (o Objects) Put(ctx context.Context, name string, data []byte) error {
 	if err := o.store.admit(ctx, o.store.writes); err != nil {
 		return err
@@ -27,7 +27,7 @@
 	return nil
 }
 
-// Get implements platform.ObjectStore.
+// Get implements metastore.ObjectStore.
 func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := o.store.admit(ctx, o.store.reads); err != nil {
 		return nil, err
@@ -37,12 +37,12 @@
 	o.store.counts.Reads++
 	data, ok := o.store.objects[name]
 	if !ok {
-		return nil, fmt.Errorf("%w: %s", platform.ErrNotFound, name)
+		return nil, fmt.Errorf("%w: %s", metastore.ErrNotFound, name)
 	}
 	return slices.Clone(data), nil
 }
 
-// List implements platform.ObjectStore.
+// List implements metastore.ObjectStore.
 func (o Objects) List(ctx context.Context, prefix string) ([]string, error) {
 	if err := o.store.admit(ctx, o.store.reads); err != nil {
 		return nil, err
--- a/platform/memory/store.go
+++ b/metastore/memory/store.go
@@ -13,17 +13,17 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/basilway/basilway/platform"
+	"github.com/basilway/basilway/metastore"
 )
 
-// Store implements platform.Table; Objects returns its platform.ObjectStore. It is
+// Store implements metastore.Table; Objects returns its metastore.ObjectStore. It is
 // safe for concurrent use.
 type Store struct {
 	reads, writes *rate.Limiter
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	rows    map[string]platform.Row
+	rows    map[string]metastore.Row
 	objects map[string][]byte
 	version uint64
 	faults  Faults
@@ -36,7 +36,7 @@
 		reads:   limiter(rates.Reads),
 		writes:  limiter(rates.Writes),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
-		rows:    map[string]platform.Row{},
+		rows:    map[string]metastore.Row{},
 		objects: map[string][]byte{},
 	}
 }
@@ -62,10 +62,10 @@
 	return s.counts
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements metastore.Table.
+func (s *Store) Get(ctx context.Context, key string) (metastore.Row, error) {
 	if err := s.admit(ctx, s.reads); err != nil {
-		return platform.Row{}, err
+		return metastore.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,27 +75,27 @@
 	return row, nil
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements metastore.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]metastore.Row, error) {
 	if err := s.admit(ctx, s.reads); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	var rows []platform.Row
+	var rows []metastore.Row
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			row.Value = slices.Clone(row.Value)
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b metastore.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(len(rows), limit)], nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, txn platform.Txn) error {
+// Commit implements metastore.Table.
+func (s *Store) Commit(ctx context.Context, txn metastore.Txn) error {
 	if err := s.admit(ctx, s.writes); err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	for _, c := range txn.Conditions {
 		if have := s.rows[c.Key].Version; have != c.Version {
 			s.counts.Conflicts++
-			return fmt.Errorf("%w: row %s is at version %d, not %d", platform.ErrConflict, c.Key, have, c.Version)
+			return fmt.Errorf("%w: row %s is at version %d, not %d", metastore.ErrConflict, c.Key, have, c.Version)
 		}
 	}
 	s.counts.Writes++
@@ -114,10 +114,10 @@
 			delete(s.rows, w.Key)
 			continue
 		}
-		s.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version}
+		s.rows[w.Key] = metastore.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version}
 	}
 	if s.rng.Float64() < s.faults.LostAnswers {
-		return fmt.Errorf("%w: answer lost", platform.ErrUnknown)
+		return fmt.Errorf("%w: answer lost", metastore.ErrUnknown)
 	}
 	return nil
 }
@@ -134,14 +134,14 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+			return fmt.Errorf("%w: %w", metastore.ErrUnavailable, ctx.Err())
 		}
 	}
 	if f.Down || failed {
-		return fmt.Errorf("%w: stand-in refuses", platform.ErrUnavailable)
+		return fmt.Errorf("%w: stand-in refuses", metastore.ErrUnavailable)
 	}
 	if err := limit.Wait(ctx); err != nil {
-		return fmt.Errorf("%w: rate limit: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: rate limit: %w", metastore.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/platform/platform.go
+++ b/metastore/metastore.go
@@ -1,6 +1,6 @@
-// Package platform defines what basilway needs of the platform: a transactional
+// Package metastore defines what basilway needs of the platform: a transactional
 // table and an object store. Everything durable goes through these interfaces.
-package platform
+package metastore
 
 import (
 	"context"
