--- /dev/null
+++ b/httproute/table.go
@@ -0,0 +1,107 @@
+package httproute
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Snapshot is one version of the desired state.
+type Snapshot struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Table finds the route of a request.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	hosts    map[string][]Route // longest prefix first
+	services map[string]Service
+}
+
+// NewTable checks a snapshot and indexes it. The error names every fault.
+func NewTable(s Snapshot) (*Table, error) {
+	t := &Table{Version: s.Version, Limits: s.Limits, hosts: map[string][]Route{}, services: map[string]Service{}}
+	var faults []string
+	for _, service := range s.Services {
+		t.services[service.Name] = service
+	}
+	for _, r := range s.Routes {
+		if fault := t.check(r); fault != "" {
+			faults = append(faults, fmt.Sprintf("route %q: %s", r.Name, fault))
+			continue
+		}
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("desired state %d: %s", s.Version, strings.Join(faults, "; "))
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r Route) string {
+	switch {
+	case r.Host == "":
+		return "no host"
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Sprintf("prefix %q must begin and end with a slash", r.Prefix)
+	case r.Timeout <= 0:
+		return "no timeout"
+	case len(r.Parts) == 0:
+		return "no service"
+	}
+	total := 0
+	for _, p := range r.Parts {
+		if _, ok := t.services[p.Service]; !ok {
+			return fmt.Sprintf("unknown service %q", p.Service)
+		}
+		if p.Weight < 0 {
+			return fmt.Sprintf("negative weight of service %q", p.Service)
+		}
+		total += p.Weight
+	}
+	if total == 0 {
+		return "all weights are zero"
+	}
+	return ""
+}
+
+// Match returns the route with the longest prefix that begins path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	routes := t.hosts[strings.ToLower(host)]
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].Prefix) {
+			return &routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// ShardedServices returns the names of the sharded services in order.
+func (t *Table) ShardedServices() []string {
+	var out []string
+	for name, s := range t.services {
+		if s.Sharded {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/daemoncli/node.go
@@ -0,0 +1,79 @@
+package daemoncli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/basilway/basilway/internal/logsink"
+	"github.com/basilway/basilway/internal/node"
+	"github.com/basilway/basilway/platform"
+)
+
+// nodeCommand returns the command that runs the HTTP router on the users' platform.
+func nodeCommand() *cobra.Command {
+	var settings, level string
+	cmd := &cobra.Command{
+		Use:   "node",
+		Short: "Route HTTP requests on the users' platform",
+		Long: `node runs the HTTP router beside a backend server on the users' platform. Its addresses
+and the platform's promises are in the settings file that the platform writes.`,
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error { return runNode(settings, level) },
+	}
+	cmd.Flags().StringVar(&settings, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file (environment "+platform.SettingsVariable+")")
+	cmd.Flags().StringVar(&level, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	return cmd
+}
+
+func runNode(path, level string) error {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	atomic, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	out := logsink.New(os.Stdout)
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapTime
+	encoder.EncodeDuration = zapcore.StringDurationEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, atomic)).With(zap.String("instance", settings.Node.Instance))
+	defer func() { _ = log.Sync() }()
+	settings.Node.Store = platform.NewStore(settings.StoreAddress)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(ctx, log, path)
+	err = node.New(settings.Node, log).Run(ctx)
+	if err != nil {
+		log.Error("ended", zap.Error(err))
+	}
+	return err
+}
+
+// reload checks the settings file on SIGHUP. The addresses of a running process stay as
+// they are.
+func reload(ctx context.Context, log *zap.Logger, path string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		if _, err := platform.ReadSettings(path); err != nil {
+			log.Error("settings file cannot be used; the settings stay in force", zap.Error(err))
+			continue
+		}
+		log.Info("settings file read again")
+	}
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,51 @@
+// Package node runs the HTTP router of one instance: it takes requests of the instance's
+// clients, finds the backend server that may run each, and sends it there through the node
+// beside that server. Decisions are in pure packages (httproute, keyrange, grant,
+// waitqueue, placement, quarantine, retry); this package has the goroutines, clocks and
+// connections.
+package node
+
+import (
+	"time"
+
+	"github.com/basilway/basilway/metastore"
+)
+
+// Config describes one node.
+type Config struct {
+	// Instance is the unique name of the machine, Zone its availability zone.
+	Instance, Zone string
+	// Service is the service of the backend server beside the node.
+	Service string
+	// BackendAddress is where the backend server listens.
+	BackendAddress string
+	// ClientAddress takes requests of the instance's clients, ReadyAddress answers
+	// readiness checks, HeartbeatAddress takes the backend server's announcements.
+	ClientAddress, ReadyAddress, HeartbeatAddress string
+	// PeerAddress is where other nodes reach this one.
+	PeerAddress string
+	// MetricsAddress serves metrics at /metrics; empty turns them off.
+	MetricsAddress string
+	// Store keeps what must outlast the process.
+	Store metastore.WatchedTable
+	// Protocol decodes what clients, backend servers and operators send.
+	Protocol Protocol
+	// Limits of the platform that bound the node's own timing.
+	Bounds Bounds
+}
+
+// Bounds are promises that the platform's operators expect to be kept.
+type Bounds struct {
+	// DrainTimeout is how long after the acknowledgement of its leave a backend server
+	// may get requests.
+	DrainTimeout time.Duration
+	// StopTimeout is how long a process may run after it was told to stop.
+	StopTimeout time.Duration
+	// MaxHold is the longest hold that a backend server accepts.
+	MaxHold time.Duration
+	// RetryShare, RetryWindow and RetryExtra bound the repeated sends to a service over
+	// all nodes: in each window, at most the share of its requests, plus the extra ones.
+	RetryShare  float64
+	RetryWindow time.Duration
+	RetryExtra  int
+}
--- /dev/null
+++ b/internal/node/demand.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"sync"
+	"time"
+)
+
+// keyWork is the nominal work that requests for one key brought.
+type keyWork struct {
+	Key uint16 `cbor:"1,keyasint"`
+	// Micros is the work in microseconds on a backend server of mean speed.
+	Micros uint32 `cbor:"2,keyasint"`
+}
+
+// demandMeter counts the requests that this node took, by service and key, until they
+// are reported to the planner.
+type demandMeter struct {
+	mu       sync.Mutex
+	services map[string]map[uint16]time.Duration
+}
+
+func newDemandMeter() *demandMeter {
+	return &demandMeter{services: map[string]map[uint16]time.Duration{}}
+}
+
+func (d *demandMeter) add(t ticket, work time.Duration) {
+	if !t.sharded {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	keys := d.services[t.service]
+	if keys == nil {
+		keys = map[uint16]time.Duration{}
+		d.services[t.service] = keys
+	}
+	keys[t.key] += work
+}
+
+// take returns what was counted since the last call.
+func (d *demandMeter) take() map[string][]keyWork {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string][]keyWork{}
+	for service, keys := range d.services {
+		for key, work := range keys {
+			out[service] = append(out[service], keyWork{Key: key, Micros: uint32(work.Microseconds())})
+		}
+	}
+	d.services = map[string]map[uint16]time.Duration{}
+	return out
+}
+
+// workMeter keeps the mean time of a route's requests over all backend servers that this
+// node used.
+type workMeter struct {
+	mu     sync.Mutex
+	routes map[string]time.Duration
+}
+
+// initialWork is the expected time on a backend server of a route without answers yet.
+const initialWork = 60 * time.Millisecond
+
+func (n *Node) nominalWork(route string) time.Duration {
+	n.works.mu.Lock()
+	defer n.works.mu.Unlock()
+	if w := n.works.routes[route]; w > 0 {
+		return w
+	}
+	return initialWork
+}
+
+func (n *Node) noteWork(route string, took time.Duration) {
+	n.works.mu.Lock()
+	defer n.works.mu.Unlock()
+	n.works.routes[route] = smooth(n.works.routes[route], took)
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/quarantine"
+	"github.com/basilway/basilway/verdict"
+)
+
+const (
+	// startingRetryAfter is when clients may come back to a node that knows no desired
+	// state yet.
+	startingRetryAfter = 300 * time.Millisecond
+	// maxHeldAnswer is the size in bytes up to which an answer is read whole before it is
+	// passed to the client, so that one that breaks off can be replaced.
+	maxHeldAnswer = 640 << 10
+)
+
+// request is one request of a client.
+type request struct {
+	ticket   ticket
+	route    *httproute.Route
+	exchange httpclient.Exchange
+	started  time.Time
+	sends    int // to backend servers
+	tries    int // including those that nodes refused
+	visited  []string
+	// ran is set once a try may have run.
+	ran bool
+}
+
+// serveClient takes a request of a client of the instance.
+func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	id := r.Header.Get(n.headers.RequestID)
+	routes := n.views.current().Routes
+	if routes == nil {
+		n.reject(w, id, verdict.New(verdict.NotRun, verdict.ReasonStarting, "no desired state is known yet").WithRetryAfter(startingRetryAfter))
+		return
+	}
+	route, ok := routes.Match(r.Host, r.URL.Path)
+	if !ok {
+		n.metrics.count("unknown", "no_route")
+		n.events.request("no route", id, zap.String("host", r.Host), zap.Uint64("version", routes.Version))
+		w.Header().Set(n.headers.RequestID, id)
+		http.Error(w, "no route for this host and path", http.StatusNotFound)
+		return
+	}
+	req, status, err := n.newRequest(w, r, routes, route, started)
+	if err != nil {
+		n.metrics.count(route.Name, "invalid")
+		n.events.request("request invalid", id, zap.String("route", route.Name), zap.Error(err))
+		w.Header().Set(n.headers.RequestID, id)
+		http.Error(w, err.Error(), status)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.ticket.deadline)
+	defer cancel()
+	out := n.route(ctx, req)
+	n.finish(ctx, w, req, out)
+}
+
+// newRequest checks a request and reads its body.
+func (n *Node) newRequest(w http.ResponseWriter, r *http.Request, routes *httproute.Table, route *httproute.Route, started time.Time) (*request, int, error) {
+	left := route.Timeout
+	if value := r.Header.Get(n.headers.DeadlineMS); value != "" {
+		ms, err := strconv.ParseFloat(value, 64)
+		if err != nil || ms < 0 {
+			return nil, http.StatusBadRequest, fmt.Errorf("header %s is %q; milliseconds are expected", n.headers.DeadlineMS, value)
+		}
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	body := io.Reader(r.Body)
+	if routes.Limits.BodyBytes > 0 {
+		body = http.MaxBytesReader(w, r.Body, routes.Limits.BodyBytes)
+	}
+	e, err := n.exchange(r, body)
+	if isTooLarge(err) {
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body is over %d bytes", routes.Limits.BodyBytes)
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest, fmt.Errorf("body cannot be read: %w", err)
+	}
+	e.Header.Set(n.headers.Caller, n.config.Service)
+	e.Header.Del(hopHeader)
+	service := route.Pick(n.sequence.Add(1))
+	info, _ := routes.Service(service)
+	target := route.TargetLatency
+	if target <= 0 {
+		target = left
+	}
+	key, hasKey := parseKey(r.Header.Get(n.headers.Key))
+	if info.Sharded && !hasKey {
+		return nil, http.StatusBadRequest, fmt.Errorf("header %s is %q; a number from 0 to 65535 is expected", n.headers.Key, r.Header.Get(n.headers.Key))
+	}
+	return &request{
+		route: route, exchange: e, started: started,
+		ticket: ticket{
+			service: service, route: route.Name, kind: route.Kind, sharded: info.Sharded, key: key,
+			priority: route.Priority, nested: !hasKey, target: started.Add(target), deadline: started.Add(left),
+			fingerprint: uint64(quarantine.NewFingerprint(n.config.Service, r.Method+" "+r.Host+r.RequestURI, e.Body)),
+		},
+	}, 0, nil
+}
+
+func parseKey(value string) (uint16, bool) {
+	key, err := strconv.ParseUint(value, 10, 16)
+	return uint16(key), err == nil
+}
+
+// reject answers a request that has not run and never will.
+func (n *Node) reject(w http.ResponseWriter, id string, err *verdict.Error) {
+	h := w.Header()
+	h.Set(n.headers.RequestID, id)
+	if err.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
+
+// finish answers the client.
+func (n *Node) finish(ctx context.Context, w http.ResponseWriter, req *request, out outcome) {
+	took := time.Since(req.started)
+	id := req.exchange.ID
+	if out.err == nil {
+		defer out.resp.Body.Close()
+		n.metrics.served(req.route.Name, n.config.Service, out.resp.StatusCode, took)
+		if req.sends > 1 || took > req.route.TargetLatency {
+			n.events.request("served late or repeated", id, zap.String("route", req.route.Name), zap.Int("status", out.resp.StatusCode),
+				zap.Duration("took", took), zap.Int("sends", req.sends), zap.Int("tries", req.tries))
+		}
+		writeHead(w, out.resp)
+		if !copyBody(w, out.resp.Body) {
+			n.events.request("answer broke off", id, zap.String("route", req.route.Name))
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	n.metrics.count(req.route.Name, string(out.err.Reason))
+	n.events.request("request failed", id, zap.String("route", req.route.Name), zap.String("service", req.ticket.service),
+		zap.Uint16("key", req.ticket.key), zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)),
+		zap.Duration("took", took), zap.Int("sends", req.sends), zap.Int("tries", req.tries), zap.Strings("instances", req.visited),
+		zap.Duration("retry after", out.err.RetryAfter), zap.String("cause", out.err.Message))
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// The client is gone; nobody reads an answer.
+		panic(http.ErrAbortHandler)
+	}
+	if out.err.Verdict == verdict.NotRun && !req.ran {
+		n.reject(w, id, out.err)
+		return
+	}
+	w.Header().Set(n.headers.RequestID, id)
+	status := http.StatusBadGateway
+	if out.err.Reason == verdict.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	http.Error(w, out.err.Error(), status)
+}
+
+// hold reads an answer up to maxHeldAnswer, so that one that breaks off can be replaced.
+func hold(out outcome) outcome {
+	resp := out.resp
+	var held bytes.Buffer
+	if resp.ContentLength > 0 && resp.ContentLength <= maxHeldAnswer {
+		held.Grow(int(resp.ContentLength))
+	}
+	_, err := io.CopyN(&held, resp.Body, maxHeldAnswer)
+	if err != nil && !errors.Is(err, io.EOF) {
+		resp.Body.Close()
+		return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "answer broke off after %d bytes: %v", held.Len(), err), arrived: true, load: out.load}
+	}
+	rest := resp.Body
+	if errors.Is(err, io.EOF) {
+		rest.Close()
+		resp.ContentLength = int64(held.Len())
+		resp.Body = io.NopCloser(&held)
+		return out
+	}
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(&held, rest), rest}
+	return out
+}
--- /dev/null
+++ b/internal/node/hop.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/verdict"
+)
+
+// Paths that nodes call on each other besides requests, which carry a ticket.
+const (
+	reportPath = "/basilway/report"
+)
+
+// hop sends a request to the node beside m's backend server.
+func (n *Node) hop(ctx context.Context, m Member, t ticket, e httpclient.Exchange) outcome {
+	if m.Owner.Instance == n.config.Instance {
+		return n.backend.serve(ctx, t, e)
+	}
+	n.peers.begin(m.Address)
+	e.Header = e.Header.Clone()
+	e.Header.Set(hopHeader, t.encode(time.Now()))
+	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
+	out := n.hopOutcome(ctx, resp, err)
+	n.peers.end(m.Address, out, err != nil && ctx.Err() == nil)
+	return out
+}
+
+func (n *Node) hopOutcome(ctx context.Context, resp *http.Response, err error) outcome {
+	if err != nil {
+		return hopFailure(ctx, err)
+	}
+	load := decodePeerLoad(resp.Header.Get(hopLoadHeader))
+	if encoded := resp.Header.Get(hopOutcomeHeader); encoded != "" {
+		drain(resp.Body)
+		resp.Body.Close()
+		out, err := decodeFailure(encoded)
+		if err != nil {
+			out = outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonInternal, "answer of the node cannot be read: %v", err)}
+		}
+		out.load = load
+		return out
+	}
+	resp.Header.Del(hopLoadHeader)
+	return outcome{resp: resp, arrived: true, load: load}
+}
+
+func hopFailure(ctx context.Context, err error) outcome {
+	var failure *httpclient.Error
+	v, reason := verdict.MayHaveRun, verdict.ReasonPeerLost
+	if errors.As(err, &failure) && failure.Stage == httpclient.NotSent {
+		v = verdict.NotRun
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = verdict.ReasonDeadline
+	} else if ctx.Err() != nil {
+		reason = verdict.ReasonCancelled
+	}
+	return outcome{err: verdict.New(v, reason, "%v", err), arrived: v != verdict.NotRun}
+}
+
+// maxDrain bounds the bytes of an unused body that are read to keep its connection.
+const maxDrain = 64 << 10
+
+// drain reads the rest of a short body, so that its connection can be used again.
+func drain(r io.Reader) {
+	// A longer or broken body only costs its connection.
+	_, _ = io.CopyN(io.Discard, r, maxDrain)
+}
+
+// servePeer takes a request that another node passes on.
+func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
+	t, err := decodeTicket(r.Header.Get(hopHeader), time.Now())
+	if err != nil {
+		n.log.Warn("request of another node rejected", zap.String("remote", r.RemoteAddr), zap.Error(err))
+		http.Error(w, "not a request of a node: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Header.Del(hopHeader)
+	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
+	defer cancel()
+	e, err := n.exchange(r, r.Body)
+	if err != nil {
+		// Without the whole request nothing was sent; the other node sees it as lost.
+		panic(http.ErrAbortHandler)
+	}
+	out := n.backend.serve(ctx, t, e)
+	h := w.Header()
+	h.Set(hopLoadHeader, out.load.encode())
+	if n.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	if out.err != nil {
+		n.logOutcome(t, e.ID, out, "peer")
+		h.Set(n.headers.RequestID, e.ID)
+		h.Set(hopOutcomeHeader, encodeFailure(out))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer out.resp.Body.Close()
+	writeHead(w, out.resp)
+	if !copyBody(w, out.resp.Body) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBuffer is the size in bytes of the pieces in which a body is passed on.
+const copyBuffer = 16 << 10
+
+// copyBody passes a body on and reports whether it came to its end.
+func copyBody(w io.Writer, body io.Reader) bool {
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{body}, make([]byte, copyBuffer))
+	return err == nil
+}
--- /dev/null
+++ b/internal/node/keywriter.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore"
+)
+
+// keyWritePause is the pause before a write of the key table is tried again.
+const keyWritePause = 60 * time.Millisecond
+
+// errNoChange is returned by an edit that has nothing to write.
+var errNoChange = errors.New("nothing to change")
+
+// keyEdit computes the next key table of a service, and rows to write with it.
+type keyEdit func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error)
+
+// keyWriter changes key tables in the store.
+type keyWriter struct {
+	store metastore.WatchedTable
+	views *viewStore
+	log   *zap.Logger
+}
+
+// update applies edit to the newest key table and writes the result on the condition that
+// the row is unchanged, until the outcome is certain, edit fails or ctx ends. The view
+// shows the result when update returns.
+func (w *keyWriter) update(ctx context.Context, service string, edit keyEdit) error {
+	for {
+		err := w.try(ctx, service, edit)
+		if err == nil || errors.Is(err, errNoChange) {
+			return nil
+		}
+		if !retryableStoreError(err) {
+			return err
+		}
+		w.log.Debug("key table not written", zap.String("service", service), zap.Error(err))
+		sleep(ctx, jitter(keyWritePause))
+		if ctx.Err() != nil {
+			return err
+		}
+		// The view must not be behind the row, or the next try fails as well, and after a
+		// lost answer it must show the write.
+		if listing, err := w.store.List(ctx, clusterTable); err == nil {
+			w.views.replace(clusterTable, listing)
+		}
+	}
+}
+
+func retryableStoreError(err error) bool {
+	return errors.Is(err, metastore.ErrConflict) || errors.Is(err, metastore.ErrUnavailable) || errors.Is(err, metastore.ErrUnknown)
+}
+
+func (w *keyWriter) try(ctx context.Context, service string, edit keyEdit) error {
+	table, ok := w.views.current().Keys[service]
+	if !ok {
+		table = KeyTable{Table: keyrange.New()}
+	}
+	next, txn, err := edit(table.Table)
+	if err != nil {
+		return err
+	}
+	value, err := next.Encode()
+	if err != nil {
+		return fmt.Errorf("key table of %s: %w", service, err)
+	}
+	key := keysKey(service)
+	txn.Conditions = append(txn.Conditions, metastore.Condition{Key: key, Version: table.Version})
+	txn.Writes = append(txn.Writes, metastore.Write{Key: key, Value: value})
+	applied, err := w.store.Apply(ctx, txn)
+	if err != nil {
+		return err
+	}
+	rows := make([]metastore.Row, 0, len(txn.Writes))
+	for _, write := range txn.Writes {
+		rows = append(rows, metastore.Row{Key: write.Key, Value: write.Value, Version: applied.Version, Deleted: write.Delete})
+	}
+	w.views.apply(rows...)
+	return nil
+}
--- /dev/null
+++ b/internal/node/memberduty.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/quarantine"
+)
+
+// memberTick is the interval at which the member duty looks for silence and for writes
+// that failed.
+const memberTick = 500 * time.Millisecond
+
+// runMember writes what is known of the backend server to the store: its state, keys that
+// it released or lost, and strikes. It compares what is with what the store shows, so a
+// failed write is made again at the next tick.
+func (b *backend) runMember(ctx context.Context) {
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-b.kick:
+		case <-ticker.C:
+			b.checkSilence(ctx)
+		case <-ctx.Done():
+			return
+		}
+		if err := b.reconcile(ctx); err != nil && ctx.Err() == nil {
+			b.log.Warn("state of the backend server not written", zap.Error(err))
+		}
+	}
+}
+
+// checkSilence finds out whether a backend server without heartbeats ended.
+func (b *backend) checkSilence(ctx context.Context) {
+	b.mu.Lock()
+	state, holder, now := b.state, b.holder, boottimeNow()
+	silent := now.Sub(b.lastAt)
+	if holder == nil {
+		silent = now.Sub(b.started)
+	}
+	b.mu.Unlock()
+	if silent < silentAfter || state == BackendDown {
+		return
+	}
+	if holder == nil {
+		b.dropEarlier(ctx, now)
+		return
+	}
+	if b.probe(ctx) {
+		b.down(holder.Owner(), "silent, and its port is closed")
+		return
+	}
+	sharded := b.sharded()
+	if sharded && now.After(holder.Until()) {
+		b.down(holder.Owner(), "silent, and its holds ran out")
+	}
+	if !sharded && silent > silentAfter+leaseDuration/2 {
+		b.down(holder.Owner(), "silent")
+	}
+}
+
+// dropEarlier gives the keys of an earlier incarnation up that this process never heard
+// of, once it surely holds nothing.
+func (b *backend) dropEarlier(ctx context.Context, now time.Time) {
+	table, ok := b.node.views.current().Keys[b.node.config.Service]
+	if !ok || b.node.lease.validUntil().IsZero() {
+		return
+	}
+	if !b.probe(ctx) && now.Before(b.node.lease.earlierGrantsUntil()) {
+		return
+	}
+	for _, owner := range table.Owners() {
+		if owner.Instance != b.node.config.Instance || len(table.OwnedBy(owner)) == 0 {
+			continue
+		}
+		b.log.Warn("backend server has not come back; giving up its keys", zap.String("backend", owner.Incarnation))
+		err := b.node.writer.update(ctx, b.node.config.Service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+			return t.Drop(owner), metastore.Txn{}, nil
+		})
+		if err != nil {
+			b.log.Warn("keys not given up", zap.Error(err))
+		}
+	}
+}
+
+func (b *backend) sharded() bool {
+	routes := b.node.views.current().Routes
+	if routes == nil {
+		return false
+	}
+	service, _ := routes.Service(b.node.config.Service)
+	return service.Sharded
+}
+
+// reconcile makes the store show the state of the backend server.
+func (b *backend) reconcile(ctx context.Context) error {
+	view := b.node.views.current()
+	if !view.Listed || b.node.lease.validUntil().IsZero() {
+		return nil
+	}
+	if err := b.writeStrikes(ctx); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	if b.holder == nil {
+		b.mu.Unlock()
+		return nil
+	}
+	want := Member{
+		Owner: b.holder.Owner(), Address: b.node.config.PeerAddress, Zone: b.node.config.Zone,
+		Service: b.node.config.Service, Slots: b.last.Slots, State: b.state,
+	}
+	completed := append([]grant.Completed(nil), b.completed...)
+	b.mu.Unlock()
+	if err := b.writeKeys(ctx, want, completed); err != nil {
+		return err
+	}
+	return b.writeMember(ctx, want)
+}
+
+// writeMember writes the member row if it differs.
+func (b *backend) writeMember(ctx context.Context, want Member) error {
+	have := b.node.views.current().Members[want.Owner.Instance]
+	version := have.version
+	have.version = 0
+	if have == want {
+		return nil
+	}
+	value, err := cbor.Marshal(want)
+	if err != nil {
+		return fmt.Errorf("member row: %w", err)
+	}
+	key := memberKey(want.Owner.Instance)
+	applied, err := b.node.store.Apply(ctx, metastore.Txn{
+		Conditions: []metastore.Condition{{Key: key, Version: version}},
+		Writes:     []metastore.Write{{Key: key, Value: value}},
+	})
+	if errors.Is(err, metastore.ErrConflict) || errors.Is(err, metastore.ErrUnknown) {
+		return b.relist(ctx, err)
+	}
+	if err != nil {
+		return err
+	}
+	b.node.views.apply(metastore.Row{Key: key, Value: value, Version: applied.Version})
+	return nil
+}
+
+// relist brings the view up to date after a write whose outcome the view does not show.
+func (b *backend) relist(ctx context.Context, cause error) error {
+	listing, err := b.node.store.List(ctx, clusterTable)
+	if err != nil {
+		return errors.Join(cause, err)
+	}
+	b.node.views.replace(clusterTable, listing)
+	b.wake()
+	return nil
+}
+
+// writeKeys writes which keys the backend server released, lost or took over from its
+// earlier incarnation.
+func (b *backend) writeKeys(ctx context.Context, m Member, completed []grant.Completed) error {
+	table, ok := b.node.views.current().Keys[m.Service]
+	if !ok {
+		return nil
+	}
+	edit := func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+		next, changed := editKeys(t, m, completed)
+		if !changed {
+			return nil, metastore.Txn{}, errNoChange
+		}
+		return next, metastore.Txn{}, nil
+	}
+	if _, changed := editKeys(table.Table, m, completed); changed {
+		if err := b.node.writer.update(ctx, m.Service, edit); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.completed = b.completed[min(len(completed), len(b.completed)):]
+	return nil
+}
+
+// editKeys returns the key table after the changes that m and completed call for.
+func editKeys(t *keyrange.Table, m Member, completed []grant.Completed) (*keyrange.Table, bool) {
+	next, changed := t, false
+	for _, owner := range t.Owners() {
+		if owner.Instance != m.Owner.Instance {
+			continue
+		}
+		switch {
+		case m.State == BackendDown:
+			next, changed = next.Drop(owner), true
+		case owner != m.Owner:
+			next, changed = next.Replace(owner, m.Owner), true
+		}
+	}
+	for _, c := range completed {
+		if r := next.Find(c.From); r.Owner != m.Owner || r.Fence != c.Fence || !r.Moving() {
+			continue
+		}
+		released, err := next.Release(c.Span, m.Owner, c.Handover)
+		if err != nil {
+			// The table changed since; the move is no longer open.
+			continue
+		}
+		next, changed = released, true
+	}
+	return next, changed
+}
+
+// writeStrikes writes the strikes of a crash, so that all nodes learn of them.
+func (b *backend) writeStrikes(ctx context.Context) error {
+	b.mu.Lock()
+	records := append([]quarantine.Record(nil), b.records...)
+	b.mu.Unlock()
+	if len(records) == 0 {
+		return nil
+	}
+	var txn metastore.Txn
+	for _, r := range records {
+		value, err := cbor.Marshal(r)
+		if err != nil {
+			return fmt.Errorf("strike: %w", err)
+		}
+		key := fmt.Sprintf("%s%x-%s-%d", strikePrefix, uint64(r.Fingerprint), b.node.config.Instance, r.AtMS)
+		txn.Writes = append(txn.Writes, metastore.Write{Key: key, Value: value})
+	}
+	if _, err := b.node.store.Apply(ctx, txn); err != nil {
+		return err
+	}
+	b.log.Info("strikes written", zap.Int("requests", len(records)))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.records = b.records[len(records):]
+	return nil
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// maxSeries bounds the series that are named after routes.
+const maxSeries = 400
+
+// nodeMetrics are the node's counters and histograms.
+type nodeMetrics struct {
+	set *metrics.Set
+
+	mu    sync.Mutex
+	named map[string]bool
+}
+
+func newMetrics(n *Node) *nodeMetrics {
+	m := &nodeMetrics{set: metrics.NewSet(), named: map[string]bool{}}
+	m.set.NewGauge("basilway_node_running", func() float64 { return float64(n.backend.lane.load().running) })
+	m.set.NewGauge("basilway_node_waiting", func() float64 { return float64(n.backend.lane.load().waiting) })
+	m.set.NewGauge("basilway_node_slots", func() float64 { return float64(n.backend.lane.load().slots) })
+	m.set.NewGauge("basilway_node_lease_seconds", func() float64 {
+		until := n.lease.validUntil()
+		if until.IsZero() {
+			return 0
+		}
+		return until.Sub(boottimeNow()).Seconds()
+	})
+	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
+	m.set.NewGauge("basilway_node_desired_state_version", func() float64 {
+		if routes := n.views.current().Routes; routes != nil {
+			return float64(routes.Version)
+		}
+		return 0
+	})
+	return m
+}
+
+// label returns the route's name, or "other" once there are too many.
+func (m *nodeMetrics) label(route string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.named[route] {
+		if len(m.named) >= maxSeries {
+			return "other"
+		}
+		m.named[route] = true
+	}
+	return route
+}
+
+// served counts an answer of a backend server.
+func (m *nodeMetrics) served(route, caller string, status int, took time.Duration) {
+	route = m.label(route)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_requests_total{route=%q,outcome=%q}`, route, strconv.Itoa(status))).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`basilway_node_request_seconds{route=%q,caller=%q}`, route, caller)).Update(took.Seconds())
+}
+
+// count counts a request without an answer of a backend server.
+func (m *nodeMetrics) count(route, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_requests_total{route=%q,outcome=%q}`, m.label(route), reason)).Inc()
+}
+
+// droppedLine counts a log line that was not written.
+func (m *nodeMetrics) droppedLine() {
+	m.set.GetOrCreateCounter("basilway_node_log_lines_dropped_total").Inc()
+}
+
+// ServeHTTP writes all metrics as text.
+func (m *nodeMetrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/retry"
+)
+
+// Node routes the requests of one instance.
+type Node struct {
+	config  Config
+	headers Headers
+	log     *zap.Logger
+	events  *events
+	metrics *nodeMetrics
+	session cluster.Session
+
+	store   metastore.WatchedTable
+	views   *viewStore
+	lease   *leaseDuty
+	writer  *keyWriter
+	backend *backend
+	planner *planner
+	peers   *peers
+	demand  *demandMeter
+	works   workMeter
+
+	sequence atomic.Uint64
+	stopping atomic.Bool
+
+	budgetsMu sync.Mutex
+	budgets   map[string]*retry.SharedBudget
+}
+
+// New returns a node that does not run yet.
+func New(config Config, log *zap.Logger) *Node {
+	n := &Node{
+		config: config, headers: config.Protocol.Headers(), log: log, store: config.Store,
+		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
+		peers:   newPeers(), demand: newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
+		budgets: map[string]*retry.SharedBudget{},
+	}
+	n.views = newViewStore(config.Protocol, log.Named("view"))
+	n.lease = &leaseDuty{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: boottimeNow}
+	n.writer = &keyWriter{store: n.store, views: n.views, log: log.Named("keys")}
+	n.backend = newBackend(n)
+	n.planner = newPlanner(n)
+	n.metrics = newMetrics(n)
+	n.events = newEvents(log, n.metrics.droppedLine)
+	return n
+}
+
+// budgetShare is the part of the platform's bound on repeats that the nodes use together.
+const budgetShare = 0.5
+
+// budget returns the budget of repeats to a service. The nodes do not share it, so each
+// takes its part of the platform's bound.
+func (n *Node) budget(service string) *retry.SharedBudget {
+	n.budgetsMu.Lock()
+	defer n.budgetsMu.Unlock()
+	b := n.budgets[service]
+	if b == nil {
+		members := float64(max(len(n.views.current().Members), 1))
+		extra := budgetShare * float64(n.config.Bounds.RetryExtra) / members
+		b = retry.NewSharedBudget(retry.BudgetConfig{
+			Share: budgetShare * n.config.Bounds.RetryShare, MaxSaved: max(extra, 1),
+			FloorPerSecond: max(extra, 1) / (4 * n.config.Bounds.RetryWindow.Seconds()), FloorBurst: 1,
+		})
+		n.budgets[service] = b
+	}
+	return b
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("starting", zap.String("zone", n.config.Zone), zap.String("service", n.config.Service), zap.String("clients", n.config.ClientAddress),
+		zap.String("peers", n.config.PeerAddress), zap.String("backend", n.config.BackendAddress))
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	var running sync.WaitGroup
+	for _, duty := range []func(context.Context){
+		(&watchDuty{table: tableOf(n.config.Protocol.DesiredStateRow()), store: n.store, views: n.views, log: n.log.Named("watch")}).run,
+		(&watchDuty{table: clusterTable, store: n.store, views: n.views, log: n.log.Named("watch")}).run,
+		n.lease.run, n.backend.runMember, n.planner.run, n.runReports, n.runHousekeeping,
+	} {
+		running.Go(func() { duty(duties) })
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() {
+			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("%s: %w", s.name, err)
+			}
+		}()
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	n.stop(servers)
+	stopDuties()
+	running.Wait()
+	n.peers.close()
+	n.log.Info("stopped")
+	return nil
+}
+
+// housekeepingInterval is the time between two looks for connections to nodes that left.
+const housekeepingInterval = 5 * time.Second
+
+func (n *Node) runHousekeeping(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, housekeepingInterval)
+		addresses := map[string]bool{}
+		for _, m := range n.views.current().Members {
+			addresses[m.Address] = true
+		}
+		n.peers.retain(addresses)
+	}
+}
+
+// ready answers the platform's readiness check.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	view := n.views.current()
+	if n.stopping.Load() || view.Routes == nil || !view.Listed {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// boundServer is one address with its server.
+type boundServer struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+const (
+	// headerTimeout bounds the time in which a client sends the header of a request, as
+	// long as the operator's limits are not known.
+	headerTimeout = 10 * time.Second
+	// clientIdle is how long an idle connection of a client is kept at most. It must
+	// exceed the operator's limit, up to which clients use a connection again.
+	clientIdle = 90 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+func (n *Node) listen() ([]boundServer, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc(n.config.Protocol.ReadyPath(), n.ready)
+	peers := http.NewServeMux()
+	peers.HandleFunc("POST "+reportPath, n.serveReport)
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("/metrics", n.metrics)
+	var out []boundServer
+	for _, s := range []struct {
+		name, address string
+		handler       http.Handler
+		optional      bool
+	}{
+		{"clients", n.config.ClientAddress, http.HandlerFunc(n.serveClient), false},
+		{"ready", n.config.ReadyAddress, ready, false},
+		{"heartbeats", n.config.HeartbeatAddress, http.HandlerFunc(n.backend.announce), false},
+		{"peers", n.config.PeerAddress, n.peerHandler(peers), false},
+		{"metrics", n.config.MetricsAddress, metricsMux, true},
+	} {
+		if s.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", s.address)
+		if err != nil && s.optional {
+			n.log.Warn("not listening", zap.String("for", s.name), zap.String("address", s.address), zap.Error(err))
+			continue
+		}
+		if err != nil {
+			for _, open := range out {
+				open.listener.Close()
+			}
+			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
+		}
+		out = append(out, boundServer{s.name, &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: zap.NewStdLog(n.log.Named(s.name)),
+		}, l})
+	}
+	return out, nil
+}
+
+// peerHandler sends calls between nodes to their handlers. Requests of clients keep their
+// own paths and carry a ticket.
+func (n *Node) peerHandler(calls http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(hopHeader) != "" {
+			n.servePeer(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	}
+}
+
+const (
+	// stopReadyFor is how long a stopping node serves on while the platform finds out,
+	// by two failed checks a second apart, that it is not ready.
+	stopReadyFor = 2300 * time.Millisecond
+	// stopReserve is the part of the stop timeout that is left for the end of the process.
+	stopReserve = 700 * time.Millisecond
+)
+
+// stop serves until clients have been sent elsewhere, and then finishes what runs.
+func (n *Node) stop(servers []boundServer) {
+	started := time.Now()
+	n.stopping.Store(true)
+	n.log.Info("stopping", zap.Int("running", n.backend.lane.load().running))
+	limit := n.config.Bounds.StopTimeout - stopReserve
+	time.Sleep(min(stopReadyFor, limit))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
+	defer cancel()
+	var done sync.WaitGroup
+	for _, s := range servers {
+		done.Go(func() {
+			if err := s.server.Shutdown(ctx); err != nil {
+				n.log.Warn("requests cut by the stop", zap.String("server", s.name), zap.Error(err))
+				s.server.Close()
+			}
+		})
+	}
+	done.Wait()
+}
+
+// logOutcome writes a line about a request that this node did not serve for another one.
+func (n *Node) logOutcome(t ticket, id string, out outcome, from string) {
+	load := n.backend.lane.load()
+	n.events.request("request not served here", id, zap.String("from", from), zap.String("route", t.route), zap.Uint16("key", t.key),
+		zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)), zap.String("cause", out.err.Message),
+		zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots))
+}
--- /dev/null
+++ b/internal/node/outcome.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/basilway/basilway/verdict"
+)
+
+// outcome is the result of sending a request to one backend server.
+type outcome struct {
+	// resp is the backend server's answer, with an open body; nil if err is set.
+	resp *http.Response
+	err  *verdict.Error
+	// arrived is set if the request reached the backend server.
+	arrived bool
+	// load is what the node beside the backend server said of it.
+	load peerLoad
+}
+
+// peerLoad is the load of a backend server as the node beside it reports it.
+type peerLoad struct {
+	known                   bool
+	running, waiting, slots int
+	// work is the time that the request took on the backend server; 0 if it did not run.
+	work time.Duration
+}
+
+func (l peerLoad) encode() string {
+	return fmt.Sprintf("%d,%d,%d,%d", l.running, l.waiting, l.slots, l.work.Microseconds())
+}
+
+func decodePeerLoad(s string) peerLoad {
+	var l peerLoad
+	var work int64
+	if _, err := fmt.Sscanf(s, "%d,%d,%d,%d", &l.running, &l.waiting, &l.slots, &work); err != nil {
+		return peerLoad{}
+	}
+	l.known, l.work = true, time.Duration(work)*time.Microsecond
+	return l
+}
+
+// encodeFailure returns the form of a failed outcome between nodes.
+func encodeFailure(o outcome) string {
+	return fmt.Sprintf("%d,%s,%d,%t,%s", o.err.Verdict, o.err.Reason, o.err.RetryAfter.Microseconds(), o.arrived,
+		strings.NewReplacer("\r", " ", "\n", " ").Replace(o.err.Message))
+}
+
+const failureFields = 5
+
+// decodeFailure reads the form that encodeFailure returns.
+func decodeFailure(s string) (outcome, error) {
+	f := strings.SplitN(s, ",", failureFields)
+	if len(f) != failureFields {
+		return outcome{}, fmt.Errorf("outcome with %d fields", len(f))
+	}
+	v, err := strconv.ParseUint(f[0], 10, 8)
+	if err != nil {
+		return outcome{}, err
+	}
+	after, err := strconv.ParseInt(f[2], 10, 64)
+	if err != nil {
+		return outcome{}, err
+	}
+	failure := verdict.New(verdict.Verdict(v), verdict.Reason(f[1]), "%s", f[4])
+	return outcome{err: failure.WithRetryAfter(time.Duration(after) * time.Microsecond), arrived: f[3] == "true"}, nil
+}
--- /dev/null
+++ b/internal/node/planduty.go
@@ -0,0 +1,334 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/membership/expiry"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/placement"
+)
+
+const (
+	// planInterval is the longest time between two looks at the load.
+	planInterval = 400 * time.Millisecond
+	// balanceInterval is the least time between two plans that move keys for balance.
+	balanceInterval = 900 * time.Millisecond
+	// leasePollInterval is the time between two reads of all leases. Each is a priced
+	// call.
+	leasePollInterval = time.Second
+	// firstAssignWait is how long the first assignment of a service waits for more
+	// backend servers to announce themselves.
+	firstAssignWait = 1200 * time.Millisecond
+	// plannerStale is the age of its lease row after which a planner is replaced.
+	plannerStale = 4 * time.Second
+)
+
+// planner assigns and moves keys, and removes members whose lease ran out, while this
+// node has the role. A second planner is harmless: all its writes are conditional.
+type planner struct {
+	node *Node
+	log  *zap.Logger
+
+	mu      sync.Mutex
+	demand  map[string]*placement.Demand
+	works   map[string]map[string]time.Duration // by instance, then route
+	cold    map[string]bool
+	expiry  *expiry.Tracker
+	since   map[string]time.Time // first sight of a service's members
+	balance time.Time
+	polled  time.Time
+}
+
+func newPlanner(n *Node) *planner {
+	p := &planner{node: n, log: n.log.Named("planner")}
+	p.reset()
+	return p
+}
+
+func (p *planner) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand = map[string]*placement.Demand{}
+	p.works = map[string]map[string]time.Duration{}
+	p.cold = map[string]bool{}
+	p.since = map[string]time.Time{}
+	p.expiry = expiry.New(expiry.Config{After: leaseDuration, MaxGap: 2 * leasePollInterval, Reachable: reachableBeforeFence})
+}
+
+// reachableBeforeFence is how long the store must have been reachable while a lease was
+// not renewed before its holder counts as lost: after an outage live holders need a
+// moment to renew.
+const reachableBeforeFence = 3500 * time.Millisecond
+
+// observe takes a report.
+func (p *planner) observe(r report) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, keys := range r.Demand {
+		d := p.demand[service]
+		if d == nil {
+			d = placement.NewDemand(placement.DefaultConfig().Window, now)
+			p.demand[service] = d
+		}
+		for _, k := range keys {
+			d.Add(k.Key, time.Duration(k.Micros)*time.Microsecond, now)
+		}
+	}
+	works := map[string]time.Duration{}
+	for route, micros := range r.Work {
+		works[route] = time.Duration(micros) * time.Microsecond
+	}
+	p.works[r.Instance], p.cold[r.Instance] = works, r.Cold
+}
+
+// candidacy takes the role of the planner if nobody has it, or if its holder's lease row
+// is not renewed.
+func (p *planner) candidacy(ctx context.Context) {
+	view := p.node.views.current()
+	if p.node.lease.validUntil().IsZero() || p.node.stopping.Load() {
+		return
+	}
+	if view.Planner.Instance != "" && !p.plannerGone(ctx, view.Planner.Instance) {
+		return
+	}
+	value, err := cbor.Marshal(PlannerRow{Instance: p.node.config.Instance})
+	if err != nil {
+		p.log.Error("planner row", zap.Error(err))
+		return
+	}
+	applied, err := p.node.store.Apply(ctx, metastore.Txn{
+		Conditions: []metastore.Condition{{Key: plannerRow, Version: view.Planner.Version}},
+		Writes:     []metastore.Write{{Key: plannerRow, Value: value}},
+	})
+	if err != nil {
+		p.log.Info("role of the planner not taken", zap.String("planner", view.Planner.Instance), zap.Error(err))
+		return
+	}
+	p.reset()
+	p.log.Info("role of the planner taken", zap.String("from", view.Planner.Instance), zap.Uint64("version", applied.Version))
+	p.node.views.apply(metastore.Row{Key: plannerRow, Value: value, Version: applied.Version})
+}
+
+// plannerGone reports whether the planner's lease row was not renewed for plannerStale.
+func (p *planner) plannerGone(ctx context.Context, instance string) bool {
+	tracker := expiry.New(expiry.Config{After: plannerStale, MaxGap: time.Hour})
+	first, err := p.node.store.List(ctx, leaseTable)
+	if err != nil {
+		return false
+	}
+	tracker.Observe(leaseVersions(first), first.Now)
+	if _, ok := leaseVersions(first)[instance]; !ok {
+		return true
+	}
+	sleep(ctx, jitter(plannerStale/4)+plannerStale)
+	second, err := p.node.store.List(ctx, leaseTable)
+	if err != nil || p.node.views.current().Planner.Instance != instance {
+		return false
+	}
+	_, present := leaseVersions(second)[instance]
+	for _, lost := range tracker.Observe(leaseVersions(second), second.Now) {
+		if lost.Holder == instance {
+			return true
+		}
+	}
+	return !present
+}
+
+// leaseVersions returns the version of each lease row by instance.
+func leaseVersions(listing metastore.Listing) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, row := range listing.Rows {
+		out[row.Key[len(leaseTable)+1:]] = row.Version
+	}
+	return out
+}
+
+// run plans while this node has the role.
+func (p *planner) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		view, changed := p.node.views.get()
+		if view.Planner.Instance == p.node.config.Instance && view.Listed && view.Routes != nil {
+			p.fenceLost(ctx)
+			for _, service := range p.node.views.current().Routes.ShardedServices() {
+				p.plan(ctx, service)
+			}
+		}
+		timer := time.NewTimer(planInterval)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// fenceLost removes the members whose leases ran out and takes their keys.
+func (p *planner) fenceLost(ctx context.Context) {
+	if time.Since(p.polled) < leasePollInterval {
+		return
+	}
+	p.polled = time.Now()
+	listing, err := p.node.store.List(ctx, leaseTable)
+	if err != nil {
+		p.log.Debug("leases not read", zap.Error(err))
+		return
+	}
+	for _, lost := range p.expiry.Observe(leaseVersions(listing), listing.Now) {
+		p.fence(ctx, lost)
+	}
+	present := leaseVersions(listing)
+	for instance := range p.node.views.current().Members {
+		if _, ok := present[instance]; !ok {
+			p.removeMember(ctx, instance)
+		}
+	}
+}
+
+// fence deletes the lease row of a lost holder, in one transaction with its member row
+// and the loss of its keys.
+func (p *planner) fence(ctx context.Context, lost expiry.Lost) {
+	view := p.node.views.current()
+	m, ok := view.Members[lost.Holder]
+	p.log.Warn("lease ran out", zap.String("instance", lost.Holder), zap.Uint64("version", lost.Version), zap.Duration("unchanged", lost.For))
+	txn := metastore.Txn{
+		Conditions: []metastore.Condition{{Key: leaseKey(lost.Holder), Version: lost.Version}},
+		Writes:     []metastore.Write{{Key: leaseKey(lost.Holder), Delete: true}, {Key: memberKey(lost.Holder), Delete: true}},
+	}
+	var err error
+	if _, sharded := view.Keys[m.Service]; ok && sharded {
+		err = p.node.writer.update(ctx, m.Service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+			for _, owner := range t.Owners() {
+				if owner.Instance == lost.Holder {
+					t = t.Drop(owner)
+				}
+			}
+			return t, txn, nil
+		})
+	} else {
+		_, err = p.node.store.Apply(ctx, txn)
+	}
+	if err != nil {
+		p.log.Info("lost instance not removed", zap.String("instance", lost.Holder), zap.Error(err))
+	}
+}
+
+// removeMember removes the row of a member that has no lease.
+func (p *planner) removeMember(ctx context.Context, instance string) {
+	view := p.node.views.current()
+	m := view.Members[instance]
+	if table, ok := view.Keys[m.Service]; ok && len(table.OwnedBy(m.Owner)) > 0 {
+		return
+	}
+	_, err := p.node.store.Apply(ctx, metastore.Txn{
+		Conditions: []metastore.Condition{{Key: leaseKey(instance)}, {Key: memberKey(instance), Version: m.version}},
+		Writes:     []metastore.Write{{Key: memberKey(instance), Delete: true}},
+	})
+	p.log.Info("member without a lease removed", zap.String("instance", instance), zap.Error(err))
+}
+
+// plan makes the next changes for a service.
+func (p *planner) plan(ctx context.Context, service string) {
+	for {
+		changes := p.next(service, time.Now())
+		if len(changes) == 0 {
+			return
+		}
+		err := p.node.writer.update(ctx, service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+			for _, c := range changes {
+				next, err := c.Apply(t)
+				if err != nil {
+					return nil, metastore.Txn{}, err
+				}
+				t = next
+			}
+			return t, metastore.Txn{}, nil
+		})
+		if err == nil {
+			for _, c := range changes {
+				p.log.Info("keys planned", zap.String("service", service), zap.Uint16("from", c.Span.From), zap.Uint16("to", c.Span.To),
+					zap.String("owner", c.From.Instance), zap.String("next", c.To.Instance))
+			}
+			return
+		}
+		if errors.Is(err, keyrange.ErrOwned) || errors.Is(err, keyrange.ErrNotOwner) || errors.Is(err, keyrange.ErrMoving) {
+			continue // the table changed under the plan
+		}
+		p.log.Info("plan not written", zap.String("service", service), zap.Error(err))
+		return
+	}
+}
+
+// next computes the changes from the current view.
+func (p *planner) next(service string, now time.Time) []placement.Change {
+	view := p.node.views.current()
+	table := keyrange.New()
+	if have, ok := view.Keys[service]; ok {
+		table = have.Table
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	in := placement.Input{Table: table, Loads: map[uint16]float64{}}
+	if d := p.demand[service]; d != nil {
+		in.Loads = d.Loads(now)
+		in.Balance = d.Settled(now) && now.Sub(p.balance) >= balanceInterval
+	}
+	members := view.ServiceMembers(service)
+	for _, m := range members {
+		if m.State != BackendReady && m.State != BackendDraining {
+			continue
+		}
+		in.Members = append(in.Members, placement.Member{
+			Owner: m.Owner, Slots: m.Slots, Speed: p.speed(members, m), Draining: m.State == BackendDraining, Cold: p.cold[m.Owner.Instance],
+		})
+	}
+	if len(in.Members) == 0 {
+		return nil
+	}
+	if p.since[service].IsZero() {
+		p.since[service] = now
+	}
+	if len(table.Owners()) == 0 && now.Sub(p.since[service]) < firstAssignWait {
+		return nil
+	}
+	changes := placement.Plan(in, placement.DefaultConfig())
+	if in.Balance && len(changes) > 0 {
+		p.balance = now
+	}
+	return changes
+}
+
+const (
+	// minSpeed and maxSpeed bound the speed that is taken from measurements.
+	minSpeed, maxSpeed = 0.4, 2.0
+)
+
+// speed compares a backend server's times with the mean of its service, route by route.
+func (p *planner) speed(members []Member, m Member) float64 {
+	sum, n := 0.0, 0
+	for route, own := range p.works[m.Owner.Instance] {
+		total, count := time.Duration(0), 0
+		for _, other := range members {
+			if w := p.works[other.Owner.Instance][route]; w > 0 {
+				total += w
+				count++
+			}
+		}
+		if own > 0 && count > 1 {
+			sum += float64(total) / float64(count) / float64(own)
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return min(maxSpeed, max(minSpeed, sum/float64(n)))
+}
--- /dev/null
+++ b/internal/node/report.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/internal/httpclient"
+)
+
+// report is what a node tells the planner.
+type report struct {
+	Instance string `cbor:"1,keyasint"`
+	// Demand is the work that this node's clients asked for, by service.
+	Demand map[string][]keyWork `cbor:"2,keyasint"`
+	// Work is the mean time in microseconds on the backend server beside the node, by
+	// route.
+	Work map[string]uint32 `cbor:"3,keyasint"`
+	// Cold is set while the backend server is slow after its start.
+	Cold bool `cbor:"4,keyasint"`
+}
+
+const (
+	// reportInterval is the time between two reports. Hot keys are found after two or
+	// three of them.
+	reportInterval = 400 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 700 * time.Millisecond
+	// maxReport is the size in bytes of the largest report that is accepted.
+	maxReport = 1 << 20
+	// plannerMissed is the number of failed reports after which this node looks whether
+	// it should plan.
+	plannerMissed = 3
+)
+
+// reportDuty sends reports to the planner and finds out when it is gone.
+func (n *Node) runReports(ctx context.Context) {
+	missed := 0
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(2*reportInterval*2/3))
+		view := n.views.current()
+		if view.Planner.Instance == n.config.Instance {
+			n.planner.observe(n.report())
+			missed = 0
+			continue
+		}
+		if !view.Listed {
+			continue
+		}
+		if err := n.sendReport(ctx, view); err != nil {
+			missed++
+			n.log.Debug("report not delivered", zap.String("planner", view.Planner.Instance), zap.Error(err))
+		} else {
+			missed = 0
+		}
+		if missed >= plannerMissed || view.Planner.Instance == "" {
+			n.planner.candidacy(ctx)
+			missed = 0
+		}
+	}
+}
+
+func (n *Node) report() report {
+	r := report{Instance: n.config.Instance, Demand: n.demand.take(), Work: map[string]uint32{}}
+	for route, work := range n.backend.lane.works() {
+		r.Work[route] = uint32(work.Microseconds())
+	}
+	n.backend.mu.Lock()
+	defer n.backend.mu.Unlock()
+	r.Cold = n.backend.holder != nil && boottimeNow().Before(n.backend.lastAt.Add(n.backend.last.Cold))
+	return r
+}
+
+func (n *Node) sendReport(ctx context.Context, view *View) error {
+	m, ok := view.Members[view.Planner.Instance]
+	if !ok {
+		return fmt.Errorf("the planner %q is not a member", view.Planner.Instance)
+	}
+	body, err := cbor.Marshal(n.report())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	resp, err := n.peers.pool(m.Address).Do(ctx, httpclient.Exchange{
+		Method: http.MethodPost, URI: reportPath, Host: m.Address, Header: http.Header{}, Body: body,
+	}, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	drain(resp.Body)
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("the planner answered %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// serveReport takes the report of another node.
+func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
+	var body bytes.Buffer
+	if _, err := io.Copy(&body, io.LimitReader(r.Body, maxReport)); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var report report
+	if err := cbor.Unmarshal(body.Bytes(), &report); err != nil {
+		n.log.Warn("report of another node rejected", zap.String("remote", r.RemoteAddr), zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if n.views.current().Planner.Instance != n.config.Instance || n.stopping.Load() {
+		http.Error(w, "this node does not plan", http.StatusConflict)
+		return
+	}
+	n.planner.observe(report)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/quarantine"
+)
+
+// View is what a node knows of the cluster. It is immutable.
+type View struct {
+	// Routes is nil until a desired state was read.
+	Routes *httproute.Table
+	// Members by instance.
+	Members map[string]Member
+	// Keys by service; a service that nobody has assigned yet is missing.
+	Keys map[string]KeyTable
+	// Planner is the instance that plans.
+	Planner PlannerRow
+	// Listed is true once the cluster's rows were read.
+	Listed bool
+
+	strikes []quarantine.Record
+}
+
+// KeyTable is a key table with the version of its row.
+type KeyTable struct {
+	*keyrange.Table
+	Version uint64
+}
+
+// PlannerRow names the planner.
+type PlannerRow struct {
+	Instance string `cbor:"1,keyasint"`
+	Version  uint64 `cbor:"-"`
+}
+
+// clone returns a copy whose maps can be changed.
+func (v *View) clone() *View {
+	out := *v
+	out.Members = map[string]Member{}
+	for k, m := range v.Members {
+		out.Members[k] = m
+	}
+	out.Keys = map[string]KeyTable{}
+	for k, t := range v.Keys {
+		out.Keys[k] = t
+	}
+	return &out
+}
+
+// ServiceMembers returns the members of a service by instance name.
+func (v *View) ServiceMembers(service string) []Member {
+	var out []Member
+	for _, m := range v.Members {
+		if m.Service == service {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Owner.Instance, b.Owner.Instance) })
+	return out
+}
--- /dev/null
+++ b/internal/node/viewstore.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/quarantine"
+)
+
+// viewStore holds the node's View. Rows are applied in any order; an older version of a
+// row never replaces a newer one.
+type viewStore struct {
+	protocol Protocol
+	log      *zap.Logger
+
+	mu       sync.Mutex
+	view     *View
+	versions map[string]uint64
+	changed  chan struct{} // closed at the next change
+}
+
+func newViewStore(protocol Protocol, log *zap.Logger) *viewStore {
+	return &viewStore{
+		protocol: protocol, log: log, versions: map[string]uint64{}, changed: make(chan struct{}),
+		view: &View{Members: map[string]Member{}, Keys: map[string]KeyTable{}},
+	}
+}
+
+// get returns the view and a channel that is closed when there is a newer one.
+func (s *viewStore) get() (*View, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view, s.changed
+}
+
+// current returns the view.
+func (s *viewStore) current() *View {
+	v, _ := s.get()
+	return v
+}
+
+// apply takes rows of a watch or of a transaction of this node.
+func (s *viewStore) apply(rows ...metastore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, changed := s.view.clone(), false
+	for _, row := range rows {
+		if row.Version <= s.versions[row.Key] {
+			continue
+		}
+		s.versions[row.Key] = row.Version
+		changed = true
+		if err := s.applyRow(next, row); err != nil {
+			s.log.Error("row of the store cannot be read; the version before it stays in force",
+				zap.String("row", row.Key), zap.Uint64("version", row.Version), zap.Error(err))
+		}
+	}
+	if changed {
+		s.publish(next)
+	}
+}
+
+// replace takes all rows of a table as of version; rows that are missing were deleted.
+func (s *viewStore) replace(table string, listing metastore.Listing) {
+	present := map[string]bool{}
+	for _, row := range listing.Rows {
+		present[row.Key] = true
+	}
+	s.mu.Lock()
+	var gone []metastore.Row
+	for key := range s.versions {
+		if tableOf(key) == table && !present[key] {
+			gone = append(gone, metastore.Row{Key: key, Version: listing.Version, Deleted: true})
+		}
+	}
+	s.mu.Unlock()
+	s.apply(append(listing.Rows, gone...)...)
+	if table == clusterTable {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.view.Listed {
+			next := s.view.clone()
+			next.Listed = true
+			s.publish(next)
+		}
+	}
+}
+
+func (s *viewStore) publish(next *View) {
+	s.view = next
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *viewStore) applyRow(v *View, row metastore.Row) error {
+	switch {
+	case row.Key == s.protocol.DesiredStateRow():
+		return s.applyRoutes(v, row)
+	case row.Key == plannerRow:
+		p := PlannerRow{Version: row.Version}
+		if !row.Deleted {
+			if err := cbor.Unmarshal(row.Value, &p); err != nil {
+				return err
+			}
+		}
+		v.Planner = p
+	case strings.HasPrefix(row.Key, memberPrefix):
+		return applyMember(v, row)
+	case strings.HasPrefix(row.Key, keysPrefix):
+		return applyKeys(v, row)
+	case strings.HasPrefix(row.Key, strikePrefix) && !row.Deleted:
+		var r quarantine.Record
+		if err := cbor.Unmarshal(row.Value, &r); err != nil {
+			return err
+		}
+		v.strikes = append(v.strikes[:len(v.strikes):len(v.strikes)], r)
+	}
+	return nil
+}
+
+func (s *viewStore) applyRoutes(v *View, row metastore.Row) error {
+	if row.Deleted {
+		return fmt.Errorf("the desired state was deleted")
+	}
+	snapshot, err := s.protocol.DesiredState(row.Value)
+	if err != nil {
+		return err
+	}
+	table, err := httproute.NewTable(snapshot)
+	if err != nil {
+		return err
+	}
+	if v.Routes != nil && table.Version < v.Routes.Version {
+		return fmt.Errorf("version %d is older than version %d", table.Version, v.Routes.Version)
+	}
+	v.Routes = table
+	s.log.Info("desired state in force", zap.Uint64("version", table.Version), zap.Int("routes", len(snapshot.Routes)))
+	return nil
+}
+
+func applyMember(v *View, row metastore.Row) error {
+	instance := strings.TrimPrefix(row.Key, memberPrefix)
+	if row.Deleted {
+		delete(v.Members, instance)
+		return nil
+	}
+	m, err := decodeMember(row.Value, row.Version)
+	if err != nil {
+		return err
+	}
+	v.Members[instance] = m
+	return nil
+}
+
+func applyKeys(v *View, row metastore.Row) error {
+	service := strings.TrimPrefix(row.Key, keysPrefix)
+	if row.Deleted {
+		delete(v.Keys, service)
+		return nil
+	}
+	t, err := keyrange.Decode(row.Value)
+	if err != nil {
+		return err
+	}
+	v.Keys[service] = KeyTable{Table: t, Version: row.Version}
+	return nil
+}
--- /dev/null
+++ b/internal/node/wait.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// jitter returns a time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
--- /dev/null
+++ b/keyrange/table.go
@@ -0,0 +1,223 @@
+package keyrange
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Errors of the transitions. They mean that the view behind the decision is out of date.
+var (
+	ErrNotOwner = errors.New("keys are not owned by that backend server")
+	ErrOwned    = errors.New("keys are owned")
+	ErrMoving   = errors.New("a move of the keys is open")
+)
+
+// Table holds all ranges of a service, sorted, without gaps. The zero Table is not valid;
+// use New or Decode. Tables are values: transitions return a changed copy.
+type Table struct {
+	// NextFence is the fencing token of the next change of owner.
+	NextFence uint64  `cbor:"1,keyasint"`
+	Ranges    []Range `cbor:"2,keyasint"`
+}
+
+// New returns a table in which nobody owns a key.
+func New() *Table {
+	return &Table{NextFence: 1, Ranges: []Range{{Span: Span{0, MaxKey}}}}
+}
+
+// Decode reads the encoded form and checks that it covers the key space.
+func Decode(data []byte) (*Table, error) {
+	t := &Table{}
+	if err := cbor.Unmarshal(data, t); err != nil {
+		return nil, fmt.Errorf("key table: %w", err)
+	}
+	next := 0
+	for _, r := range t.Ranges {
+		if int(r.From) != next || r.To < r.From || r.Fence >= t.NextFence {
+			return nil, fmt.Errorf("key table: bad range %d to %d with fence %d", r.From, r.To, r.Fence)
+		}
+		next = int(r.To) + 1
+	}
+	if next != MaxKey+1 {
+		return nil, fmt.Errorf("key table: ends at key %d", next-1)
+	}
+	return t, nil
+}
+
+// Encode returns the form that Decode reads.
+func (t *Table) Encode() ([]byte, error) { return cbor.Marshal(t) }
+
+// Find returns the range of a key.
+func (t *Table) Find(key uint16) Range {
+	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= key })
+	return t.Ranges[i]
+}
+
+// OwnedBy returns the ranges of an owner.
+func (t *Table) OwnedBy(owner Owner) []Range {
+	var out []Range
+	for _, r := range t.Ranges {
+		if r.Owner == owner {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Assign gives keys without an owner to owner.
+func (t *Table) Assign(s Span, owner Owner) (*Table, error) {
+	return t.edit(s, func(r *Range, fence uint64) error {
+		if !r.Owner.None() {
+			return ErrOwned
+		}
+		*r = Range{Span: r.Span, Owner: owner, Fence: fence}
+		return nil
+	})
+}
+
+// BeginMove opens a planned move from the owner to next.
+func (t *Table) BeginMove(s Span, owner, next Owner) (*Table, error) {
+	return t.edit(s, func(r *Range, _ uint64) error {
+		if r.Owner != owner || owner == next {
+			return ErrNotOwner
+		}
+		if r.Moving() {
+			return ErrMoving
+		}
+		r.Next = next
+		return nil
+	})
+}
+
+// CancelMove closes a planned move; the owner keeps the keys.
+func (t *Table) CancelMove(s Span) (*Table, error) {
+	return t.edit(s, func(r *Range, _ uint64) error {
+		r.Next = Owner{}
+		return nil
+	})
+}
+
+// Release completes a planned move after owner no longer holds the keys. handover is the
+// owner's token; without one the keys are cold on the next owner.
+func (t *Table) Release(s Span, owner Owner, handover string) (*Table, error) {
+	return t.edit(s, func(r *Range, fence uint64) error {
+		if r.Owner != owner || !r.Moving() {
+			return ErrNotOwner
+		}
+		*r = Range{Span: r.Span, Owner: r.Next, Fence: fence, Handover: handover}
+		return nil
+	})
+}
+
+// Drop takes all keys from an owner that can no longer run requests: its backend server
+// ended, its hold ran out, or its daemon lost its lease. Open moves are completed without
+// a hand-over.
+func (t *Table) Drop(owner Owner) *Table {
+	out := t.clone()
+	for i := range out.Ranges {
+		r := &out.Ranges[i]
+		if r.Next == owner {
+			r.Next = Owner{}
+		}
+		if r.Owner != owner {
+			continue
+		}
+		*r = Range{Span: r.Span, Owner: r.Next}
+		if !r.Owner.None() {
+			r.Fence = out.takeFence()
+		}
+	}
+	out.merge()
+	return out
+}
+
+// Replace gives the keys of an owner that ended to the next incarnation on its instance.
+func (t *Table) Replace(old, next Owner) *Table {
+	out := t.clone()
+	for i := range out.Ranges {
+		r := &out.Ranges[i]
+		if r.Next == old {
+			r.Next = next
+		}
+		if r.Owner == old {
+			r.Owner, r.Fence, r.Handover = next, out.takeFence(), ""
+		}
+	}
+	return out
+}
+
+// Owners returns the owners and the targets of open moves, each once.
+func (t *Table) Owners() []Owner {
+	var out []Owner
+	for _, r := range t.Ranges {
+		for _, o := range []Owner{r.Owner, r.Next} {
+			if !o.None() && !slices.Contains(out, o) {
+				out = append(out, o)
+			}
+		}
+	}
+	return out
+}
+
+func (t *Table) clone() *Table {
+	return &Table{NextFence: t.NextFence, Ranges: slices.Clone(t.Ranges)}
+}
+
+func (t *Table) takeFence() uint64 {
+	t.NextFence++
+	return t.NextFence - 1
+}
+
+// edit applies change to the ranges of s, split at its ends.
+func (t *Table) edit(s Span, change func(r *Range, fence uint64) error) (*Table, error) {
+	if s.To < s.From {
+		return nil, fmt.Errorf("span %d to %d is empty", s.From, s.To)
+	}
+	out := t.clone()
+	out.splitAt(int(s.From))
+	out.splitAt(int(s.To) + 1)
+	fence := out.takeFence()
+	for i := range out.Ranges {
+		if !s.Covers(out.Ranges[i].Span) {
+			continue
+		}
+		if err := change(&out.Ranges[i], fence); err != nil {
+			return nil, fmt.Errorf("keys %d to %d: %w", s.From, s.To, err)
+		}
+	}
+	out.merge()
+	return out, nil
+}
+
+func (t *Table) splitAt(key int) {
+	for i, r := range t.Ranges {
+		if int(r.From) < key && key <= int(r.To) {
+			left, right := r, r
+			left.To, right.From = uint16(key-1), uint16(key)
+			t.Ranges = slices.Replace(t.Ranges, i, i+1, left, right)
+			return
+		}
+	}
+}
+
+// merge joins neighbours that differ in nothing but their keys.
+func (t *Table) merge() {
+	out := t.Ranges[:0]
+	for _, r := range t.Ranges {
+		if n := len(out); n > 0 && same(out[n-1], r) {
+			out[n-1].To = r.To
+			continue
+		}
+		out = append(out, r)
+	}
+	t.Ranges = out
+}
+
+func same(a, b Range) bool {
+	a.Span = b.Span
+	return a == b
+}
--- a/metastore/memory/store.go
+++ b/metastore/memory/store.go
@@ -28,6 +28,10 @@
 	version uint64
 	faults  Faults
 	counts  Counts
+	changes []metastore.Row
+	dropped uint64        // version up to which changes are forgotten
+	changed chan struct{} // closed at the next commit
+	started time.Time
 }
 
 // New returns an empty store. A seed makes random faults repeatable.
@@ -38,6 +42,8 @@
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 		rows:    map[string]metastore.Row{},
 		objects: map[string][]byte{},
+		changed: make(chan struct{}),
+		started: time.Now(),
 	}
 }
 
@@ -96,11 +102,24 @@
 
 // Commit implements metastore.Table.
 func (s *Store) Commit(ctx context.Context, txn metastore.Txn) error {
+	_, err := s.Apply(ctx, txn)
+	return err
+}
+
+// Apply implements metastore.WatchedTable.
+func (s *Store) Apply(ctx context.Context, txn metastore.Txn) (metastore.Applied, error) {
 	if err := s.admit(ctx, s.writes); err != nil {
-		return err
+		return metastore.Applied{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.commit(txn); err != nil {
+		return metastore.Applied{}, err
+	}
+	return metastore.Applied{Version: s.version, Now: time.Since(s.started)}, nil
+}
+
+func (s *Store) commit(txn metastore.Txn) error {
 	for _, c := range txn.Conditions {
 		if have := s.rows[c.Key].Version; have != c.Version {
 			s.counts.Conflicts++
@@ -112,10 +131,14 @@
 	for _, w := range txn.Writes {
 		if w.Delete {
 			delete(s.rows, w.Key)
+			s.changes = append(s.changes, metastore.Row{Key: w.Key, Version: s.version, Deleted: true})
 			continue
 		}
 		s.rows[w.Key] = metastore.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version}
+		s.changes = append(s.changes, s.rows[w.Key])
 	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 	if s.rng.Float64() < s.faults.LostAnswers {
 		return fmt.Errorf("%w: answer lost", metastore.ErrUnknown)
 	}
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -25,6 +25,8 @@
 	Value []byte
 	// Version grows with every write of the row; 0 if the row does not exist.
 	Version uint64
+	// Deleted is set in the changes of a watch if the row was deleted at Version.
+	Deleted bool
 }
 
 // Condition requires that row Key is at Version; 0 requires that it does not exist.
--- /dev/null
+++ b/placement/config.go
@@ -0,0 +1,34 @@
+// Package placement decides which backend server owns which keys, and to which backend
+// server of a service without key ownership a request goes. It is pure.
+package placement
+
+import "time"
+
+// Config tunes Plan.
+type Config struct {
+	// IdleCost is the load, in slots for each slot of the service, that is spread evenly
+	// over the key space in addition to the measured load, so that keys without requests
+	// are divided evenly too.
+	IdleCost float64
+	// Trigger is how far the utilization of a member may be over the mean before keys
+	// are moved away, and Settle how far it may be after the moves. Utilization is load
+	// for each slot of nominal speed.
+	Trigger, Settle float64
+	// Busy is the utilization under which no keys are moved for balance.
+	Busy float64
+	// MaxMoves bounds the moves that a plan adds and MaxOpen those that are open.
+	MaxMoves, MaxOpen int
+	// MinGain is the least load in slots that a move for balance shifts.
+	MinGain float64
+	// Window is the time constant of the load estimate. A short one follows hot keys
+	// sooner and takes noise for load.
+	Window time.Duration
+}
+
+// DefaultConfig returns the configuration of the daemon.
+func DefaultConfig() Config {
+	return Config{
+		IdleCost: 0.05, Trigger: 0.15, Settle: 0.05, Busy: 0.45,
+		MaxMoves: 12, MaxOpen: 24, MinGain: 0.15, Window: 1500 * time.Millisecond,
+	}
+}
