--- a/grant/holder.go
+++ b/grant/holder.go
@@ -17,8 +17,9 @@
 	until time.Time
 	// handovers are tokens of keys whose move is not completed yet.
 	handovers []Release
-	// completed are the fencing tokens whose move may have been committed.
-	completed map[uint64]bool
+	// completed are the moves that were handed out to be committed. The rest of a range
+	// that was split keeps its fencing token, so the token alone does not name a move.
+	completed map[keyrange.Span]uint64
 	held      []Hold
 	active    []Grant
 }
@@ -26,7 +27,7 @@
 // NewHolder returns a Holder for the owner. until is when grants that an earlier process
 // of the daemon may have made have ended.
 func NewHolder(config Config, owner keyrange.Owner, until time.Time) *Holder {
-	return &Holder{config: config, owner: owner, until: until, completed: map[uint64]bool{}, granted: map[keyrange.Span]uint64{}}
+	return &Holder{config: config, owner: owner, until: until, completed: map[keyrange.Span]uint64{}, granted: map[keyrange.Span]uint64{}}
 }
 
 // Owner returns the incarnation that the Holder is for.
@@ -37,7 +38,7 @@
 
 // Heartbeat answers a heartbeat that arrived at now. leaseUntil is the end of the
 // daemon's lease; nothing is granted beyond it. The completed moves are to be committed;
-// their keys are not granted again unless Resume is called.
+// their keys are not granted again unless the table shows that the move was cancelled.
 func (h *Holder) Heartbeat(hb Heartbeat, table *keyrange.Table, leaseUntil, now time.Time) (Reply, []Completed) {
 	h.held = hb.Holds
 	h.handovers = append(h.handovers, hb.Released...)
@@ -49,7 +50,7 @@
 	}
 	reply := Reply{Renew: true, Hold: hold}
 	for _, r := range table.OwnedBy(h.owner) {
-		if r.Moving() || h.completed[r.Fence] {
+		if r.Moving() {
 			continue
 		}
 		g := Grant{Span: r.Span, Fence: r.Fence}
@@ -74,7 +75,7 @@
 func (h *Holder) completedMoves(table *keyrange.Table) []Completed {
 	var done []Completed
 	for _, r := range table.OwnedBy(h.owner) {
-		if !r.Moving() || h.completed[r.Fence] || h.busy(r.Span) {
+		if !r.Moving() || h.completed[r.Span] == r.Fence || h.busy(r.Span) {
 			continue
 		}
 		done = append(done, Completed{Span: r.Span, Fence: r.Fence, Handover: h.takeHandover(r.Span)})
@@ -106,13 +107,9 @@
 	return ""
 }
 
-// Committing marks a completed move as being written to the store: its keys stay
-// ungranted, whether or not the write takes effect.
-func (h *Holder) Committing(fence uint64) { h.completed[fence] = true }
-
-// Resume allows the keys to be granted again after it is certain that the move was not
-// written and never will be.
-func (h *Holder) Resume(fence uint64) { delete(h.completed, fence) }
+// Committing marks a completed move as being written to the store, so that it is not
+// handed out again.
+func (h *Holder) Committing(c Completed) { h.completed[c.Span] = c.Fence }
 
 // Forget drops hand-over tokens of keys that the owner no longer owns.
 func (h *Holder) Forget(table *keyrange.Table) {
--- /dev/null
+++ b/grant/holder_test.go
@@ -0,0 +1,99 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/keyrange"
+)
+
+var (
+	alice = keyrange.Owner{Instance: "a", Incarnation: "a-1@1"}
+	bob   = keyrange.Owner{Instance: "b", Incarnation: "b-1@1"}
+	start = time.Unix(1000, 0)
+)
+
+func ownedBy(t *testing.T, owner keyrange.Owner) *keyrange.Table {
+	t.Helper()
+	table, err := keyrange.New().Assign(keyrange.Span{From: 0, To: keyrange.MaxKey}, owner)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return table
+}
+
+func holdsOf(reply Reply) []Hold {
+	var out []Hold
+	for _, g := range reply.Grants {
+		out = append(out, Hold{Span: g.Span, Fence: g.Fence})
+	}
+	return out
+}
+
+// Guards against keys that stay without a grant for good: the rest of a range that was
+// split for a move keeps its fencing token.
+func TestRestOfASplitRangeIsGrantedAfterTheMove(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHolder(DefaultConfig(), alice, start)
+	lease := start.Add(9 * time.Second)
+	table := ownedBy(t, alice)
+	first, _ := h.Heartbeat(Heartbeat{Sequence: 1}, table, lease, start)
+	g.Expect(first.Grants).To(HaveLen(1))
+
+	moved := keyrange.Span{From: 100, To: 200}
+	table, err := table.BeginMove(moved, alice, bob)
+	g.Expect(err).NotTo(HaveOccurred())
+	second, done := h.Heartbeat(Heartbeat{Sequence: 2, Holds: holdsOf(first)}, table, lease, start.Add(time.Second))
+	g.Expect(second.Grants).To(HaveLen(2))
+	g.Expect(done).To(BeEmpty(), "the backend server still holds the keys")
+
+	_, done = h.Heartbeat(Heartbeat{Sequence: 3, Holds: holdsOf(second), Released: []Release{{Span: moved, Handover: "token"}}}, table, lease, start.Add(1100*time.Millisecond))
+	g.Expect(done).To(ConsistOf(Completed{Span: moved, Fence: 1, Handover: "token"}))
+	h.Committing(done[0])
+	_, again := h.Heartbeat(Heartbeat{Sequence: 4, Holds: holdsOf(second)}, table, lease, start.Add(1200*time.Millisecond))
+	g.Expect(again).To(BeEmpty(), "a move is handed out once")
+
+	table, err = table.Release(moved, alice, "token")
+	g.Expect(err).NotTo(HaveOccurred())
+	last, _ := h.Heartbeat(Heartbeat{Sequence: 5, Holds: holdsOf(second)}, table, lease, start.Add(2*time.Second))
+	g.Expect(last.Grants).To(HaveLen(2))
+	now := start.Add(2 * time.Second)
+	g.Expect(h.Serving(99, now)).To(BeTrue())
+	g.Expect(h.Serving(150, now)).To(BeFalse())
+	g.Expect(h.Serving(201, now)).To(BeTrue())
+}
+
+// Guards against two owners: nothing is granted beyond the daemon's own lease, even by a
+// backend server whose clock runs slow.
+func TestHoldsEndBeforeTheLease(t *testing.T) {
+	g := NewWithT(t)
+	config := DefaultConfig()
+	for _, left := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, time.Second, 20 * time.Second} {
+		h := NewHolder(config, alice, start)
+		lease := start.Add(left)
+		reply, _ := h.Heartbeat(Heartbeat{Sequence: 1}, ownedBy(t, alice), lease, start)
+		if left < config.MinHold {
+			g.Expect(reply.Renew).To(BeFalse())
+			continue
+		}
+		slowClock := time.Duration(float64(reply.Hold) / 0.98)
+		g.Expect(start.Add(slowClock)).NotTo(BeTemporally(">", lease))
+		g.Expect(h.Until()).NotTo(BeTemporally("<", start.Add(slowClock)))
+		g.Expect(h.Until()).NotTo(BeTemporally(">", lease))
+	}
+}
+
+// Guards against a move that completes while the last answer still granted its keys: the
+// backend server may not have taken the heartbeat's answer yet.
+func TestMoveIsNotCompletedWhileTheKeysAreGranted(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHolder(DefaultConfig(), alice, start)
+	lease := start.Add(9 * time.Second)
+	table := ownedBy(t, alice)
+	_, _ = h.Heartbeat(Heartbeat{Sequence: 1}, table, lease, start)
+	table, err := table.BeginMove(keyrange.Span{From: 0, To: 9}, alice, bob)
+	g.Expect(err).NotTo(HaveOccurred())
+	// The heartbeat was sent before the first answer arrived, so it names no holds.
+	_, done := h.Heartbeat(Heartbeat{Sequence: 2}, table, lease, start.Add(time.Millisecond))
+	g.Expect(done).To(BeEmpty())
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -257,7 +257,7 @@
 	for _, c := range completed {
 		b.log.Info("keys released", zap.Uint16("from", c.From), zap.Uint16("to", c.To), zap.Uint64("fence", c.Fence),
 			zap.Bool("warm", c.Handover != ""))
-		b.holder.Committing(c.Fence)
+		b.holder.Committing(c)
 		b.completed = append(b.completed, c)
 	}
 	if len(completed) > 0 {
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -300,7 +300,8 @@
 		return nil
 	}
 	changes := placement.Plan(in, placement.DefaultConfig())
-	if in.Balance && len(changes) > 0 {
+	if in.Balance {
+		p.log.Info("load", zap.Strings("members", placement.Describe(in)), zap.Int("changes", len(changes)))
 		p.balance = now
 	}
 	return changes
