Fail fast when a node is lost, keep late requests that will be served, take lost keys over sooner

Nodes are probed once they owe an answer; the age of a lease follows from the versions in earlier answers; an address that is taken ends its former holder; requests carry the instance they are for.

The line in front of a backend server keeps requests that miss their target if they are expected to end well before their deadline.

--- a/grant/heartbeat.go
+++ b/grant/heartbeat.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/basilway/basilway/keyrange"
@@ -55,3 +56,9 @@
 // Incarnation names the start of the backend server that sent the heartbeat. An ID may
 // be used again after a restart.
 func (h Heartbeat) Incarnation() string { return fmt.Sprintf("%s@%d", h.ID, h.Born) }
+
+// IncarnationID returns the ID of an incarnation.
+func IncarnationID(incarnation string) string {
+	id, _, _ := strings.Cut(incarnation, "@")
+	return id
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -85,16 +85,53 @@
 	}
 }
 
-// owner is the current incarnation; none before the first heartbeat.
+// owner is the current incarnation. Before the first heartbeat to this process it is the
+// one that the store names.
 func (b *backend) owner() keyrange.Owner {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.holder == nil {
-		return keyrange.Owner{}
+		return b.node.views.current().Members[b.node.config.Instance].Owner
 	}
 	return b.holder.Owner()
 }
 
+// adoptFor is how long a process that started serves the backend server that an earlier
+// process knew, until a heartbeat arrives. The backend server refuses requests for keys
+// that it no longer holds.
+const adoptFor = 4 * time.Second
+
+// adopted reports whether a request may be sent to the backend server that the store
+// names, before its first heartbeat to this process. b.mu must be held.
+func (b *backend) adopted(t ticket) bool {
+	view := b.node.views.current()
+	m, ok := view.Members[b.node.config.Instance]
+	if !ok || m.State != BackendReady || boottimeNow().Sub(b.started) > adoptFor {
+		return false
+	}
+	if !t.sharded {
+		return true
+	}
+	table, ok := view.Keys[t.service]
+	if !ok {
+		return false
+	}
+	r := table.Find(t.key)
+	return r.Owner == m.Owner && !r.Moving()
+}
+
+// adoptSlots takes the number of slots from the store before the first heartbeat.
+func (b *backend) adoptSlots() {
+	b.mu.Lock()
+	known := b.holder != nil
+	b.mu.Unlock()
+	m := b.node.views.current().Members[b.node.config.Instance]
+	if !known && m.Slots > 0 {
+		b.log.Info("backend server taken over from the store", zap.String("backend", m.Owner.Incarnation), zap.Stringer("state", m.State))
+		b.lane.setSlots(m.Slots)
+	}
+}
+
 // note takes a heartbeat and returns false if it is from an earlier life or out of order.
 func (b *backend) note(hb grant.Heartbeat) bool {
 	b.mu.Lock()
@@ -270,7 +307,7 @@
 // expects reports whether keys are about to be given to the backend server, and none are
 // to be taken from it.
 func (b *backend) expects(table *keyrange.Table) bool {
-	owner := b.owner()
+	owner := b.holderOwner()
 	coming := false
 	for _, r := range table.Ranges {
 		if r.Owner == owner && r.Moving() {
@@ -282,3 +319,10 @@
 	}
 	return coming
 }
+
+// holderOwner is the incarnation that sends heartbeats.
+func (b *backend) holderOwner() keyrange.Owner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holder.Owner()
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,6 +22,9 @@
 	// startingRetryAfter is when clients may come back to a node that knows no desired
 	// state yet.
 	startingRetryAfter = 300 * time.Millisecond
+	// answerReserve is the time before the client's deadline at which a request without an
+	// answer is given up, so that the client still gets to know.
+	answerReserve = 20 * time.Millisecond
 	// maxHeldAnswer is the size in bytes up to which an answer is read whole before it is
 	// passed to the client, so that one that breaks off can be replaced.
 	maxHeldAnswer = 640 << 10
@@ -33,9 +36,11 @@
 	route    *httproute.Route
 	exchange httpclient.Exchange
 	started  time.Time
-	sends    int // to backend servers
-	tries    int // including those that nodes refused
-	visited  []string
+	// first is when the client's request came for the first time, if it was refused before.
+	first   time.Time
+	sends   int // to backend servers
+	tries   int // including those that nodes refused
+	visited []string
 	// ran is set once a try may have run.
 	ran bool
 }
@@ -82,7 +87,7 @@
 		if err != nil || ms < 0 {
 			return nil, http.StatusBadRequest, fmt.Errorf("header %s is %q; milliseconds are expected", n.headers.DeadlineMS, value)
 		}
-		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+		left = min(left, time.Duration(ms*float64(time.Millisecond))-answerReserve)
 	}
 	body := io.Reader(r.Body)
 	if routes.Limits.BodyBytes > 0 {
@@ -107,12 +112,14 @@
 	if info.Sharded && !hasKey {
 		return nil, http.StatusBadRequest, fmt.Errorf("header %s is %q; a number from 0 to 65535 is expected", n.headers.Key, r.Header.Get(n.headers.Key))
 	}
+	fingerprint := uint64(quarantine.NewFingerprint(n.config.Service, r.Method+" "+r.Host+r.RequestURI, e.Body))
+	first := n.returns.came(fingerprint, started)
 	return &request{
-		route: route, exchange: e, started: started,
+		route: route, exchange: e, started: started, first: first,
 		ticket: ticket{
 			service: service, route: route.Name, kind: route.Kind, sharded: info.Sharded, key: key,
-			priority: route.Priority, nested: !hasKey, target: started.Add(target), deadline: started.Add(left),
-			fingerprint: uint64(quarantine.NewFingerprint(n.config.Service, r.Method+" "+r.Host+r.RequestURI, e.Body)),
+			priority: route.Priority, nested: !hasKey, target: first.Add(target), deadline: started.Add(left),
+			fingerprint: fingerprint,
 		},
 	}, 0, nil
 }
@@ -160,6 +167,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if out.err.Verdict == verdict.NotRun && !req.ran {
+		n.returns.refused(req.ticket.fingerprint, req.first)
 		n.reject(w, id, out.err)
 		return
 	}
--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -16,6 +16,7 @@
 // Paths that nodes call on each other besides requests, which carry a ticket.
 const (
 	reportPath = "/basilway/report"
+	pingPath   = "/basilway/ping"
 )
 
 // hop sends a request to the node beside m's backend server.
@@ -23,12 +24,13 @@
 	if m.Owner.Instance == n.config.Instance {
 		return n.backend.serve(ctx, t, e)
 	}
-	n.peers.begin(m.Address)
+	t.instance = m.Owner.Instance
+	ctx, end := n.peers.begin(ctx, m.Address, t.kind.Repeatable())
 	e.Header = e.Header.Clone()
 	e.Header.Set(hopHeader, t.encode(time.Now()))
 	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
 	out := n.hopOutcome(ctx, resp, err)
-	n.peers.end(m.Address, out, err != nil && ctx.Err() == nil)
+	end(out, err != nil && ctx.Err() == nil)
 	return out
 }
 
@@ -57,9 +59,11 @@
 	if errors.As(err, &failure) && failure.Stage == httpclient.NotSent {
 		v = verdict.NotRun
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errPeerSilent):
+	case errors.Is(cause, context.DeadlineExceeded):
 		reason = verdict.ReasonDeadline
-	} else if ctx.Err() != nil {
+	case cause != nil:
 		reason = verdict.ReasonCancelled
 	}
 	return outcome{err: verdict.New(v, reason, "%v", err), arrived: v != verdict.NotRun}
@@ -83,6 +87,13 @@
 		return
 	}
 	r.Header.Del(hopHeader)
+	if t.instance != n.config.Instance {
+		// The address belonged to another node.
+		w.Header().Set(n.headers.RequestID, r.Header.Get(n.headers.RequestID))
+		w.Header().Set(hopOutcomeHeader, encodeFailure(outcome{err: verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "this is %s, not %s", n.config.Instance, t.instance)}))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
 	defer cancel()
 	e, err := n.exchange(r, r.Body)
--- a/internal/node/leaseduty.go
+++ b/internal/node/leaseduty.go
@@ -38,6 +38,8 @@
 	views             *viewStore
 	log               *zap.Logger
 	now               func() time.Time
+	// sampled is told the store's newest version and clock at each answer.
+	sampled func(version uint64, now time.Duration)
 
 	mu      sync.Mutex
 	until   time.Time
@@ -149,6 +151,7 @@
 		Writes:     []metastore.Write{{Key: key, Value: value}},
 	})
 	if err == nil {
+		d.sampled(applied.Version, applied.Now)
 		d.version, d.pending = applied.Version, nil
 		return sent, nil
 	}
--- a/internal/node/memberduty.go
+++ b/internal/node/memberduty.go
@@ -23,6 +23,13 @@
 // it released or lost, and strikes. It compares what is with what the store shows, so a
 // failed write is made again at the next tick.
 func (b *backend) runMember(ctx context.Context) {
+	for view, changed := b.node.views.get(); !view.Listed && ctx.Err() == nil; view, changed = b.node.views.get() {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	b.adoptSlots()
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	peers   *peers
 	demand  *demandMeter
 	works   workMeter
+	returns returns
 
 	sequence atomic.Uint64
 	stopping atomic.Bool
@@ -49,14 +50,15 @@
 	n := &Node{
 		config: config, headers: config.Protocol.Headers(), log: log, store: config.Store,
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
-		peers:   newPeers(), demand: newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
-		budgets: map[string]*retry.SharedBudget{},
+		peers:   newPeers(log.Named("peers")), demand: newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
+		budgets: map[string]*retry.SharedBudget{}, returns: returns{first: map[uint64]time.Time{}},
 	}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
 	n.lease = &leaseDuty{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: boottimeNow}
 	n.writer = &keyWriter{store: n.store, views: n.views, log: log.Named("keys")}
 	n.backend = newBackend(n)
 	n.planner = newPlanner(n)
+	n.lease.sampled = n.planner.sample
 	n.metrics = newMetrics(n)
 	n.events = newEvents(log, n.metrics.droppedLine)
 	return n
@@ -169,6 +171,7 @@
 	ready.HandleFunc(n.config.Protocol.ReadyPath(), n.ready)
 	peers := http.NewServeMux()
 	peers.HandleFunc("POST "+reportPath, n.serveReport)
+	peers.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
 	var out []boundServer
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,23 +1,33 @@
 package node
 
 import (
+	"context"
+	"errors"
+	"net/http"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/basilway/basilway/internal/httpclient"
 )
 
 const (
-	// peerDialTimeout bounds a connection to another node; a few round trips between the
-	// farthest availability zones of a region.
-	peerDialTimeout = 400 * time.Millisecond
+	// peerDialTimeout bounds a connection to another node; many round trips between the
+	// farthest availability zones of a region, and short against a target latency.
+	peerDialTimeout = 150 * time.Millisecond
 	// peerUserTimeout closes a connection to another node whose bytes are not
 	// acknowledged; it finds peers that went dark with requests in flight.
 	peerUserTimeout = 1500 * time.Millisecond
 	// peerIdle is how long an unused connection to another node is kept.
 	peerIdle = 20 * time.Second
-	// suspectFor is how long a node that could not be reached is avoided.
-	suspectFor = 700 * time.Millisecond
+	// peerSilence is how long a node may owe an answer, without any other answer of it,
+	// until it is probed. A request may take longer on its backend server.
+	peerSilence = 200 * time.Millisecond
+	// probeTimeout bounds a probe of a node, and probeInterval is the pause between two
+	// probes of a node that cannot be reached.
+	probeTimeout  = 150 * time.Millisecond
+	probeInterval = 150 * time.Millisecond
 	// failureWeight is the weight of one result in the failure share of a backend server.
 	failureWeight = 0.1
 	// workWeight is the weight of one measurement in the mean time on a backend server.
@@ -26,27 +36,36 @@
 
 // peerState is what this node has seen of another node and its backend server.
 type peerState struct {
-	pool         *httpclient.Pool
-	load         peerLoad
-	loadAt       time.Time
-	outstanding  int
-	failing      float64
-	work         time.Duration
-	suspectUntil time.Time
+	pool        *httpclient.Pool
+	load        peerLoad
+	loadAt      time.Time
+	outstanding int
+	failing     float64
+	work        time.Duration
+	// seen is when the node answered last.
+	seen time.Time
+	// lost is set while the node cannot be reached, and probing while that is looked into.
+	lost, probing bool
+	// waiting are the requests that end at once if the node is found to be lost.
+	waiting map[*context.CancelCauseFunc]struct{}
 }
 
+// errPeerSilent ends requests to a node that does not answer a probe.
+var errPeerSilent = errors.New("the node does not answer")
+
 // peers keeps the state of all nodes that this node sends requests to.
 type peers struct {
+	log    *zap.Logger
 	mu     sync.Mutex
 	states map[string]*peerState // by address
 }
 
-func newPeers() *peers { return &peers{states: map[string]*peerState{}} }
+func newPeers(log *zap.Logger) *peers { return &peers{log: log, states: map[string]*peerState{}} }
 
 func (p *peers) get(address string) *peerState {
 	s := p.states[address]
 	if s == nil {
-		s = &peerState{pool: httpclient.NewPool(address, httpclient.Config{
+		s = &peerState{waiting: map[*context.CancelCauseFunc]struct{}{}, pool: httpclient.NewPool(address, httpclient.Config{
 			DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, IdleTimeout: peerIdle, MaxIdle: 64, ReadBuffer: 4096,
 		})}
 		p.states[address] = s
@@ -61,25 +80,37 @@
 	return p.get(address).pool
 }
 
-// begin counts a request that is sent to a node.
-func (p *peers) begin(address string) {
+// begin counts a request that is sent to a node. The returned context ends early if
+// mayCut and the node is found to be lost.
+func (p *peers) begin(ctx context.Context, address string, mayCut bool) (context.Context, func(outcome, bool)) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	started := time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.get(address).outstanding++
+	s := p.get(address)
+	s.outstanding++
+	if mayCut {
+		s.waiting[&cancel] = struct{}{}
+	}
+	p.mu.Unlock()
+	silence := time.AfterFunc(peerSilence, func() { p.check(address, started) })
+	return ctx, func(o outcome, unreachable bool) {
+		silence.Stop()
+		p.mu.Lock()
+		delete(s.waiting, &cancel)
+		p.end(s, o)
+		if unreachable {
+			p.suspectLocked(address, s)
+		}
+		p.mu.Unlock()
+	}
 }
 
 // end takes the result of a request that begin counted.
-func (p *peers) end(address string, o outcome, unreachable bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.get(address)
+func (p *peers) end(s *peerState, o outcome) {
 	s.outstanding--
 	now := time.Now()
-	if unreachable {
-		s.suspectUntil = now.Add(suspectFor)
-	}
 	if o.load.known {
-		s.load, s.loadAt, s.suspectUntil = o.load, now, time.Time{}
+		s.load, s.loadAt, s.seen = o.load, now, now
 		if o.load.work > 0 {
 			s.work = smooth(s.work, o.load.work)
 		}
@@ -93,6 +124,68 @@
 	}
 }
 
+// check probes a node that owes an answer since started and has given no other.
+func (p *peers) check(address string, started time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[address]
+	if s == nil || s.seen.After(started) {
+		return
+	}
+	p.probeLocked(address, s)
+}
+
+// suspectLocked takes a node that could not be reached for lost until a probe reaches it.
+func (p *peers) suspectLocked(address string, s *peerState) {
+	if !s.lost {
+		s.lost = true
+		p.log.Info("node lost", zap.String("address", address), zap.Duration("last answer", time.Since(s.seen)))
+	}
+	for cancel := range s.waiting {
+		(*cancel)(errPeerSilent)
+	}
+	p.probeLocked(address, s)
+}
+
+func (p *peers) probeLocked(address string, s *peerState) {
+	if s.probing {
+		return
+	}
+	s.probing = true
+	go p.probe(address, s)
+}
+
+// probe looks whether a node answers, and again until it does or is no longer a member.
+func (p *peers) probe(address string, s *peerState) {
+	for {
+		err := ping(s.pool, address)
+		p.mu.Lock()
+		if err == nil || p.states[address] != s {
+			if s.lost {
+				p.log.Info("node regained", zap.String("address", address))
+			}
+			s.probing, s.lost, s.seen = false, false, time.Now()
+			p.mu.Unlock()
+			return
+		}
+		p.suspectLocked(address, s)
+		p.mu.Unlock()
+		time.Sleep(probeInterval)
+	}
+}
+
+// ping asks a node for a sign of life.
+func ping(pool *httpclient.Pool, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	resp, err := pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: pingPath, Host: address, Header: http.Header{}}, nil)
+	if err != nil {
+		return err
+	}
+	drain(resp.Body)
+	return resp.Body.Close()
+}
+
 // retain forgets the nodes that are no longer members.
 func (p *peers) retain(addresses map[string]bool) {
 	p.mu.Lock()
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -26,6 +26,8 @@
 	// firstAssignWait is how long the first assignment of a service waits for more
 	// backend servers to announce themselves.
 	firstAssignWait = 1200 * time.Millisecond
+	// planWriteTimeout bounds the tries to write a plan; after it the plan is old.
+	planWriteTimeout = 1500 * time.Millisecond
 	// plannerStale is the age of its lease row after which a planner is replaced.
 	plannerStale = 4 * time.Second
 )
@@ -37,17 +39,19 @@
 	log  *zap.Logger
 
 	mu      sync.Mutex
+	expiry  *expiry.Tracker
 	demand  map[string]*placement.Demand
 	works   map[string]map[string]time.Duration // by instance, then route
 	cold    map[string]bool
-	expiry  *expiry.Tracker
 	since   map[string]time.Time // first sight of a service's members
 	balance time.Time
 	polled  time.Time
 }
 
 func newPlanner(n *Node) *planner {
-	p := &planner{node: n, log: n.log.Named("planner")}
+	p := &planner{node: n, log: n.log.Named("planner"), expiry: expiry.New(expiry.Config{
+		After: leaseDuration, MaxGap: storeMaxGap, Reachable: reachableBeforeFence, Resolution: sampleResolution,
+	})}
 	p.reset()
 	return p
 }
@@ -59,13 +63,25 @@
 	p.works = map[string]map[string]time.Duration{}
 	p.cold = map[string]bool{}
 	p.since = map[string]time.Time{}
-	p.expiry = expiry.New(expiry.Config{After: leaseDuration, MaxGap: 2 * leasePollInterval, Reachable: reachableBeforeFence})
 }
 
-// reachableBeforeFence is how long the store must have been reachable while a lease was
-// not renewed before its holder counts as lost: after an outage live holders need a
-// moment to renew.
-const reachableBeforeFence = 3500 * time.Millisecond
+const (
+	// reachableBeforeFence is how long the store must have been reachable before a holder
+	// counts as lost: after an outage live holders need a moment to renew.
+	reachableBeforeFence = 2500 * time.Millisecond
+	// storeMaxGap is the time without an answer of the store after which it counts as
+	// unreachable; more than the interval of lease renewals.
+	storeMaxGap = leaseRenewInterval + time.Second
+	// sampleResolution is the least distance of two notes of the store's newest version.
+	sampleResolution = 250 * time.Millisecond
+)
+
+// sample takes the newest version of the store at a time by its clock.
+func (p *planner) sample(version uint64, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expiry.Sample(version, now)
+}
 
 // observe takes a report.
 func (p *planner) observe(r report) {
@@ -119,27 +135,21 @@
 
 // plannerGone reports whether the planner's lease row was not renewed for plannerStale.
 func (p *planner) plannerGone(ctx context.Context, instance string) bool {
-	tracker := expiry.New(expiry.Config{After: plannerStale, MaxGap: time.Hour})
-	first, err := p.node.store.List(ctx, leaseTable)
+	listing, err := p.node.store.List(ctx, leaseTable)
 	if err != nil {
+		p.log.Debug("leases not read", zap.Error(err))
 		return false
 	}
-	tracker.Observe(leaseVersions(first), first.Now)
-	if _, ok := leaseVersions(first)[instance]; !ok {
+	p.sample(listing.Version, listing.Now)
+	version, ok := leaseVersions(listing)[instance]
+	if !ok {
 		return true
 	}
-	sleep(ctx, jitter(plannerStale/4)+plannerStale)
-	second, err := p.node.store.List(ctx, leaseTable)
-	if err != nil || p.node.views.current().Planner.Instance != instance {
-		return false
-	}
-	_, present := leaseVersions(second)[instance]
-	for _, lost := range tracker.Observe(leaseVersions(second), second.Now) {
-		if lost.Holder == instance {
-			return true
-		}
-	}
-	return !present
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	age := p.expiry.Age(version)
+	p.log.Info("planner does not take reports", zap.String("planner", instance), zap.Duration("lease not renewed for", age))
+	return age >= plannerStale
 }
 
 // leaseVersions returns the version of each lease row by instance.
@@ -182,7 +192,11 @@
 		p.log.Debug("leases not read", zap.Error(err))
 		return
 	}
-	for _, lost := range p.expiry.Observe(leaseVersions(listing), listing.Now) {
+	p.mu.Lock()
+	p.expiry.Sample(listing.Version, listing.Now)
+	gone := append(p.expiry.Lost(leaseVersions(listing)), replacedHolders(listing)...)
+	p.mu.Unlock()
+	for _, lost := range gone {
 		p.fence(ctx, lost)
 	}
 	present := leaseVersions(listing)
@@ -193,12 +207,41 @@
 	}
 }
 
+// replacedHolders returns the holders whose address another node has taken: the platform
+// gives an address to another machine only after the first one is gone.
+func replacedHolders(listing metastore.Listing) []expiry.Lost {
+	type holder struct {
+		instance string
+		version  uint64
+	}
+	newest := map[string]holder{}
+	var out []expiry.Lost
+	for _, row := range listing.Rows {
+		var value leaseRow
+		if err := cbor.Unmarshal(row.Value, &value); err != nil || value.Address == "" {
+			continue // the row ends by its age
+		}
+		h := holder{row.Key[len(leaseTable)+1:], row.Version}
+		older, taken := newest[value.Address]
+		if taken && older.version > h.version {
+			older, h = h, older
+		}
+		newest[value.Address] = h
+		if taken {
+			out = append(out, expiry.Lost{Holder: older.instance, Version: older.version})
+		}
+	}
+	return out
+}
+
 // fence deletes the lease row of a lost holder, in one transaction with its member row
 // and the loss of its keys.
 func (p *planner) fence(ctx context.Context, lost expiry.Lost) {
 	view := p.node.views.current()
 	m, ok := view.Members[lost.Holder]
-	p.log.Warn("lease ran out", zap.String("instance", lost.Holder), zap.Uint64("version", lost.Version), zap.Duration("unchanged", lost.For))
+	ctx, cancel := context.WithTimeout(ctx, planWriteTimeout)
+	defer cancel()
+	p.log.Warn("lease ran out or address taken by another node", zap.String("lost", lost.Holder), zap.Uint64("version", lost.Version), zap.Duration("unchanged", lost.For))
 	txn := metastore.Txn{
 		Conditions: []metastore.Condition{{Key: leaseKey(lost.Holder), Version: lost.Version}},
 		Writes:     []metastore.Write{{Key: leaseKey(lost.Holder), Delete: true}, {Key: memberKey(lost.Holder), Delete: true}},
@@ -242,7 +285,8 @@
 		if len(changes) == 0 {
 			return
 		}
-		err := p.node.writer.update(ctx, service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+		writeCtx, cancel := context.WithTimeout(ctx, planWriteTimeout)
+		err := p.node.writer.update(writeCtx, service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
 			for _, c := range changes {
 				next, err := c.Apply(t)
 				if err != nil {
@@ -252,6 +296,7 @@
 			}
 			return t, metastore.Txn{}, nil
 		})
+		cancel()
 		if err == nil {
 			for _, c := range changes {
 				p.log.Info("keys planned", zap.String("service", service), zap.Uint16("from", c.Span.From), zap.Uint16("to", c.Span.To),
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -20,6 +20,9 @@
 	// ownerWait is the pause before a request whose key is changing owner is tried again,
 	// unless the view changes before.
 	ownerWait = 80 * time.Millisecond
+	// lostRetryAfter is when callers may come back whose key is owned by a node that cannot
+	// be reached; about the time of a restart.
+	lostRetryAfter = 600 * time.Millisecond
 	// farZone is the cost of a request to another availability zone, and farDownload
 	// that of a large answer, whose bytes between zones are priced. In this time an
 	// answer is better awaited nearby.
@@ -106,7 +109,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.ReasonNotOwner, verdict.ReasonPeerLost, verdict.ReasonBackendDown, verdict.ReasonDraining:
+	case verdict.ReasonNotOwner, verdict.ReasonBackendDown, verdict.ReasonDraining:
 		n.awaitView(ctx, ownerWait)
 		return ctx.Err() == nil
 	}
@@ -149,6 +152,9 @@
 	if owner.None() || !ok {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "key %d has no owner", t.key).WithRetryAfter(notReadyRetryAfter)
 	}
+	if m.Owner.Instance != n.config.Instance && n.peers.isLost(m.Address) {
+		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "%s, which owns key %d, cannot be reached", m.Owner.Instance, t.key).WithRetryAfter(lostRetryAfter)
+	}
 	return m, nil
 }
 
@@ -156,12 +162,11 @@
 // ownership and were not tried yet.
 func (n *Node) candidates(req *request) []Member {
 	var ready, rest []Member
-	now := time.Now()
 	for _, m := range n.views.current().ServiceMembers(req.ticket.service) {
 		if m.State != BackendReady || slices.Contains(req.visited, m.Owner.Instance) {
 			continue
 		}
-		if n.peers.suspect(m.Address, now) {
+		if n.peers.isLost(m.Address) {
 			rest = append(rest, m)
 		} else {
 			ready = append(ready, m)
@@ -197,12 +202,12 @@
 	return best
 }
 
-// suspect reports whether a node could not be reached a short time ago.
-func (p *peers) suspect(address string, now time.Time) bool {
+// isLost reports whether a node cannot be reached at present.
+func (p *peers) isLost(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[address]
-	return s != nil && now.Before(s.suspectUntil)
+	return s != nil && s.lost
 }
 
 // candidate returns what is known of the backend server beside a node.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/quarantine"
 	"github.com/basilway/basilway/verdict"
@@ -19,6 +20,9 @@
 	// grantWait bounds the wait for keys that are on their way to the backend server: a
 	// heartbeat interval and the write that completes a move.
 	grantWait = 1200 * time.Millisecond
+	// grantWaitShare is the part of the time until its target, in percent, that a request
+	// waits for its key; the rest is for its work.
+	grantWaitShare = 70
 	// suspectWait is the pause before a request with a strike is looked at again while
 	// another one runs.
 	suspectWait = 20 * time.Millisecond
@@ -68,6 +72,8 @@
 	defer b.mu.Unlock()
 	now := boottimeNow()
 	switch {
+	case b.state == BackendUnknown && b.adopted(t):
+		return nil
 	case b.state == BackendUnknown:
 		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "the backend server has not announced itself").WithRetryAfter(notReadyRetryAfter)
 	case b.state == BackendDown:
@@ -83,11 +89,8 @@
 // awaitKey waits until the backend server may run the request, as long as its keys are
 // on their way to it or from it.
 func (b *backend) awaitKey(ctx context.Context, t ticket) *verdict.Error {
-	until := time.Now().Add(grantWait)
-	if t.target.Before(until) {
-		until = t.target
-	}
-	timer := time.NewTimer(time.Until(until))
+	wait := min(grantWait, time.Until(t.target)*grantWaitShare/100)
+	timer := time.NewTimer(max(wait, 0))
 	defer timer.Stop()
 	for {
 		changed := b.changed.wait()
@@ -165,12 +168,9 @@
 		return outcome{err: verdict.New(verdict.NotRun, verdict.ReasonDeadline, "the deadline passed before the request was sent")}
 	}
 	owner := b.owner()
-	b.mu.Lock()
-	id := b.last.ID
-	b.mu.Unlock()
 	e.Header = e.Header.Clone()
 	e.Header.Set(headers.DeadlineMS, strconv.FormatInt(left, 10))
-	e.Header.Set(headers.ExpectBackend, id)
+	e.Header.Set(headers.ExpectBackend, grant.IncarnationID(owner.Incarnation))
 	var refused *verdict.Error
 	resp, err := b.pool.Do(ctx, e, func() error {
 		if refused = b.gate(t); refused != nil {
--- a/internal/node/ticket.go
+++ b/internal/node/ticket.go
@@ -19,9 +19,11 @@
 
 // ticket is what a node decided about a request before it passes it on.
 type ticket struct {
-	service string
-	route   string
-	kind    httproute.Kind
+	// instance is the node that the request is sent to; its address may be another's now.
+	instance string
+	service  string
+	route    string
+	kind     httproute.Kind
 	// sharded requests run only on the owner of key.
 	sharded  bool
 	key      uint16
@@ -36,12 +38,12 @@
 	fingerprint uint64
 }
 
-const ticketFields = 11
+const ticketFields = 12
 
 // encode returns the form of the ticket on the wire at now.
 func (t ticket) encode(now time.Time) string {
-	return fmt.Sprintf("%s,%s,%d,%t,%d,%d,%t,%t,%d,%d,%x", t.service, t.route, t.kind, t.sharded, t.key, t.priority,
-		t.nested, t.repeat, t.target.Sub(now).Microseconds(), t.deadline.Sub(now).Microseconds(), t.fingerprint)
+	return fmt.Sprintf("%s,%s,%d,%t,%d,%d,%t,%t,%d,%d,%x,%s", t.service, t.route, t.kind, t.sharded, t.key, t.priority,
+		t.nested, t.repeat, t.target.Sub(now).Microseconds(), t.deadline.Sub(now).Microseconds(), t.fingerprint, t.instance)
 }
 
 // decodeTicket reads the form that encode returns, received at now.
@@ -63,7 +65,7 @@
 		return ticket{}, fmt.Errorf("ticket %q", s)
 	}
 	return ticket{
-		service: f[0], route: f[1], kind: httproute.Kind(ints[0]), sharded: f[3] == "true", key: uint16(ints[1]),
+		instance: f[11], service: f[0], route: f[1], kind: httproute.Kind(ints[0]), sharded: f[3] == "true", key: uint16(ints[1]),
 		priority: int(ints[2]), nested: f[6] == "true", repeat: f[7] == "true",
 		target:   now.Add(time.Duration(ints[3]) * time.Microsecond),
 		deadline: now.Add(time.Duration(ints[4]) * time.Microsecond), fingerprint: fingerprint,
--- a/membership/expiry/tracker.go
+++ b/membership/expiry/tracker.go
@@ -1,5 +1,6 @@
 // Package expiry finds lease rows that are no longer renewed. It is pure: it takes the
-// versions of the rows and the store's clock.
+// versions of the rows and the store's clock. All versions are drawn from one counter, so
+// any answer of the store tells how old a version is at least.
 package expiry
 
 import "time"
@@ -8,11 +9,14 @@
 type Config struct {
 	// After is how long a row must be unchanged, by the store's clock.
 	After time.Duration
-	// MaxGap is the longest time between two observations that counts as reachable.
+	// MaxGap is the longest time between two answers of the store during which it counts
+	// as reachable.
 	MaxGap time.Duration
-	// Reachable is how long the store must have been observed without greater gaps while
-	// the row was unchanged, so that an outage of the store alone ends no lease.
+	// Reachable is how long the store must have been reachable before a lease counts as
+	// run out, so that an outage of the store alone ends no lease.
 	Reachable time.Duration
+	// Resolution is the least distance of two samples that are kept.
+	Resolution time.Duration
 }
 
 // Lost is a holder whose lease ran out.
@@ -20,50 +24,68 @@
 	Holder string
 	// Version is the version at which the row was unchanged.
 	Version uint64
-	// For is how long it was seen unchanged.
+	// For is how long it was unchanged at least.
 	For time.Duration
 }
 
-// seen is the first observation of a version.
-type seen struct {
+// sample says that version was the newest of the store at a time.
+type sample struct {
 	version uint64
 	at      time.Duration
 }
 
-// Tracker remembers when each row changed. It is not safe for concurrent use.
+// Tracker remembers which versions existed when. It is not safe for concurrent use.
 type Tracker struct {
-	config Config
-	rows   map[string]seen
-	last   time.Duration
-	// since is the start of the observations without gaps.
+	config  Config
+	samples []sample // ascending
+	// since is the start of the answers without gaps.
 	since time.Duration
+	last  time.Duration
 	begun bool
 }
 
 // New returns a Tracker that has seen nothing.
-func New(config Config) *Tracker { return &Tracker{config: config, rows: map[string]seen{}} }
+func New(config Config) *Tracker { return &Tracker{config: config} }
 
-// Observe takes the versions of all rows by holder at now and returns the holders whose
-// rows are unchanged for too long.
-func (t *Tracker) Observe(versions map[string]uint64, now time.Duration) []Lost {
+// Sample takes the newest version of the store at now.
+func (t *Tracker) Sample(version uint64, now time.Duration) {
+	if now < t.last {
+		return // an answer that was overtaken
+	}
 	if !t.begun || now-t.last > t.config.MaxGap {
 		t.since, t.begun = now, true
 	}
 	t.last = now
-	for holder := range t.rows {
-		if _, ok := versions[holder]; !ok {
-			delete(t.rows, holder)
+	n := len(t.samples)
+	if n > 0 && (t.samples[n-1].version == version || now-t.samples[n-1].at < t.config.Resolution) {
+		return
+	}
+	t.samples = append(t.samples, sample{version, now})
+	for len(t.samples) > 2 && now-t.samples[1].at > 2*t.config.After {
+		t.samples = t.samples[1:]
+	}
+}
+
+// Age returns how long a version has existed at least.
+func (t *Tracker) Age(version uint64) time.Duration {
+	for _, s := range t.samples {
+		if s.version >= version {
+			return t.last - s.at
 		}
 	}
+	return 0
+}
+
+// Lost takes the versions of all rows by holder, as of the last sample, and returns the
+// holders whose rows are unchanged for too long.
+func (t *Tracker) Lost(versions map[string]uint64) []Lost {
+	if !t.begun || t.last-t.since < t.config.Reachable {
+		return nil
+	}
 	var lost []Lost
 	for holder, version := range versions {
-		s, ok := t.rows[holder]
-		if !ok || s.version != version {
-			t.rows[holder] = seen{version: version, at: now}
-			continue
-		}
-		if now-s.at >= t.config.After && now-t.since >= t.config.Reachable {
-			lost = append(lost, Lost{Holder: holder, Version: version, For: now - s.at})
+		if age := t.Age(version); age >= t.config.After {
+			lost = append(lost, Lost{Holder: holder, Version: version, For: age})
 		}
 	}
 	return lost
--- /dev/null
+++ b/membership/expiry/tracker_test.go
@@ -0,0 +1,53 @@
+package expiry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func config() Config {
+	return Config{After: 9 * time.Second, MaxGap: 3 * time.Second, Reachable: 2500 * time.Millisecond, Resolution: 100 * time.Millisecond}
+}
+
+// Guards against keys that stay without an owner for a whole lease after the planner was
+// replaced: a new planner knows from the answers that it got before how old a row is.
+func TestAgeIsKnownFromEarlierAnswers(t *testing.T) {
+	g := NewWithT(t)
+	tr := New(config())
+	for s := 0; s <= 9; s++ {
+		tr.Sample(uint64(100+10*s), time.Duration(s)*time.Second)
+	}
+	g.Expect(tr.Lost(map[string]uint64{"dark": 95, "alive": 185})).To(ConsistOf(Lost{Holder: "dark", Version: 95, For: 9 * time.Second}))
+}
+
+// Guards against live holders that lose their leases because the store was away: they
+// need a moment to renew after its return.
+func TestOutageOfTheStoreEndsNoLease(t *testing.T) {
+	g := NewWithT(t)
+	tr := New(config())
+	tr.Sample(100, time.Second)
+	tr.Sample(100, 3*time.Second)
+	rows := map[string]uint64{"a": 90}
+	tr.Sample(101, 14*time.Second)
+	g.Expect(tr.Lost(rows)).To(BeEmpty())
+	tr.Sample(102, 16*time.Second)
+	g.Expect(tr.Lost(rows)).To(BeEmpty())
+	tr.Sample(103, 16600*time.Millisecond)
+	g.Expect(tr.Lost(rows)).To(HaveLen(1))
+}
+
+// Guards against a lease that is ended too early: a version is only as old as an answer
+// that already showed it.
+func TestVersionIsNotOlderThanItsFirstSample(t *testing.T) {
+	g := NewWithT(t)
+	tr := New(config())
+	for ms := 0; ms <= 20000; ms += 500 {
+		tr.Sample(uint64(1000+ms), time.Duration(ms)*time.Millisecond)
+		for _, lost := range tr.Lost(map[string]uint64{"x": 6000}) {
+			// Version 6000 was written after 4.5 s and at 5 s at the latest.
+			g.Expect(tr.last - lost.For).To(BeNumerically(">", 4500*time.Millisecond))
+		}
+	}
+}
--- a/waitqueue/config.go
+++ b/waitqueue/config.go
@@ -12,6 +12,10 @@
 	// Spread is the part of the expected work that is added to it as a reserve against
 	// requests that take longer than the mean.
 	Spread float64
+	// LateShare is the part of the time until its deadline within which a request that
+	// misses its target must be expected to end to be kept. A greater share serves more
+	// late requests and lets more of them wait in vain.
+	LateShare float64
 	// MinRetryAfter and MaxRetryAfter bound the time after which a refused caller is
 	// told to come back.
 	MinRetryAfter, MaxRetryAfter time.Duration
@@ -22,7 +26,7 @@
 // DefaultConfig returns the configuration of the daemon.
 func DefaultConfig() Config {
 	return Config{
-		InitialWork: 60 * time.Millisecond, Smoothing: 0.05, Spread: 0.3,
+		InitialWork: 60 * time.Millisecond, Smoothing: 0.05, Spread: 0.3, LateShare: 0.8,
 		MinRetryAfter: 30 * time.Millisecond, MaxRetryAfter: time.Second, MaxWaiting: 512,
 	}
 }
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -12,6 +12,9 @@
 	work time.Duration
 }
 
+// onTime reports whether the request can still be answered by its target.
+func (w waiting) onTime(now time.Time) bool { return !now.Add(w.work).After(w.Target) }
+
 // running is a request on the backend server.
 type running struct {
 	route   string
@@ -20,17 +23,24 @@
 }
 
 // Queue is the line in front of one backend server. It is not safe for concurrent use.
+//
+// Requests of a better group go first. Within a group, those that can still be answered
+// by their target go before those that are late anyway, so that a backlog does not make
+// every request late; each of the two parts goes by its time limit. A request that would
+// be late is kept only if the line is expected to get to it well before its deadline,
+// counting what arrives meanwhile and goes before it.
 type Queue struct {
 	config  Config
 	slots   int
 	running map[ID]running
 	waiting []waiting
 	work    map[string]time.Duration
+	rates   map[group]*rate
 }
 
 // New returns a queue for a backend server without slots: requests wait until SetSlots.
 func New(config Config) *Queue {
-	return &Queue{config: config, running: map[ID]running{}, work: map[string]time.Duration{}}
+	return &Queue{config: config, running: map[ID]running{}, work: map[string]time.Duration{}, rates: map[group]*rate{}}
 }
 
 // SetSlots sets how many requests the backend server runs at once.
@@ -39,7 +49,7 @@
 	return q.Advance(now)
 }
 
-// Running and Waiting return the number of requests in each state.
+// Running returns the number of requests on the backend server.
 func (q *Queue) Running() int { return len(q.running) }
 
 // Waiting returns the number of queued requests.
@@ -56,56 +66,77 @@
 	return q.config.InitialWork
 }
 
+// Works returns a copy of the expected times of the routes that were measured.
+func (q *Queue) Works() map[string]time.Duration { return maps.Clone(q.work) }
+
 // Offer decides about a new request. Other decisions may follow from the time that
 // passed.
 func (q *Queue) Offer(it Item, now time.Time) (Decision, []Decision) {
 	others := q.Advance(now)
-	work := q.Work(it.Route)
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
-		if !now.Add(work / 2).Before(it.Deadline) {
-			return q.refuse(it.ID, 0), others
-		}
-		q.start(it, now)
-		return Decision{ID: it.ID, Verb: Run}, others
+	w := waiting{Item: it, work: q.Work(it.Route)}
+	free := len(q.running) < q.slots && len(q.waiting) == 0
+	wait := time.Duration(0)
+	if !free {
+		wait = q.expectedWait(w, now)
 	}
-	w := waiting{Item: it, work: work}
-	wait := q.expectedWait(w, now)
-	reserve := time.Duration(float64(work) * (1 + q.config.Spread))
-	if len(q.waiting) >= q.config.MaxWaiting || now.Add(wait+reserve).After(it.limit()) {
+	// A late request that is refused may come back, so only admitted work counts.
+	if !q.admits(w, wait, free, now) {
 		return q.refuse(it.ID, wait), others
 	}
-	at, _ := slices.BinarySearchFunc(q.waiting, w, func(a, b waiting) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
-	q.waiting = slices.Insert(q.waiting, at, w)
+	r := q.rates[it.group()]
+	if r == nil {
+		r = &rate{}
+		q.rates[it.group()] = r
+	}
+	r.add(w.work, now)
+	if free {
+		q.start(w, now)
+		return Decision{ID: it.ID, Verb: Run}, others
+	}
+	q.waiting = append(q.waiting, w)
 	return Decision{ID: it.ID, Verb: Wait}, others
 }
 
-// limit is the time by which a request that has to wait must be expected to end.
-func (it Item) limit() time.Time {
-	if it.Target.Before(it.Deadline) {
-		return it.Target
+// admits decides whether a request runs or waits, rather than being refused at once.
+func (q *Queue) admits(w waiting, wait time.Duration, free bool, now time.Time) bool {
+	if free || q.slots == 0 {
+		return now.Add(w.work / 2).Before(w.Deadline)
 	}
-	return it.Deadline
+	if len(q.waiting) >= q.config.MaxWaiting {
+		return false
+	}
+	end := now.Add(wait + time.Duration(float64(w.work)*(1+q.config.Spread)))
+	if !end.After(w.Target) {
+		return true
+	}
+	// The line may take longer than expected, and a request that is refused after a long
+	// wait is worse off than one that is refused at once.
+	left := w.Deadline.Sub(now)
+	return end.Before(now.Add(time.Duration(q.config.LateShare * float64(left))))
 }
 
-// before orders the line: requests whose caller holds a slot elsewhere, then by rank,
-// then by the time left.
-func (w waiting) before(o waiting) bool {
-	if w.Nested != o.Nested {
-		return w.Nested
+// before orders the line as of now.
+func (w waiting) before(o waiting, now time.Time) bool {
+	if a, b := w.group(), o.group(); a != b {
+		return a.better(b)
 	}
-	if w.Priority != o.Priority {
-		return w.Priority < o.Priority
+	a, b := w.onTime(now), o.onTime(now)
+	switch {
+	case a != b:
+		return a
+	case a:
+		return w.Target.Before(o.Target)
+	default:
+		return w.Deadline.Before(o.Deadline)
 	}
-	return w.limit().Before(o.limit())
 }
 
-// expectedWait returns how long w would wait behind the running requests and those that
-// go before it.
+// maxUtilization bounds the share of the slots that is taken to be used by requests that
+// arrive later and go first, so that the expected wait stays finite.
+const maxUtilization = 0.95
+
+// expectedWait returns how long w would wait behind the running requests, those that go
+// before it, and those that arrive meanwhile and go before it.
 func (q *Queue) expectedWait(w waiting, now time.Time) time.Duration {
 	if q.slots == 0 {
 		return 0
@@ -115,11 +146,19 @@
 		ahead += max(r.work-now.Sub(r.started), r.work/4)
 	}
 	for _, o := range q.waiting {
-		if o.before(w) {
+		if o.before(w, now) {
 			ahead += o.work
 		}
 	}
-	return ahead / time.Duration(q.slots)
+	late := now.Add(ahead / time.Duration(q.slots)).Add(w.work).After(w.Target)
+	coming := 0.0
+	for g, r := range q.rates {
+		if g.better(w.group()) || late && g == w.group() {
+			coming += r.value(now)
+		}
+	}
+	free := float64(q.slots) * (1 - min(coming/float64(q.slots), maxUtilization))
+	return time.Duration(float64(ahead) / free)
 }
 
 func (q *Queue) refuse(id ID, wait time.Duration) Decision {
@@ -127,8 +166,8 @@
 	return Decision{ID: id, Verb: Refuse, RetryAfter: after, Expected: wait}
 }
 
-func (q *Queue) start(it Item, now time.Time) {
-	q.running[it.ID] = running{route: it.Route, started: now, work: q.Work(it.Route)}
+func (q *Queue) start(w waiting, now time.Time) {
+	q.running[w.ID] = running{route: w.Route, started: now, work: w.work}
 }
 
 // Done ends a running request. Its time counts for estimates if it ran to its end.
@@ -148,39 +187,36 @@
 
 // Cancel removes a waiting request and reports whether it waited.
 func (q *Queue) Cancel(id ID) bool {
-	for i, w := range q.waiting {
-		if w.ID == id {
-			q.waiting = slices.Delete(q.waiting, i, i+1)
-			return true
-		}
+	at := slices.IndexFunc(q.waiting, func(w waiting) bool { return w.ID == id })
+	if at < 0 {
+		return false
 	}
-	return false
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	return true
 }
 
 // Advance starts waiting requests on free slots and refuses those that can no longer be
 // answered before their deadline.
 func (q *Queue) Advance(now time.Time) []Decision {
 	var out []Decision
-	for len(q.waiting) > 0 && len(q.running) < q.slots {
-		w := q.waiting[0]
-		q.waiting = slices.Delete(q.waiting, 0, 1)
-		if now.Add(w.work / 2).After(w.Deadline) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w waiting) bool {
+		expired := now.Add(w.work / 2).After(w.Deadline)
+		if expired {
 			out = append(out, q.refuse(w.ID, 0))
-			continue
 		}
-		q.start(w.Item, now)
-		out = append(out, Decision{ID: w.ID, Verb: Run})
-	}
-	for i := 0; i < len(q.waiting); {
-		if w := q.waiting[i]; now.Add(w.work / 2).After(w.Deadline) {
-			q.waiting = slices.Delete(q.waiting, i, i+1)
-			out = append(out, q.refuse(w.ID, 0))
-			continue
+		return expired
+	})
+	for len(q.waiting) > 0 && len(q.running) < q.slots {
+		best := 0
+		for i := range q.waiting {
+			if q.waiting[i].before(q.waiting[best], now) {
+				best = i
+			}
 		}
-		i++
+		w := q.waiting[best]
+		q.waiting = slices.Delete(q.waiting, best, best+1)
+		q.start(w, now)
+		out = append(out, Decision{ID: w.ID, Verb: Run})
 	}
 	return out
 }
-
-// Works returns a copy of the expected times of the routes that were measured.
-func (q *Queue) Works() map[string]time.Duration { return maps.Clone(q.work) }
