--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -25,12 +25,15 @@
 		return n.backend.serve(ctx, t, e)
 	}
 	t.instance = m.Owner.Instance
-	ctx, end := n.peers.begin(ctx, m.Address, t.kind.Repeatable())
+	// A request that could run elsewhere does not wait for a node that went silent. A
+	// stopping node ends nothing that may be at work.
+	mayCut := t.kind.Repeatable() && !t.sharded && !n.stopping.Load()
+	ctx, end := n.peers.begin(ctx, m.Address, mayCut)
 	e.Header = e.Header.Clone()
 	e.Header.Set(hopHeader, t.encode(time.Now()))
 	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
 	out := n.hopOutcome(ctx, resp, err)
-	end(out, err != nil && ctx.Err() == nil)
+	end(out, err)
 	return out
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -82,7 +82,7 @@
 
 // begin counts a request that is sent to a node. The returned context ends early if
 // mayCut and the node is found to be lost.
-func (p *peers) begin(ctx context.Context, address string, mayCut bool) (context.Context, func(outcome, bool)) {
+func (p *peers) begin(ctx context.Context, address string, mayCut bool) (context.Context, func(outcome, error)) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	started := time.Now()
 	p.mu.Lock()
@@ -93,13 +93,13 @@
 	}
 	p.mu.Unlock()
 	silence := time.AfterFunc(peerSilence, func() { p.check(address, started) })
-	return ctx, func(o outcome, unreachable bool) {
+	return ctx, func(o outcome, err error) {
 		silence.Stop()
 		p.mu.Lock()
 		delete(s.waiting, &cancel)
 		p.end(s, o)
-		if unreachable {
-			p.suspectLocked(address, s)
+		if err != nil && ctx.Err() == nil {
+			p.suspectLocked(address, s, err)
 		}
 		p.mu.Unlock()
 	}
@@ -136,13 +136,18 @@
 }
 
 // suspectLocked takes a node that could not be reached for lost until a probe reaches it.
-func (p *peers) suspectLocked(address string, s *peerState) {
+func (p *peers) suspectLocked(address string, s *peerState, cause error) {
 	if !s.lost {
 		s.lost = true
-		p.log.Info("node lost", zap.String("address", address), zap.Duration("last answer", time.Since(s.seen)))
+		p.log.Info("node lost", zap.String("address", address), zap.Duration("last answer", time.Since(s.seen)), zap.Error(cause))
 	}
-	for cancel := range s.waiting {
-		(*cancel)(errPeerSilent)
+	// A node whose port is closed may be finishing its last requests; one that ended has
+	// reset its connections.
+	var failure *httpclient.Error
+	if !errors.As(cause, &failure) || !failure.Refused && !failure.Closed {
+		for cancel := range s.waiting {
+			(*cancel)(errPeerSilent)
+		}
 	}
 	p.probeLocked(address, s)
 }
@@ -168,7 +173,7 @@
 			p.mu.Unlock()
 			return
 		}
-		p.suspectLocked(address, s)
+		p.suspectLocked(address, s, err)
 		p.mu.Unlock()
 		time.Sleep(probeInterval)
 	}
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/verdict"
+)
+
+// Guards against a request that is ended although its backend server is at work: a node
+// that stops closes its port first and finishes its requests then.
+func TestNodeWithAClosedPortMayFinishItsRequests(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := l.Addr().String()
+	l.Close()
+	p := newPeers(zap.NewNop())
+	ctx, end := p.begin(context.Background(), address, true)
+	g.Eventually(func() bool { return p.isLost(address) }, 5*time.Second).Should(BeTrue())
+	g.Expect(ctx.Err()).NotTo(HaveOccurred())
+	end(outcome{err: verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "")}, nil)
+	p.retain(nil)
+}
+
+// Guards against requests that wait until their deadline for a node that went silent,
+// although they could run elsewhere, and against one that is lost for good after a pause.
+func TestSilentNodeEndsRequestsAndComesBack(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	answers := make(chan bool, 1)
+	answers <- false
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				up := <-answers
+				answers <- up
+				if up {
+					_, _ = c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n"))
+					return
+				}
+				time.Sleep(time.Second)
+			}()
+		}
+	}()
+	p := newPeers(zap.NewNop())
+	address := l.Addr().String()
+	ctx, end := p.begin(context.Background(), address, true)
+	g.Eventually(ctx.Done(), 5*time.Second).Should(BeClosed())
+	g.Expect(context.Cause(ctx)).To(MatchError(errPeerSilent))
+	end(outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonPeerLost, "")}, context.Canceled)
+	g.Expect(p.isLost(address)).To(BeTrue())
+	<-answers
+	answers <- true
+	g.Eventually(func() bool { return p.isLost(address) }, 5*time.Second).Should(BeFalse())
+}
