--- a/admission/controller.go
+++ b/admission/controller.go
@@ -24,7 +24,7 @@
 	faults   testFaults
 }
 
-// sweepInterval is how often idle tenants are forgotten. Callers choose tenant names,
+// sweepInterval is how often idle teams are forgotten. Callers choose team names,
 // so the time bounds the memory that made-up names take.
 const sweepInterval = time.Second
 
@@ -67,11 +67,11 @@
 	return c.SetSlots(slots, now)
 }
 
-// SetLimits replaces the tenant and class limits. Requests in flight are not affected.
+// SetLimits replaces the team and class limits. Requests in flight are not affected.
 func (c *Controller) SetLimits(limits Limits, now time.Time) Actions {
 	c.limits = limits
-	for name, t := range c.shares.tenants {
-		t.set(limits.tenant(name), now)
+	for name, t := range c.shares.teams {
+		t.set(limits.team(name), now)
 	}
 	for class := range c.classes {
 		c.classes[class].set(limits.Classes[catalogue.Class(class)], now)
@@ -90,9 +90,9 @@
 	if !r.Class.Valid() {
 		r.Class = catalogue.ClassBackground
 	}
-	t, class := c.tenant(r.Tenant, now), &c.classes[r.Class]
+	t, class := c.team(r.Team, now), &c.classes[r.Class]
 	if wait := max(t.rateWait(now), class.rateWait(now)); wait > 0 && !c.faults.ignoreRateLimits {
-		err := verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "tenant or class is over its rate")
+		err := verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "team or class is over its rate")
 		return c.reject(err.WithRetryAfter(c.clampRetryAfter(wait))), out
 	}
 	e := c.newEntry(r, t, now)
@@ -152,16 +152,16 @@
 }
 
 // Tick lets time pass: it rejects requests that waited too long, starts others that a
-// ramp makes room for, and forgets idle tenants. Call it at NextTick, and at least
+// ramp makes room for, and forgets idle teams. Call it at NextTick, and at least
 // every second.
 func (c *Controller) Tick(now time.Time) Actions {
 	var out Actions
 	c.advance(now, &out)
 	if now.Sub(c.swept) >= sweepInterval {
 		c.swept = now
-		for name, t := range c.shares.tenants {
+		for name, t := range c.shares.teams {
 			if t.idle(now) {
-				delete(c.shares.tenants, name)
+				delete(c.shares.teams, name)
 			}
 		}
 	}
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -38,7 +38,7 @@
 	return c.inFlight < c.Limit(now) || c.faults.ignoreSlots
 }
 
-// nextToStart returns the queued request whose turn it is, or nil if limits of tenants
+// nextToStart returns the queued request whose turn it is, or nil if limits of teams
 // and classes hold all of them.
 func (c *Controller) nextToStart(now time.Time) *entry {
 	limit := c.Limit(now)
@@ -58,7 +58,7 @@
 }
 
 func (e *entry) mayStart(class *bound) bool {
-	return e.tenant.mayStart() && class.mayStart()
+	return e.team.mayStart() && class.mayStart()
 }
 
 func (c *Controller) start(e *entry, now time.Time) {
@@ -67,7 +67,7 @@
 	c.classes[e.class].inFlight++
 	e.count(1, 0)
 	stamp := c.shares.next()
-	e.tenant.stamp, e.key.stamp, e.caller.stamp = stamp, stamp, stamp
+	e.team.stamp, e.key.stamp, e.caller.stamp = stamp, stamp, stamp
 	c.drain.progress = now
 }
 
@@ -102,8 +102,8 @@
 // victim returns the request to reject after e was queued, or nil if all bounds hold.
 func (c *Controller) victim(e *entry) *entry {
 	switch {
-	case e.tenant.queueOver():
-		return c.queue.worst(func(o *entry) bool { return o.tenant == e.tenant })
+	case e.team.queueOver():
+		return c.queue.worst(func(o *entry) bool { return o.team == e.team })
 	case c.classes[e.class].queueOver():
 		return c.queue.worst(func(o *entry) bool { return o.class == e.class })
 	case len(c.queue.waiting) > c.config.MaxQueue && c.faults.firstComeFirstServed:
@@ -146,15 +146,15 @@
 	limit := c.Limit(now)
 	full := c.inFlight >= limit
 	wait := c.drain.wait(c.ahead(e)+1, limit, full, now)
-	if own := e.tenant.limit.InFlight; own > 0 && own < limit {
-		wait = max(wait, c.drain.wait(e.tenant.queued+1, own, full, now))
+	if own := e.team.limit.InFlight; own > 0 && own < limit {
+		wait = max(wait, c.drain.wait(e.team.queued+1, own, full, now))
 	}
 	return wait
 }
 
 // ahead estimates how many queued requests start before e: those of higher classes,
-// and of each tenant in its own class at most as many as its own tenant has waiting,
-// because tenants take turns.
+// and of each team in its own class at most as many as its own team has waiting,
+// because teams take turns.
 func (c *Controller) ahead(e *entry) int {
 	pass, n := c.shares.next(), 0
 	for _, o := range c.queue.waiting {
@@ -165,21 +165,21 @@
 		if o.class < e.class {
 			continue
 		}
-		if o.tenant.rankPass != pass {
-			o.tenant.rank, o.tenant.rankPass = 0, pass
+		if o.team.rankPass != pass {
+			o.team.rank, o.team.rankPass = 0, pass
 		}
-		o.tenant.rank++
-		if o.tenant.rank <= e.tenant.queued+1 {
+		o.team.rank++
+		if o.team.rank <= e.team.queued+1 {
 			n++
 		}
 	}
 	return n
 }
 
-func (c *Controller) newEntry(r Request, t *tenant, now time.Time) *entry {
+func (c *Controller) newEntry(r Request, t *team, now time.Time) *entry {
 	e := c.table.add()
 	e.class = r.Class
-	e.tenant = t
+	e.team = t
 	e.key = c.shares.key(t, r.KeyHash)
 	e.caller = c.shares.caller(e.key, r.Caller)
 	e.arrival = c.shares.next()
@@ -190,12 +190,12 @@
 	return e
 }
 
-func (c *Controller) tenant(name string, now time.Time) *tenant {
-	t := c.shares.tenants[name]
+func (c *Controller) team(name string, now time.Time) *team {
+	t := c.shares.teams[name]
 	if t == nil {
-		t = &tenant{name: name, stamp: c.shares.next()}
-		t.set(c.limits.tenant(name), now)
-		c.shares.tenants[name] = t
+		t = &team{name: name, stamp: c.shares.next()}
+		t.set(c.limits.team(name), now)
+		c.shares.teams[name] = t
 	}
 	return t
 }
--- a/admission/invariants_test.go
+++ b/admission/invariants_test.go
@@ -34,7 +34,7 @@
 	running  map[Ticket]Request
 	maxQueue int
 	slots    int
-	limited  bool // tenant limits are set
+	limited  bool // team limits are set
 	timed    bool // latencies are reported, so waits are estimated
 }
 
@@ -88,12 +88,12 @@
 	}
 	hot, n := m.running[started[0]], 0
 	for _, r := range m.running {
-		if r.KeyHash == hot.KeyHash && r.Tenant == hot.Tenant {
+		if r.KeyHash == hot.KeyHash && r.Team == hot.Team {
 			n++
 		}
 	}
 	for _, q := range m.queued {
-		if n >= limit && (q.KeyHash != hot.KeyHash || q.Tenant != hot.Tenant) {
+		if n >= limit && (q.KeyHash != hot.KeyHash || q.Team != hot.Team) {
 			return fmt.Errorf("key %d holds all %d slots while others wait", hot.KeyHash, limit)
 		}
 	}
@@ -148,7 +148,7 @@
 	m.c.faults = faults
 	m.timed = rapid.Bool().Draw(t, "timed")
 	if m.limited = rapid.Bool().Draw(t, "limited"); m.limited {
-		m.c.SetLimits(Limits{OtherTenants: Limit{InFlight: 2, Queue: 3}}, m.now)
+		m.c.SetLimits(Limits{OtherTeams: Limit{InFlight: 2, Queue: 3}}, m.now)
 	}
 	m.slots = rapid.IntRange(1, 6).Draw(t, "slots")
 	m.c.SetSlots(m.slots, m.now)
@@ -158,7 +158,7 @@
 		switch rapid.SampledFrom(events).Draw(t, "event") {
 		case "begin":
 			err = m.begin(Request{
-				Tenant:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant"),
+				Team:     rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"),
 				Class:    rapid.SampledFrom(catalogue.Classes[:]).Draw(t, "class"),
 				KeyHash:  rapid.Uint64Range(0, 2).Draw(t, "key"),
 				Caller:   rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
@@ -213,8 +213,8 @@
 	if err = errors.Join(err, m.apply(m.c.Tick(m.now.Add(time.Minute)))); err != nil {
 		return err
 	}
-	if n := len(m.queued) + len(m.c.shares.keys) + len(m.c.shares.callers) + len(m.c.shares.tenants); n > 0 {
-		return fmt.Errorf("%d tickets, keys, callers or tenants left", n)
+	if n := len(m.queued) + len(m.c.shares.keys) + len(m.c.shares.callers) + len(m.c.shares.teams); n > 0 {
+		return fmt.Errorf("%d tickets, keys, callers or teams left", n)
 	}
 	return m.state()
 }
@@ -251,20 +251,20 @@
 }
 
 // Guards against a rate limit that is not kept, that has no time to come back, or that
-// makes other tenants wait.
+// makes other teams wait.
 func TestRateLimit(t *testing.T) {
 	for _, broken := range []bool{false, true} {
 		c := New(Config{})
 		c.faults.ignoreRateLimits = broken
 		c.SetSlots(1000, start)
-		c.SetLimits(Limits{Tenants: map[string]Limit{"a": {RatePerSecond: 100, Burst: 10}}}, start)
+		c.SetLimits(Limits{Teams: map[string]Limit{"a": {RatePerSecond: 100, Burst: 10}}}, start)
 		admitted := map[string]int{}
 		for i := range 2000 {
 			now := start.Add(time.Duration(i) * time.Millisecond / 2)
-			for _, tenant := range []string{"a", "b"} {
-				d, _ := c.Begin(Request{Tenant: tenant, Class: catalogue.ClassCritical}, now)
+			for _, team := range []string{"a", "b"} {
+				d, _ := c.Begin(Request{Team: team, Class: catalogue.ClassCritical}, now)
 				if d.Kind == Run {
-					admitted[tenant]++
+					admitted[team]++
 					c.End(d.Ticket, time.Millisecond, Completed, now)
 				} else if d.Err.Reason != verdict.ReasonRateLimited || d.Err.RetryAfter < 10*time.Millisecond {
 					t.Fatalf("rejected with %+v", d.Err)
@@ -283,6 +283,6 @@
 	g := NewWithT(t)
 	l := FromEntry(catalogue.Entry{Class: catalogue.ClassCritical, Limits: catalogue.Limits{MaxInFlight: 12, RatePerSecond: 50}}, 8)
 	want := Limit{InFlight: 2, Queue: catalogue.DefaultMaxQueue, RatePerSecond: 50, Burst: 5}
-	g.Expect(l.OtherTenants).To(Equal(want))
+	g.Expect(l.OtherTeams).To(Equal(want))
 	g.Expect(l.Classes[catalogue.ClassCritical]).To(Equal(want))
 }
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -8,7 +8,7 @@
 	"github.com/basilway/basilway/catalogue"
 )
 
-// Limit bounds the requests of one tenant or class at one backend server. A field
+// Limit bounds the requests of one team or class at one backend server. A field
 // that is 0 sets no bound.
 type Limit struct {
 	InFlight int
@@ -20,15 +20,15 @@
 
 // Limits are the bounds in force at one backend server.
 type Limits struct {
-	// Tenants names tenants with a bound of their own.
-	Tenants map[string]Limit
-	// OtherTenants applies to each tenant that is not in Tenants.
-	OtherTenants Limit
-	Classes      map[catalogue.Class]Limit
+	// Teams names teams with a bound of their own.
+	Teams map[string]Limit
+	// OtherTeams applies to each team that is not in Teams.
+	OtherTeams Limit
+	Classes    map[catalogue.Class]Limit
 }
 
 // FromEntry returns the limits that a catalogue entry sets at one of servers: its
-// class as a whole and each tenant are bounded by the entry's limits.
+// class as a whole and each team are bounded by the entry's limits.
 func FromEntry(e catalogue.Entry, servers int) Limits {
 	l := e.Limits.WithDefaults()
 	limit := Limit{
@@ -37,14 +37,14 @@
 		RatePerSecond: l.RatePerSecond,
 		Burst:         int(l.Burst),
 	}
-	return Limits{OtherTenants: limit, Classes: map[catalogue.Class]Limit{e.Class: limit}}
+	return Limits{OtherTeams: limit, Classes: map[catalogue.Class]Limit{e.Class: limit}}
 }
 
-func (l Limits) tenant(name string) Limit {
-	if limit, ok := l.Tenants[name]; ok {
+func (l Limits) team(name string) Limit {
+	if limit, ok := l.Teams[name]; ok {
 		return limit
 	}
-	return l.OtherTenants
+	return l.OtherTeams
 }
 
 // bound is a Limit with its use.
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -13,8 +13,8 @@
 // minGoodput is the stated target: goodput above 90 % of capacity at 2x overload.
 const minGoodput = 0.9
 
-func std(tenant string, share float64) *flow {
-	return &flow{tenant: tenant, class: catalogue.ClassStandard, share: share}
+func std(team string, share float64) *flow {
+	return &flow{team: team, class: catalogue.ClassStandard, share: share}
 }
 
 // scenario is a run at twice the capacity. With freeze, the server stops for
@@ -65,7 +65,7 @@
 	}
 }
 
-// Guards against a tenant or a hot key at 10 times its share that starves another one
+// Guards against a team or a hot key at 10 times its share that starves another one
 // at its share, and shows that first come, first served would.
 func TestFairness(t *testing.T) {
 	for _, slots := range []int{6, 9} {
@@ -73,7 +73,7 @@
 			for _, broken := range []bool{false, true} {
 				greedy, modest := std("greedy", 5), std("modest", 0.5)
 				if hotKey {
-					modest.tenant, greedy.key = greedy.tenant, 1
+					modest.team, greedy.key = greedy.team, 1
 				}
 				s := &sim{slots: slots, c: New(Config{}), length: simLength, flows: []*flow{greedy, modest}}
 				s.c.faults.firstComeFirstServed = broken
@@ -94,7 +94,7 @@
 		g := NewWithT(t)
 		var flows []*flow // the lowest class first
 		for _, class := range catalogue.Classes {
-			flows = append(flows, &flow{tenant: class.String(), class: class, share: 2.0 / 3})
+			flows = append(flows, &flow{team: class.String(), class: class, share: 2.0 / 3})
 		}
 		s := &sim{slots: slots, c: New(Config{}), length: simLength, flows: flows}
 		g.Expect(s.run().goodput(0)).To(BeNumerically(">", minGoodput))
@@ -146,7 +146,7 @@
 	c := New(Config{})
 	c.SetSlots(1, start)
 	begin := func(timeout time.Duration) Decision {
-		d, _ := c.Begin(Request{Tenant: "a", Deadline: start.Add(timeout)}, start)
+		d, _ := c.Begin(Request{Team: "a", Deadline: start.Add(timeout)}, start)
 		return d
 	}
 	first := begin(time.Second)
@@ -176,7 +176,7 @@
 			c := limitedController()
 			var running []Ticket
 			begin := func(i int, now time.Time) {
-				d, _ := c.Begin(Request{Tenant: "a", Class: catalogue.ClassStandard, KeyHash: uint64(i), Caller: "c"}, now)
+				d, _ := c.Begin(Request{Team: "a", Class: catalogue.ClassStandard, KeyHash: uint64(i), Caller: "c"}, now)
 				if d.Kind == Run {
 					running = append(running, d.Ticket)
 				}
@@ -202,7 +202,7 @@
 	c := limitedController()
 	b.ReportAllocs()
 	for i := range b.N {
-		c.Begin(Request{Tenant: "a", Class: catalogue.ClassStandard, KeyHash: uint64(i), Caller: "c"}, start)
+		c.Begin(Request{Team: "a", Class: catalogue.ClassStandard, KeyHash: uint64(i), Caller: "c"}, start)
 	}
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -22,7 +22,7 @@
 	index   uint32 // position in table.entries
 	uses    uint32 // tells tickets of earlier uses apart
 	class   catalogue.Class
-	tenant  *tenant
+	team    *team
 	key     *key
 	caller  *caller
 	arrival uint64
--- a/admission/request.go
+++ b/admission/request.go
@@ -9,7 +9,7 @@
 
 // Request is what admission needs to know of a request.
 type Request struct {
-	Tenant string
+	Team string
 	// Class counts as background if it is not valid.
 	Class   catalogue.Class
 	KeyHash uint64
--- a/admission/share.go
+++ b/admission/share.go
@@ -1,8 +1,8 @@
 package admission
 
-// tenant, key and caller count what they use, for fair order. They exist while they
-// have requests; a tenant exists longer if its rate needs it.
-type tenant struct {
+// team, key and caller count what they use, for fair order. They exist while they
+// have requests; a team exists longer if its rate needs it.
+type team struct {
 	name string
 	bound
 	// stamp is the sequence number of the last start, or of the creation. Comparing
@@ -14,8 +14,8 @@
 }
 
 type keyID struct {
-	tenant *tenant
-	hash   uint64
+	team *team
+	hash uint64
 }
 
 type key struct {
@@ -35,9 +35,9 @@
 	stamp            uint64
 }
 
-// shares finds tenants, keys and callers.
+// shares finds teams, keys and callers.
 type shares struct {
-	tenants  map[string]*tenant
+	teams    map[string]*team
 	keys     map[keyID]*key
 	callers  map[callerID]*caller
 	sequence uint64
@@ -47,7 +47,7 @@
 }
 
 func newShares() shares {
-	return shares{tenants: map[string]*tenant{}, keys: map[keyID]*key{}, callers: map[callerID]*caller{}}
+	return shares{teams: map[string]*team{}, keys: map[keyID]*key{}, callers: map[callerID]*caller{}}
 }
 
 func (s *shares) next() uint64 {
@@ -55,8 +55,8 @@
 	return s.sequence
 }
 
-func (s *shares) key(t *tenant, hash uint64) *key {
-	id := keyID{tenant: t, hash: hash}
+func (s *shares) key(t *team, hash uint64) *key {
+	id := keyID{team: t, hash: hash}
 	if k := s.keys[id]; k != nil {
 		return k
 	}
@@ -79,8 +79,8 @@
 
 // count adds to the counters of all three levels.
 func (e *entry) count(inFlight, queued int) {
-	e.tenant.inFlight += inFlight
-	e.tenant.queued += queued
+	e.team.inFlight += inFlight
+	e.team.queued += queued
 	e.key.inFlight += inFlight
 	e.key.queued += queued
 	e.caller.inFlight += inFlight
@@ -111,7 +111,7 @@
 
 // before reports whether e starts before o. limit is the number of requests that may
 // be in flight. Order: a key that would hold all slots comes last, then class, then
-// the tenant, key and caller with the fewest requests in flight, the one that started
+// the team, key and caller with the fewest requests in flight, the one that started
 // longest ago among equals. Counting requests in flight shares slot time, so that
 // slow requests are paid for.
 func (e *entry) before(o *entry, limit int) bool {
@@ -122,8 +122,8 @@
 		return e.class > o.class
 	}
 	switch {
-	case e.tenant != o.tenant:
-		return fewer(e.tenant.inFlight, o.tenant.inFlight, e.tenant.stamp, o.tenant.stamp)
+	case e.team != o.team:
+		return fewer(e.team.inFlight, o.team.inFlight, e.team.stamp, o.team.stamp)
 	case e.key != o.key:
 		return fewer(e.key.inFlight, o.key.inFlight, e.key.stamp, o.key.stamp)
 	case e.caller != o.caller:
@@ -146,14 +146,14 @@
 }
 
 // worse reports whether e is rejected before o when the queue is full: the lowest
-// class, then the tenant, key and caller with the most waiting requests, then the
+// class, then the team, key and caller with the most waiting requests, then the
 // newest request.
 func (e *entry) worse(o *entry) bool {
 	switch {
 	case e.class != o.class:
 		return e.class < o.class
-	case e.tenant.queued != o.tenant.queued:
-		return e.tenant.queued > o.tenant.queued
+	case e.team.queued != o.team.queued:
+		return e.team.queued > o.team.queued
 	case e.key.queued != o.key.queued:
 		return e.key.queued > o.key.queued
 	case e.caller.queued != o.caller.queued:
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -17,10 +17,10 @@
 
 // flow is a Poisson stream of requests; share is its rate as a share of capacity.
 type flow struct {
-	tenant string
-	class  catalogue.Class
-	key    uint64 // 0: a new key for each request
-	share  float64
+	team  string
+	class catalogue.Class
+	key   uint64 // 0: a new key for each request
+	share float64
 	// offered, good and failed count requests: all, completed within the deadline, and
 	// rejected or timed out.
 	offered, good, failed int
@@ -121,7 +121,7 @@
 	if key == 0 {
 		key = s.rng.Uint64()
 	}
-	d, a := s.c.Begin(Request{Tenant: f.tenant, Class: f.class, KeyHash: key, Deadline: s.clock().Add(simTimeout)}, s.clock())
+	d, a := s.c.Begin(Request{Team: f.team, Class: f.class, KeyHash: key, Deadline: s.clock().Add(simTimeout)}, s.clock())
 	if r.ticket = d.Ticket; d.Kind == Rejected {
 		f.failed++
 	}
--- a/catalogue/entry.go
+++ b/catalogue/entry.go
@@ -4,7 +4,7 @@
 type Entry struct {
 	// Service is the name of the service; it identifies the entry.
 	Service string `cbor:"1,keyasint" validate:"name"`
-	// Owner is the tenant that owns the service.
+	// Owner is the team that owns the service.
 	Owner  string `cbor:"2,keyasint" validate:"name"`
 	Class  Class  `cbor:"3,keyasint" validate:"class"`
 	Limits Limits `cbor:"4,keyasint"`
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -22,7 +22,7 @@
 	Service    string
 	Key        string
 	Method     string
-	Tenant     string
+	Team       string
 	RequestID  string
 	Payload    []byte
 	Idempotent bool
@@ -51,7 +51,7 @@
 
 func (r *Request) toWire() *backendv1.ExecuteRequest {
 	return &backendv1.ExecuteRequest{
-		Service: r.Service, Key: r.Key, Method: r.Method, Tenant: r.Tenant,
+		Service: r.Service, Key: r.Key, Method: r.Method, Team: r.Team,
 		RequestId: r.RequestID, Payload: r.Payload, Idempotent: r.Idempotent,
 		Grant: &backendv1.Grant{
 			Instance: r.Grant.Instance, Incarnation: r.Grant.Incarnation, Epoch: r.Grant.Epoch,
--- a/internal/backendsim/execute.go
+++ b/internal/backendsim/execute.go
@@ -41,7 +41,7 @@
 	}
 	s.log.record(Execution{
 		RequestID: msg.GetRequestId(), Service: msg.GetService(), Key: msg.GetKey(), Method: msg.GetMethod(),
-		Tenant: msg.GetTenant(), Idempotent: msg.GetIdempotent(), Instance: msg.GetGrant().GetInstance(),
+		Team: msg.GetTeam(), Idempotent: msg.GetIdempotent(), Instance: msg.GetGrant().GetInstance(),
 		Incarnation: msg.GetGrant().GetIncarnation(),
 		Epoch:       msg.GetGrant().GetEpoch(), StartedUS: time.Now().UnixMicro(),
 	})
--- a/internal/backendsim/executions.go
+++ b/internal/backendsim/executions.go
@@ -12,7 +12,7 @@
 	Service    string `json:"service"`
 	Key        string `json:"key"`
 	Method     string `json:"method"`
-	Tenant     string `json:"tenant"`
+	Team       string `json:"team"`
 	Idempotent bool   `json:"idempotent"`
 	Instance   string `json:"instance"`
 	// Incarnation is that of the session in the grant.
--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -43,7 +43,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&payload, "payload", "", "payload of the request")
-	cmd.Flags().StringVar(&request.Tenant, "tenant", "", "tenant on whose behalf the request is made")
+	cmd.Flags().StringVar(&request.Team, "team", "", "team on whose behalf the request is made")
 	cmd.Flags().StringVar(&request.RequestId, "request-id", "", "UUIDv7 to repeat an earlier request; a new one if empty")
 	cmd.Flags().BoolVar(&request.Idempotent, "idempotent", false, "the request may run more than once")
 	return cmd
--- a/internal/daemon/localserver.go
+++ b/internal/daemon/localserver.go
@@ -105,7 +105,7 @@
 	fingerprint := quarantine.NewFingerprint(j.request.Service, j.request.Method, j.request.Payload)
 	for {
 		slot, err := s.slots.acquire(ctx, admission.Request{
-			Tenant: j.request.Tenant, Class: j.entry.Class, KeyHash: j.hash,
+			Team: j.request.Team, Class: j.entry.Class, KeyHash: j.hash,
 			Caller: j.request.Caller, Deadline: j.deadline,
 		})
 		if err != nil {
@@ -167,7 +167,7 @@
 
 func (s *localServer) message(j *job, fingerprint quarantine.Fingerprint, now time.Time) backend.Request {
 	return backend.Request{
-		Service: j.request.Service, Key: j.request.Key, Method: j.request.Method, Tenant: j.request.Tenant,
+		Service: j.request.Service, Key: j.request.Key, Method: j.request.Method, Team: j.request.Team,
 		RequestID: j.request.RequestID, Payload: j.request.Payload, Idempotent: j.request.Idempotent,
 		Grant: backend.Grant{
 			Instance: s.session.Instance, Incarnation: s.session.Incarnation, Epoch: j.ticket.Epoch,
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// maxKeyBytes bounds keys, methods, tenants and caller names.
+	// maxKeyBytes bounds keys, methods, teams and caller names.
 	maxKeyBytes = 1024
 	// maxTimeout bounds a request, because its unit cannot move before it ends.
 	maxTimeout = 10 * time.Minute
@@ -105,10 +105,10 @@
 	if request.Service == "" || request.Key == "" {
 		return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "service and key must not be empty")
 	}
-	for _, text := range []string{request.Key, request.Method, request.Tenant, request.Caller} {
+	for _, text := range []string{request.Key, request.Method, request.Team, request.Caller} {
 		if len(text) > maxKeyBytes {
 			return catalogue.Entry{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid,
-				"key, method, tenant and caller are limited to %d bytes", maxKeyBytes)
+				"key, method, team and caller are limited to %d bytes", maxKeyBytes)
 		}
 	}
 	entry, ok := r.replicas.book().Get(request.Service)
@@ -128,8 +128,8 @@
 		return entry, verdict.New(verdict.NotRun, verdict.ReasonInvalid,
 			"a request that is not idempotent needs a request_id (UUIDv7; see NewRequestId)")
 	}
-	if request.Tenant == "" {
-		request.Tenant = entry.Owner
+	if request.Team == "" {
+		request.Team = entry.Owner
 	}
 	if request.RequestID == "" {
 		id, err := uuid.NewV7()
--- a/internal/daemon/routerapi.go
+++ b/internal/daemon/routerapi.go
@@ -22,7 +22,7 @@
 func (a *routerAPI) Call(ctx context.Context, req *connect.Request[basilwayv1.CallRequest]) (*connect.Response[basilwayv1.CallResponse], error) {
 	m := req.Msg
 	request := wire.Request{
-		Service: m.Service, Key: m.Key, Method: m.Method, Tenant: m.Tenant, Idempotent: m.Idempotent,
+		Service: m.Service, Key: m.Key, Method: m.Method, Team: m.Team, Idempotent: m.Idempotent,
 		RequestID: m.RequestId, Payload: m.Payload, Caller: m.Caller,
 	}
 	if request.Caller == "" {
--- a/internal/loadgen/config.go
+++ b/internal/loadgen/config.go
@@ -15,7 +15,7 @@
 	Direct  bool
 	Service string
 	Method  string
-	Tenant  string
+	Team    string
 	// Keys is the number of different keys; they are drawn uniformly.
 	Keys int
 	// KeyPrefix comes before the number of each key.
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -60,7 +60,7 @@
 		backend := backendv1connect.NewBackendServiceClient(client, url)
 		return func(ctx context.Context, key, id string, payload []byte) (string, bool, error) {
 			_, err := backend.Execute(ctx, connect.NewRequest(&backendv1.ExecuteRequest{
-				Service: c.Service, Key: key, Method: c.Method, Tenant: c.Tenant, RequestId: id, Payload: payload,
+				Service: c.Service, Key: key, Method: c.Method, Team: c.Team, RequestId: id, Payload: payload,
 				Idempotent: c.Idempotent,
 			}))
 			return url, false, err
@@ -69,7 +69,7 @@
 	daemon := basilwayv1connect.NewRouterServiceClient(client, url)
 	return func(ctx context.Context, key, id string, payload []byte) (string, bool, error) {
 		reply, err := daemon.Call(ctx, connect.NewRequest(&basilwayv1.CallRequest{
-			Service: c.Service, Key: key, Method: c.Method, Tenant: c.Tenant, RequestId: id, Payload: payload,
+			Service: c.Service, Key: key, Method: c.Method, Team: c.Team, RequestId: id, Payload: payload,
 			Idempotent: c.Idempotent, FirstCall: true,
 		}))
 		if err != nil {
--- a/internal/policybench/policy_test.go
+++ b/internal/policybench/policy_test.go
@@ -46,9 +46,9 @@
 	return all
 }
 
-// Guards against a policy that misses the balance targets at the tenants' sizes, and
+// Guards against a policy that misses the balance targets at the teams' sizes, and
 // against moves in steady load: once balanced, noise must not move a unit.
-func TestBalanceAtTenantSizes(t *testing.T) {
+func TestBalanceAtTeamSizes(t *testing.T) {
 	g := NewWithT(t)
 	names := []string{"steady", "morning rush", "descent", "sun swell", "hot keys replaced", "server lies"}
 	for _, r := range run(t, Sizes()[:2], names, testSeeds) {
--- a/internal/policybench/size.go
+++ b/internal/policybench/size.go
@@ -34,7 +34,7 @@
 }
 
 // Sizes returns the sizes of design sections 1.1 and 1.6. The counts of keys of the two
-// tenants are assumptions.
+// teams are assumptions.
 func Sizes() []Size {
 	return []Size{
 		{
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -30,7 +30,7 @@
 	flags.BoolVar(&cfg.Direct, "direct", false, "call the backend server without a daemon")
 	flags.StringVar(&cfg.Service, "service", "booking", "name of the service")
 	flags.StringVar(&cfg.Method, "method", "echo", "method of the requests")
-	flags.StringVar(&cfg.Tenant, "tenant", "", "tenant of the requests; the service's owner if empty")
+	flags.StringVar(&cfg.Team, "team", "", "team of the requests; the service's owner if empty")
 	flags.IntVar(&cfg.Keys, "keys", 1000, "number of different keys")
 	flags.StringVar(&cfg.KeyPrefix, "key-prefix", "key-", "text before the number of each key")
 	flags.IntVar(&cfg.PayloadBytes, "payload-bytes", 64, "size of each payload")
--- a/internal/wire/forward.go
+++ b/internal/wire/forward.go
@@ -7,7 +7,7 @@
 	Service    string `cbor:"1,keyasint"`
 	Key        string `cbor:"2,keyasint"`
 	Method     string `cbor:"3,keyasint,omitempty"`
-	Tenant     string `cbor:"4,keyasint,omitempty"`
+	Team       string `cbor:"4,keyasint,omitempty"`
 	Idempotent bool   `cbor:"5,keyasint,omitempty"`
 	RequestID  string `cbor:"6,keyasint,omitempty"`
 	Payload    []byte `cbor:"7,keyasint,omitempty"`
