--- a/grant/holder.go
+++ b/grant/holder.go
@@ -39,7 +39,7 @@
 // Heartbeat answers a heartbeat that arrived at now. leaseUntil is the end of the
 // daemon's lease; nothing is granted beyond it. The completed moves are to be committed;
 // their keys are not granted again unless the table shows that the move was cancelled.
-func (h *Holder) Heartbeat(hb Heartbeat, table *keyrange.Table, leaseUntil, now time.Time) (Reply, []Completed) {
+func (h *Holder) Heartbeat(hb Heartbeat, table *keyrange.Space, leaseUntil, now time.Time) (Reply, []Completed) {
 	h.held = hb.Holds
 	h.handovers = append(h.handovers, hb.Released...)
 	done := h.completedMoves(table)
@@ -72,7 +72,7 @@
 
 // completedMoves returns the open moves of keys that the backend server does not hold
 // and that the last answer did not grant.
-func (h *Holder) completedMoves(table *keyrange.Table) []Completed {
+func (h *Holder) completedMoves(table *keyrange.Space) []Completed {
 	var done []Completed
 	for _, r := range table.OwnedBy(h.owner) {
 		if !r.Moving() || h.completed[r.Span] == r.Fence || h.busy(r.Span) {
@@ -112,7 +112,7 @@
 func (h *Holder) Committing(c Completed) { h.completed[c.Span] = c.Fence }
 
 // Forget drops hand-over tokens of keys that the owner no longer owns.
-func (h *Holder) Forget(table *keyrange.Table) {
+func (h *Holder) Forget(table *keyrange.Space) {
 	kept := h.handovers[:0]
 	for _, release := range h.handovers {
 		if table.Find(release.From).Owner == h.owner {
--- a/grant/holder_test.go
+++ b/grant/holder_test.go
@@ -15,9 +15,9 @@
 	start = time.Unix(1000, 0)
 )
 
-func ownedBy(t *testing.T, owner keyrange.Owner) *keyrange.Table {
+func ownedBy(t *testing.T, owner keyrange.Owner) *keyrange.Space {
 	t.Helper()
-	table, err := keyrange.New().Assign(keyrange.Span{From: 0, To: keyrange.MaxKey}, owner)
+	table, err := keyrange.NewSpace().Assign(keyrange.Span{From: 0, To: keyrange.MaxKey}, owner)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	return table
 }
@@ -38,13 +38,13 @@
 	lease := start.Add(9 * time.Second)
 	table := ownedBy(t, alice)
 	first, _ := h.Heartbeat(Heartbeat{Sequence: 1}, table, lease, start)
-	g.Expect(first.Grants).To(HaveLen(1))
+	g.Expect(first.Grants).To(HaveLen(keyrange.Buckets))
 
 	moved := keyrange.Span{From: 100, To: 200}
 	table, err := table.BeginMove(moved, alice, bob)
 	g.Expect(err).NotTo(HaveOccurred())
 	second, done := h.Heartbeat(Heartbeat{Sequence: 2, Holds: holdsOf(first)}, table, lease, start.Add(time.Second))
-	g.Expect(second.Grants).To(HaveLen(2))
+	g.Expect(second.Grants).To(HaveLen(keyrange.Buckets + 1))
 	g.Expect(done).To(BeEmpty(), "the backend server still holds the keys")
 
 	_, done = h.Heartbeat(Heartbeat{Sequence: 3, Holds: holdsOf(second), Released: []Release{{Span: moved, Handover: "token"}}}, table, lease, start.Add(1100*time.Millisecond))
@@ -56,7 +56,7 @@
 	table, err = table.Release(moved, alice, "token")
 	g.Expect(err).NotTo(HaveOccurred())
 	last, _ := h.Heartbeat(Heartbeat{Sequence: 5, Holds: holdsOf(second)}, table, lease, start.Add(2*time.Second))
-	g.Expect(last.Grants).To(HaveLen(2))
+	g.Expect(last.Grants).To(HaveLen(keyrange.Buckets + 1))
 	now := start.Add(2 * time.Second)
 	g.Expect(h.Serving(99, now)).To(BeTrue())
 	g.Expect(h.Serving(150, now)).To(BeFalse())
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -268,7 +268,7 @@
 	for waiting := true; waiting; {
 		view, changed := b.node.views.get()
 		table, ok := view.Keys[b.node.config.Service]
-		if !ok || hb.State == grant.Draining || !b.expects(table.Table) {
+		if !ok || hb.State == grant.Draining || !b.expects(table.Space) {
 			break
 		}
 		select {
@@ -289,8 +289,8 @@
 	if b.last.Incarnation() != hb.Incarnation() || b.last.Sequence != hb.Sequence {
 		return grant.Reply{}
 	}
-	reply, completed := b.holder.Heartbeat(hb, table.Table, b.node.lease.validUntil(), boottimeNow())
-	b.holder.Forget(table.Table)
+	reply, completed := b.holder.Heartbeat(hb, table.Space, b.node.lease.validUntil(), boottimeNow())
+	b.holder.Forget(table.Space)
 	for _, c := range completed {
 		b.log.Info("keys released", zap.Uint16("from", c.From), zap.Uint16("to", c.To), zap.Uint64("fence", c.Fence),
 			zap.Bool("warm", c.Handover != ""))
@@ -306,10 +306,10 @@
 
 // expects reports whether keys are about to be given to the backend server, and none are
 // to be taken from it.
-func (b *backend) expects(table *keyrange.Table) bool {
+func (b *backend) expects(table *keyrange.Space) bool {
 	owner := b.holderOwner()
 	coming := false
-	for _, r := range table.Ranges {
+	for _, r := range table.Ranges() {
 		if r.Owner == owner && r.Moving() {
 			return false
 		}
--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -17,6 +17,8 @@
 const (
 	reportPath = "/basilway/report"
 	pingPath   = "/basilway/ping"
+	rowsPath   = "/basilway/rows"
+	digestPath = "/basilway/digest"
 )
 
 // hop sends a request to the node beside m's backend server.
--- a/internal/node/keywriter.go
+++ b/internal/node/keywriter.go
@@ -19,7 +19,7 @@
 var errNoChange = errors.New("nothing to change")
 
 // keyEdit computes the next key table of a service, and rows to write with it.
-type keyEdit func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error)
+type keyEdit func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error)
 
 // keyWriter changes key tables in the store.
 type keyWriter struct {
@@ -58,21 +58,34 @@
 }
 
 func (w *keyWriter) try(ctx context.Context, service string, edit keyEdit) error {
-	table, ok := w.views.current().Keys[service]
+	space, ok := w.views.current().Keys[service]
 	if !ok {
-		table = KeyTable{Table: keyrange.New()}
+		space = KeySpace{Space: keyrange.NewSpace()}
 	}
-	next, txn, err := edit(table.Table)
+	next, txn, err := edit(space.Space)
 	if err != nil {
 		return err
 	}
-	value, err := next.Encode()
-	if err != nil {
-		return fmt.Errorf("key table of %s: %w", service, err)
+	buckets := next.Changed(space.Space)
+	if !ok {
+		// The first write creates all rows, so that two first plans exclude each other.
+		buckets = buckets[:0]
+		for i := range keyrange.Buckets {
+			buckets = append(buckets, i)
+		}
+	}
+	for _, bucket := range buckets {
+		value, err := next.Table(bucket).Encode()
+		if err != nil {
+			return fmt.Errorf("keys of %s: %w", service, err)
+		}
+		key := keysKey(service, bucket)
+		txn.Conditions = append(txn.Conditions, metastore.Condition{Key: key, Version: space.Versions[bucket]})
+		txn.Writes = append(txn.Writes, metastore.Write{Key: key, Value: value})
+	}
+	if len(txn.Writes) == 0 {
+		return errNoChange
 	}
-	key := keysKey(service)
-	txn.Conditions = append(txn.Conditions, metastore.Condition{Key: key, Version: table.Version})
-	txn.Writes = append(txn.Writes, metastore.Write{Key: key, Value: value})
 	applied, err := w.store.Apply(ctx, txn)
 	if err != nil {
 		return err
--- a/internal/node/leaseduty.go
+++ b/internal/node/leaseduty.go
@@ -23,8 +23,9 @@
 	// leaseClockSkew is the rate, as a share, by which this machine's clock may run slow
 	// against the store's.
 	leaseClockSkew = 0.02
-	// leaseRenewInterval is the pause between renewals. Each is a priced call.
-	leaseRenewInterval = 2 * time.Second
+	// leaseOwnWriteAfter is the age of the last renewal after which a node writes its row
+	// itself, because the planner does not.
+	leaseOwnWriteAfter = 3 * time.Second
 	// leaseRetryInterval is the pause after a renewal that failed.
 	leaseRetryInterval = 250 * time.Millisecond
 )
@@ -32,6 +33,9 @@
 // leaseDuty keeps the node's lease: the right to grant keys to the backend server beside
 // it. The planner gives the keys of a node away only in a transaction that deletes its
 // lease row, after the row was unchanged for leaseDuration by the store's clock.
+//
+// The planner renews the leases of all nodes that report to it in one transaction. A node
+// that gets no such renewal writes its row itself.
 type leaseDuty struct {
 	instance, address string
 	store             metastore.WatchedTable
@@ -43,10 +47,16 @@
 
 	mu      sync.Mutex
 	until   time.Time
+	renewed time.Time // send time of the last renewal
 	version uint64
 	// pending are the nonces written since the last confirmed write; any of those writes may
 	// have taken effect.
 	pending []uint64
+	// offered is the renewal that the planner was asked for, at offeredAt.
+	offered   *leaseOffer
+	offeredAt time.Time
+	// writing is set while this node writes the row itself.
+	writing bool
 	// priorUntil is when grants of an earlier process on this machine have ended.
 	priorUntil time.Time
 }
@@ -65,7 +75,44 @@
 	return d.priorUntil
 }
 
-// run acquires the lease and renews it until ctx ends.
+// offer returns the renewal to ask the planner for, or nil. An offer is repeated until it
+// is confirmed or the node writes its row itself.
+func (d *leaseDuty) offer() *leaseOffer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.until.IsZero() || d.writing {
+		return nil
+	}
+	if d.offered == nil {
+		nonce := rand.Uint64()
+		d.pending = append(d.pending, nonce)
+		d.offered = &leaseOffer{Version: d.version, Row: leaseRow{Nonce: nonce, Address: d.address}}
+		d.offeredAt = d.now()
+	}
+	return d.offered
+}
+
+// confirm takes a renewal by the planner. It counts from when it was first asked for.
+func (d *leaseDuty) confirm(answer reportAnswer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := answer.Renewed
+	if r == nil || d.offered == nil || d.writing || d.offered.Row.Nonce != r.Nonce {
+		return
+	}
+	d.version, d.pending, d.offered = r.Version, nil, nil
+	d.extend(d.offeredAt)
+}
+
+// extend makes the lease last from a renewal that was sent at a time. d.mu must be held.
+func (d *leaseDuty) extend(sent time.Time) {
+	if sent.After(d.renewed) {
+		d.renewed = sent
+	}
+	d.until = d.renewed.Add(time.Duration(float64(leaseDuration) * (1 - leaseClockSkew)))
+}
+
+// run acquires the lease and keeps it until ctx ends.
 func (d *leaseDuty) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := d.acquire(ctx); err != nil {
@@ -74,7 +121,7 @@
 			continue
 		}
 		d.log.Info("lease acquired", zap.Uint64("version", d.version))
-		d.renewUntilLost(ctx)
+		d.keep(ctx)
 	}
 }
 
@@ -82,14 +129,17 @@
 // it, and then reads the cluster again: without a lease, keys may have been given away.
 func (d *leaseDuty) acquire(ctx context.Context) error {
 	d.mu.Lock()
-	d.until, d.priorUntil = time.Time{}, d.now().Add(leaseDuration)
+	d.until, d.renewed, d.offered, d.priorUntil = time.Time{}, time.Time{}, nil, d.now().Add(leaseDuration)
 	d.mu.Unlock()
-	version, _, err := d.read(ctx)
-	if err != nil {
-		return err
-	}
-	d.version, d.pending = version, nil
 	sent, err := d.write(ctx)
+	if errors.Is(err, metastore.ErrConflict) {
+		version, _, readErr := d.read(ctx)
+		if readErr != nil {
+			return readErr
+		}
+		d.adopt(version)
+		sent, err = d.write(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -97,62 +147,92 @@
 	if err != nil {
 		return err
 	}
+	d.sampled(listing.Version, listing.Now)
 	d.views.replace(clusterTable, listing)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.extend(sent)
 	return nil
 }
 
-func (d *leaseDuty) extend(sent time.Time) {
+// adopt continues from a version of the row that was read.
+func (d *leaseDuty) adopt(version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.until = sent.Add(time.Duration(float64(leaseDuration) * (1 - leaseClockSkew)))
+	d.version, d.pending = version, nil
 }
 
-func (d *leaseDuty) renewUntilLost(ctx context.Context) {
-	pause := leaseRenewInterval
+// keep renews the lease whenever the planner does not, until it is lost.
+func (d *leaseDuty) keep(ctx context.Context) {
 	failing := false
 	for {
-		sleep(ctx, pause)
+		sleep(ctx, jitter(leaseRetryInterval))
 		if ctx.Err() != nil {
 			return
 		}
+		if !d.beginOwnWrite() {
+			continue
+		}
 		sent, err := d.write(ctx)
+		d.endOwnWrite(sent, err)
 		switch {
+		case err == nil && failing:
+			d.log.Info("lease renewed again", zap.Uint64("version", d.version))
+			failing = false
 		case err == nil:
-			d.extend(sent)
-			if failing {
-				d.log.Info("lease renewed again", zap.Uint64("version", d.version))
-			}
-			pause, failing = leaseRenewInterval, false
 		case errors.Is(err, metastore.ErrConflict):
 			d.log.Error("lease lost: the row was changed by another node", zap.Uint64("version", d.version), zap.Error(err))
 			return
-		default:
-			if !failing {
-				d.log.Warn("lease not renewed", zap.Duration("left", d.validUntil().Sub(d.now())), zap.Error(err))
-			}
-			pause, failing = jitter(leaseRetryInterval), true
+		case !failing:
+			d.log.Warn("lease not renewed", zap.Duration("left", d.validUntil().Sub(d.now())), zap.Error(err))
+			failing = true
 		}
 	}
 }
 
+// beginOwnWrite reports whether the node is to write its row itself now.
+func (d *leaseDuty) beginOwnWrite() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.now().Sub(d.renewed) < leaseOwnWriteAfter {
+		return false
+	}
+	d.writing, d.offered = true, nil
+	return true
+}
+
+func (d *leaseDuty) endOwnWrite(sent time.Time, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.writing = false
+	if err == nil {
+		d.extend(sent)
+	}
+	if errors.Is(err, metastore.ErrConflict) {
+		d.until = time.Time{}
+	}
+}
+
 // write renews the row. It returns the time before the write was sent.
 func (d *leaseDuty) write(ctx context.Context) (time.Time, error) {
-	nonce := rand.Uint64()
-	d.pending = append(d.pending, nonce)
-	value, err := cbor.Marshal(leaseRow{Nonce: nonce, Address: d.address})
+	row := leaseRow{Nonce: rand.Uint64(), Address: d.address}
+	value, err := cbor.Marshal(row)
 	if err != nil {
 		return time.Time{}, err
 	}
+	d.mu.Lock()
+	d.pending = append(d.pending, row.Nonce)
+	version := d.version
+	d.mu.Unlock()
 	key := leaseKey(d.instance)
 	sent := d.now()
 	applied, err := d.store.Apply(ctx, metastore.Txn{
-		Conditions: []metastore.Condition{{Key: key, Version: d.version}},
+		Conditions: []metastore.Condition{{Key: key, Version: version}},
 		Writes:     []metastore.Write{{Key: key, Value: value}},
 	})
 	if err == nil {
 		d.sampled(applied.Version, applied.Now)
-		d.version, d.pending = applied.Version, nil
+		d.adopt(applied.Version)
 		return sent, nil
 	}
 	if !errors.Is(err, metastore.ErrConflict) {
@@ -163,10 +243,13 @@
 	if readErr != nil {
 		return time.Time{}, readErr
 	}
-	if version == 0 || !slices.Contains(d.pending, nonce) {
+	d.mu.Lock()
+	own := version != 0 && slices.Contains(d.pending, nonce)
+	d.mu.Unlock()
+	if !own {
 		return time.Time{}, err
 	}
-	d.version, d.pending = version, nil
+	d.adopt(version)
 	return time.Time{}, errAdopted
 }
 
--- a/internal/node/memberduty.go
+++ b/internal/node/memberduty.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		b.log.Warn("backend server has not come back; giving up its keys", zap.String("backend", owner.Incarnation))
-		err := b.node.writer.update(ctx, b.node.config.Service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+		err := b.node.writer.update(ctx, b.node.config.Service, func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
 			return t.Drop(owner), metastore.Txn{}, nil
 		})
 		if err != nil {
@@ -158,6 +158,10 @@
 		return err
 	}
 	b.node.views.apply(metastore.Row{Key: key, Value: value, Version: applied.Version})
+	if version == 0 {
+		// Nodes that started at the same time have written their rows meanwhile.
+		return b.relist(ctx, nil)
+	}
 	return nil
 }
 
@@ -179,14 +183,14 @@
 	if !ok {
 		return nil
 	}
-	edit := func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+	edit := func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
 		next, changed := editKeys(t, m, completed)
 		if !changed {
 			return nil, metastore.Txn{}, errNoChange
 		}
 		return next, metastore.Txn{}, nil
 	}
-	if _, changed := editKeys(table.Table, m, completed); changed {
+	if _, changed := editKeys(table.Space, m, completed); changed {
 		if err := b.node.writer.update(ctx, m.Service, edit); err != nil {
 			return err
 		}
@@ -198,7 +202,7 @@
 }
 
 // editKeys returns the key table after the changes that m and completed call for.
-func editKeys(t *keyrange.Table, m Member, completed []grant.Completed) (*keyrange.Table, bool) {
+func editKeys(t *keyrange.Space, m Member, completed []grant.Completed) (*keyrange.Space, bool) {
 	next, changed := t, false
 	for _, owner := range t.Owners() {
 		if owner.Instance != m.Owner.Instance {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	writer  *keyWriter
 	backend *backend
 	planner *planner
+	spread  *rowSpread
 	peers   *peers
 	demand  *demandMeter
 	works   workMeter
@@ -59,6 +60,8 @@
 	n.backend = newBackend(n)
 	n.planner = newPlanner(n)
 	n.lease.sampled = n.planner.sample
+	n.spread = newSpread(n)
+	n.views.fresh = n.spread.fresh
 	n.metrics = newMetrics(n)
 	n.events = newEvents(log, n.metrics.droppedLine)
 	return n
@@ -97,9 +100,8 @@
 	defer stopDuties()
 	var running sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		(&watchDuty{table: tableOf(n.config.Protocol.DesiredStateRow()), store: n.store, views: n.views, log: n.log.Named("watch")}).run,
-		(&watchDuty{table: clusterTable, store: n.store, views: n.views, log: n.log.Named("watch")}).run,
-		n.lease.run, n.backend.runMember, n.planner.run, n.runReports, n.runHousekeeping,
+		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runMember, n.planner.run, n.planner.runRenewals,
+		n.runReports, n.spread.runPush, n.spread.runDigests, n.runHousekeeping,
 	} {
 		running.Go(func() { duty(duties) })
 	}
@@ -124,6 +126,40 @@
 	return nil
 }
 
+// watchDesiredState follows the operator's desired state; every node does, because a
+// change must be in force everywhere within seconds.
+func (n *Node) watchDesiredState(ctx context.Context) {
+	d := n.watch(tableOf(n.config.Protocol.DesiredStateRow()))
+	d.follows = func() bool { return true }
+	d.run(ctx)
+}
+
+// watchCluster follows the cluster's rows if this node plans. Other nodes get them from
+// each other; they read the store at times, and often while they reach no other node.
+func (n *Node) watchCluster(ctx context.Context) {
+	d := n.watch(clusterTable)
+	d.follows = func() bool { return n.views.current().Planner.Instance == n.config.Instance }
+	d.listEvery = func() time.Duration {
+		if n.spread.isolated() {
+			return isolatedPoll
+		}
+		return relistInterval
+	}
+	// The lease duty reads the table at the start.
+	for view, changed := n.views.get(); !view.Listed && ctx.Err() == nil; view, changed = n.views.get() {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	d.listed = time.Now()
+	d.run(ctx)
+}
+
+func (n *Node) watch(table string) *watchDuty {
+	return &watchDuty{table: table, store: n.store, views: n.views, log: n.log.Named("watch"), sampled: n.planner.sample}
+}
+
 // housekeepingInterval is the time between two looks for connections to nodes that left.
 const housekeepingInterval = 5 * time.Second
 
@@ -171,6 +207,8 @@
 	ready.HandleFunc(n.config.Protocol.ReadyPath(), n.ready)
 	peers := http.NewServeMux()
 	peers.HandleFunc("POST "+reportPath, n.serveReport)
+	peers.HandleFunc("POST "+rowsPath, n.spread.serveRows)
+	peers.HandleFunc("POST "+digestPath, n.spread.serveDigest)
 	peers.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -20,9 +20,10 @@
 	planInterval = 400 * time.Millisecond
 	// balanceInterval is the least time between two plans that move keys for balance.
 	balanceInterval = 900 * time.Millisecond
-	// leasePollInterval is the time between two reads of all leases. Each is a priced
-	// call.
+	// leasePollInterval is the time between two reads of all leases while a member is
+	// silent, and leaseIdlePoll that while all report. Each is a priced call.
 	leasePollInterval = time.Second
+	leaseIdlePoll     = 10 * time.Second
 	// firstAssignWait is how long the first assignment of a service waits for more
 	// backend servers to announce themselves.
 	firstAssignWait = 1200 * time.Millisecond
@@ -38,14 +39,15 @@
 	node *Node
 	log  *zap.Logger
 
-	mu      sync.Mutex
-	expiry  *expiry.Tracker
-	demand  map[string]*placement.Demand
-	works   map[string]map[string]time.Duration // by instance, then route
-	cold    map[string]bool
-	since   map[string]time.Time // first sight of a service's members
-	balance time.Time
-	polled  time.Time
+	mu       sync.Mutex
+	expiry   *expiry.Tracker
+	demand   map[string]*placement.Demand
+	works    map[string]map[string]time.Duration // by instance, then route
+	cold     map[string]bool
+	since    map[string]time.Time // first sight of a service's members
+	renewals map[string]*renewal
+	balance  time.Time
+	polled   time.Time
 }
 
 func newPlanner(n *Node) *planner {
@@ -63,6 +65,7 @@
 	p.works = map[string]map[string]time.Duration{}
 	p.cold = map[string]bool{}
 	p.since = map[string]time.Time{}
+	p.renewals = map[string]*renewal{}
 }
 
 const (
@@ -71,7 +74,7 @@
 	reachableBeforeFence = 2500 * time.Millisecond
 	// storeMaxGap is the time without an answer of the store after which it counts as
 	// unreachable; more than the interval of lease renewals.
-	storeMaxGap = leaseRenewInterval + time.Second
+	storeMaxGap = 3 * time.Second
 	// sampleResolution is the least distance of two notes of the store's newest version.
 	sampleResolution = 250 * time.Millisecond
 )
@@ -84,7 +87,7 @@
 }
 
 // observe takes a report.
-func (p *planner) observe(r report) {
+func (p *planner) observe(r report) reportAnswer {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,6 +106,7 @@
 		works[route] = time.Duration(micros) * time.Microsecond
 	}
 	p.works[r.Instance], p.cold[r.Instance] = works, r.Cold
+	return p.take(r, now)
 }
 
 // candidacy takes the role of the planner if nobody has it, or if its holder's lease row
@@ -183,7 +187,11 @@
 
 // fenceLost removes the members whose leases ran out and takes their keys.
 func (p *planner) fenceLost(ctx context.Context) {
-	if time.Since(p.polled) < leasePollInterval {
+	pause := leaseIdlePoll
+	if p.anySilent(time.Now()) {
+		pause = leasePollInterval
+	}
+	if time.Since(p.polled) < pause {
 		return
 	}
 	p.polled = time.Now()
@@ -248,7 +256,7 @@
 	}
 	var err error
 	if _, sharded := view.Keys[m.Service]; ok && sharded {
-		err = p.node.writer.update(ctx, m.Service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+		err = p.node.writer.update(ctx, m.Service, func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
 			for _, owner := range t.Owners() {
 				if owner.Instance == lost.Holder {
 					t = t.Drop(owner)
@@ -286,7 +294,7 @@
 			return
 		}
 		writeCtx, cancel := context.WithTimeout(ctx, planWriteTimeout)
-		err := p.node.writer.update(writeCtx, service, func(t *keyrange.Table) (*keyrange.Table, metastore.Txn, error) {
+		err := p.node.writer.update(writeCtx, service, func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
 			for _, c := range changes {
 				next, err := c.Apply(t)
 				if err != nil {
@@ -315,13 +323,13 @@
 // next computes the changes from the current view.
 func (p *planner) next(service string, now time.Time) []placement.Change {
 	view := p.node.views.current()
-	table := keyrange.New()
+	table := keyrange.NewSpace()
 	if have, ok := view.Keys[service]; ok {
-		table = have.Table
+		table = have.Space
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	in := placement.Input{Table: table, Loads: map[uint16]float64{}}
+	in := placement.Input{Space: table, Loads: map[uint16]float64{}}
 	if d := p.demand[service]; d != nil {
 		in.Loads = d.Loads(now)
 		in.Balance = d.Settled(now) && now.Sub(p.balance) >= balanceInterval
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -24,6 +24,14 @@
 	Work map[string]uint32 `cbor:"3,keyasint"`
 	// Cold is set while the backend server is slow after its start.
 	Cold bool `cbor:"4,keyasint"`
+	// Lease asks the planner to renew the node's lease together with others.
+	Lease *leaseOffer `cbor:"5,keyasint,omitempty"`
+}
+
+// reportAnswer is what the planner says to a report.
+type reportAnswer struct {
+	// Renewed is the last renewal of the node's lease by the planner.
+	Renewed *leaseRenewal `cbor:"1,keyasint,omitempty"`
 }
 
 const (
@@ -46,7 +54,7 @@
 		sleep(ctx, jitter(2*reportInterval*2/3))
 		view := n.views.current()
 		if view.Planner.Instance == n.config.Instance {
-			n.planner.observe(n.report())
+			n.lease.confirm(n.planner.observe(n.report()))
 			missed = 0
 			continue
 		}
@@ -67,7 +75,7 @@
 }
 
 func (n *Node) report() report {
-	r := report{Instance: n.config.Instance, Demand: n.demand.take(), Work: map[string]uint32{}}
+	r := report{Instance: n.config.Instance, Demand: n.demand.take(), Work: map[string]uint32{}, Lease: n.lease.offer()}
 	for route, work := range n.backend.lane.works() {
 		r.Work[route] = uint32(work.Microseconds())
 	}
@@ -95,10 +103,19 @@
 		return err
 	}
 	defer resp.Body.Close()
-	drain(resp.Body)
-	if resp.StatusCode != http.StatusNoContent {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("the planner answered %d", resp.StatusCode)
 	}
+	var answer reportAnswer
+	if err := cbor.Unmarshal(data, &answer); err != nil {
+		return fmt.Errorf("answer of the planner: %w", err)
+	}
+	n.lease.confirm(answer)
+	n.spread.contact()
 	return nil
 }
 
@@ -119,6 +136,12 @@
 		http.Error(w, "this node does not plan", http.StatusConflict)
 		return
 	}
-	n.planner.observe(report)
-	w.WriteHeader(http.StatusNoContent)
+	data, err := cbor.Marshal(n.planner.observe(report))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(data); err != nil {
+		n.log.Debug("answer to a report not sent", zap.Error(err))
+	}
 }
--- a/internal/node/rows.go
+++ b/internal/node/rows.go
@@ -1,6 +1,12 @@
 package node
 
-import "strings"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/basilway/basilway/keyrange"
+)
 
 // The tables of the store. Leases are apart from the rest, because they change all the
 // time and nobody follows them.
@@ -15,9 +21,27 @@
 )
 
 func memberKey(instance string) string { return memberPrefix + instance }
-func keysKey(service string) string    { return keysPrefix + service }
 func leaseKey(instance string) string  { return leaseTable + "/" + instance }
 
+// keysKey returns the key of the row of one table of a service's key space.
+func keysKey(service string, bucket int) string {
+	return fmt.Sprintf("%s%s/%02d", keysPrefix, service, bucket)
+}
+
+// parseKeysRow reads what keysKey returns.
+func parseKeysRow(key string) (service string, bucket int, err error) {
+	rest := strings.TrimPrefix(key, keysPrefix)
+	at := strings.LastIndexByte(rest, '/')
+	if at < 0 {
+		return "", 0, fmt.Errorf("row %q names no table of a key space", key)
+	}
+	bucket, err = strconv.Atoi(rest[at+1:])
+	if err != nil || bucket < 0 || bucket >= keyrange.Buckets {
+		return "", 0, fmt.Errorf("row %q names no table of a key space", key)
+	}
+	return rest[:at], bucket, nil
+}
+
 // tableOf returns the table of a row's key.
 func tableOf(key string) string {
 	table, _, _ := strings.Cut(key, "/")
--- /dev/null
+++ b/internal/node/spread.go
@@ -0,0 +1,342 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/metastore"
+)
+
+const (
+	// spreadFanout is the number of random nodes to which a row that was new is passed on,
+	// besides those that it concerns. Three reach nearly all nodes of a hundred; the
+	// comparison of digests reaches the rest.
+	spreadFanout = 3
+	// spreadDelay is the time in which rows are collected for one message.
+	spreadDelay = 8 * time.Millisecond
+	// spreadTimeout bounds one message.
+	spreadTimeout = 300 * time.Millisecond
+	// digestInterval is the time between two comparisons with a random node.
+	digestInterval = 1500 * time.Millisecond
+	// isolatedAfter is the time without a successful exchange with any node after which
+	// a node reads the store itself, every isolatedPoll.
+	isolatedAfter = 4 * time.Second
+	isolatedPoll  = 2 * time.Second
+	// maxRows is the size in bytes of the largest message with rows.
+	maxRows = 8 << 20
+)
+
+// rowSpread passes the rows of the cluster on from node to node, so that only the planner
+// follows the store: each call of the store is priced, and its rate does not grow with
+// the number of nodes.
+type rowSpread struct {
+	node *Node
+	log  *zap.Logger
+	kick chan struct{}
+
+	mu      sync.Mutex
+	pending map[string]metastore.Row
+	// contacted is the time of the last successful exchange with another node.
+	contacted time.Time
+}
+
+func newSpread(n *Node) *rowSpread {
+	return &rowSpread{node: n, log: n.log.Named("spread"), kick: make(chan struct{}, 1), pending: map[string]metastore.Row{}, contacted: time.Now()}
+}
+
+// rowsMessage carries rows, or asks for some.
+type rowsMessage struct {
+	Rows []metastore.Row `cbor:"1,keyasint,omitempty"`
+	// Want names rows that the sender asks for.
+	Want []string `cbor:"2,keyasint,omitempty"`
+}
+
+// digestMessage compares what two nodes know.
+type digestMessage struct {
+	Sum uint64 `cbor:"1,keyasint"`
+	// Versions of all rows by key; only in answers to a different sum.
+	Versions map[string]uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// contact notes that another node was reached.
+func (s *rowSpread) contact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contacted = time.Now()
+}
+
+// isolated reports whether no other node was reached for a while.
+func (s *rowSpread) isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.contacted) > isolatedAfter
+}
+
+// fresh queues rows that were new to this node.
+func (s *rowSpread) fresh(rows []metastore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		if tableOf(row.Key) == clusterTable {
+			s.pending[row.Key] = row
+		}
+	}
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// runPush passes queued rows on.
+func (s *rowSpread) runPush(ctx context.Context) {
+	for {
+		select {
+		case <-s.kick:
+		case <-ctx.Done():
+			return
+		}
+		sleep(ctx, spreadDelay)
+		s.mu.Lock()
+		rows := make([]metastore.Row, 0, len(s.pending))
+		for _, row := range s.pending {
+			rows = append(rows, row)
+		}
+		clear(s.pending)
+		s.mu.Unlock()
+		if len(rows) == 0 {
+			continue
+		}
+		body, err := cbor.Marshal(rowsMessage{Rows: rows})
+		if err != nil {
+			s.log.Error("rows cannot be encoded", zap.Error(err))
+			continue
+		}
+		for _, address := range s.targets(rows) {
+			go s.push(ctx, address, body)
+		}
+	}
+}
+
+func (s *rowSpread) push(ctx context.Context, address string, body []byte) {
+	if _, err := s.post(ctx, address, rowsPath, body); err != nil {
+		// The comparison of digests makes up for it.
+		s.log.Debug("rows not delivered", zap.String("address", address), zap.Error(err))
+	}
+}
+
+// targets returns the addresses of the nodes that the rows concern and of some random ones.
+func (s *rowSpread) targets(rows []metastore.Row) []string {
+	view := s.node.views.current()
+	concerned := map[string]bool{}
+	for _, row := range rows {
+		if !strings.HasPrefix(row.Key, keysPrefix) {
+			continue
+		}
+		service, bucket, err := parseKeysRow(row.Key)
+		if err != nil {
+			continue
+		}
+		for _, r := range view.Keys[service].Table(bucket).Ranges {
+			if r.Moving() || r.Handover != "" {
+				concerned[r.Owner.Instance], concerned[r.Next.Instance] = true, true
+			}
+		}
+	}
+	var out, others []string
+	for instance, m := range view.Members {
+		switch {
+		case instance == s.node.config.Instance || s.node.peers.isLost(m.Address):
+		case concerned[instance]:
+			out = append(out, m.Address)
+		default:
+			others = append(others, m.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(out, others[:min(len(others), spreadFanout)]...)
+}
+
+// runDigests compares with a random node in turn.
+func (s *rowSpread) runDigests(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(digestInterval*4/3))
+		if address := s.anyPeer(); address != "" {
+			if err := s.compare(ctx, address); err != nil && ctx.Err() == nil {
+				s.log.Debug("digests not compared", zap.String("address", address), zap.Error(err))
+			}
+		}
+	}
+}
+
+func (s *rowSpread) anyPeer() string {
+	var addresses []string
+	for instance, m := range s.node.views.current().Members {
+		if instance != s.node.config.Instance && !s.node.peers.isLost(m.Address) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// compare brings this node and another one to the newer version of each row.
+func (s *rowSpread) compare(ctx context.Context, address string) error {
+	sum, versions := s.node.views.digest()
+	body, err := cbor.Marshal(digestMessage{Sum: sum})
+	if err != nil {
+		return err
+	}
+	data, err := s.post(ctx, address, digestPath, body)
+	if err != nil {
+		return err
+	}
+	var theirs digestMessage
+	if err := cbor.Unmarshal(data, &theirs); err != nil {
+		return fmt.Errorf("digest: %w", err)
+	}
+	if theirs.Sum == sum {
+		return nil
+	}
+	var exchange rowsMessage
+	for key, version := range theirs.Versions {
+		if version > versions[key] {
+			exchange.Want = append(exchange.Want, key)
+		}
+	}
+	var newer []string
+	for key, version := range versions {
+		if version > theirs.Versions[key] {
+			newer = append(newer, key)
+		}
+	}
+	exchange.Rows = s.node.views.rowsOf(newer)
+	if body, err = cbor.Marshal(exchange); err != nil {
+		return err
+	}
+	if data, err = s.post(ctx, address, rowsPath, body); err != nil {
+		return err
+	}
+	var got rowsMessage
+	if err := cbor.Unmarshal(data, &got); err != nil {
+		return fmt.Errorf("rows: %w", err)
+	}
+	s.node.views.apply(got.Rows...)
+	return nil
+}
+
+// post sends a message to another node and returns its answer.
+func (s *rowSpread) post(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	resp, err := s.node.peers.pool(address).Do(ctx, httpclient.Exchange{
+		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body,
+	}, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRows))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the node answered %d", resp.StatusCode)
+	}
+	s.contact()
+	return data, nil
+}
+
+// serveRows takes rows of another node and returns those that it asks for.
+func (s *rowSpread) serveRows(w http.ResponseWriter, r *http.Request) {
+	var message rowsMessage
+	if !s.read(w, r, &message) {
+		return
+	}
+	s.node.views.apply(message.Rows...)
+	s.answer(w, rowsMessage{Rows: s.node.views.rowsOf(message.Want)})
+}
+
+// serveDigest compares what another node knows with what this one knows.
+func (s *rowSpread) serveDigest(w http.ResponseWriter, r *http.Request) {
+	var message digestMessage
+	if !s.read(w, r, &message) {
+		return
+	}
+	sum, versions := s.node.views.digest()
+	if sum == message.Sum {
+		versions = nil
+	}
+	s.answer(w, digestMessage{Sum: sum, Versions: versions})
+}
+
+func (s *rowSpread) read(w http.ResponseWriter, r *http.Request, message any) bool {
+	var body bytes.Buffer
+	_, err := io.Copy(&body, io.LimitReader(r.Body, maxRows))
+	if err == nil {
+		err = cbor.Unmarshal(body.Bytes(), message)
+	}
+	if err != nil {
+		s.log.Warn("message of another node rejected", zap.String("remote", r.RemoteAddr), zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	s.contact()
+	return true
+}
+
+func (s *rowSpread) answer(w http.ResponseWriter, message any) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(data); err != nil {
+		s.log.Debug("answer to another node not sent", zap.Error(err))
+	}
+}
+
+// digest returns a sum over all rows that is equal on nodes that know the same versions,
+// and the versions.
+func (s *viewStore) digest() (uint64, map[string]uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := make(map[string]uint64, len(s.rows))
+	sum := uint64(0)
+	var buffer []byte
+	for key, row := range s.rows {
+		versions[key] = row.Version
+		buffer = binary.LittleEndian.AppendUint64(append(buffer[:0], key...), row.Version)
+		sum ^= xxhash.Sum64(buffer)
+	}
+	return sum, versions
+}
+
+// rowsOf returns the rows with the given keys that this node has.
+func (s *viewStore) rowsOf(keys []string) []metastore.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []metastore.Row
+	for _, key := range keys {
+		if row, ok := s.rows[key]; ok {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b metastore.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -16,7 +16,7 @@
 	// Members by instance.
 	Members map[string]Member
 	// Keys by service; a service that nobody has assigned yet is missing.
-	Keys map[string]KeyTable
+	Keys map[string]KeySpace
 	// Planner is the instance that plans.
 	Planner PlannerRow
 	// Listed is true once the cluster's rows were read.
@@ -25,10 +25,10 @@
 	strikes []quarantine.Record
 }
 
-// KeyTable is a key table with the version of its row.
-type KeyTable struct {
-	*keyrange.Table
-	Version uint64
+// KeySpace is a key space with the versions of its rows.
+type KeySpace struct {
+	*keyrange.Space
+	Versions [keyrange.Buckets]uint64
 }
 
 // PlannerRow names the planner.
@@ -44,7 +44,7 @@
 	for k, m := range v.Members {
 		out.Members[k] = m
 	}
-	out.Keys = map[string]KeyTable{}
+	out.Keys = map[string]KeySpace{}
 	for k, t := range v.Keys {
 		out.Keys[k] = t
 	}
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -20,16 +20,19 @@
 	protocol Protocol
 	log      *zap.Logger
 
-	mu       sync.Mutex
-	view     *View
-	versions map[string]uint64
-	changed  chan struct{} // closed at the next change
+	// fresh is told the rows that were new, if not nil. It must not block.
+	fresh func(rows []metastore.Row)
+
+	mu      sync.Mutex
+	view    *View
+	rows    map[string]metastore.Row // the newest of each key, also if deleted
+	changed chan struct{}            // closed at the next change
 }
 
 func newViewStore(protocol Protocol, log *zap.Logger) *viewStore {
 	return &viewStore{
-		protocol: protocol, log: log, versions: map[string]uint64{}, changed: make(chan struct{}),
-		view: &View{Members: map[string]Member{}, Keys: map[string]KeyTable{}},
+		protocol: protocol, log: log, rows: map[string]metastore.Row{}, changed: make(chan struct{}),
+		view: &View{Members: map[string]Member{}, Keys: map[string]KeySpace{}},
 	}
 }
 
@@ -46,25 +49,35 @@
 	return v
 }
 
-// apply takes rows of a watch or of a transaction of this node.
+// apply takes rows of the store, of another node or of a transaction of this node.
 func (s *viewStore) apply(rows ...metastore.Row) {
+	fresh := s.take(rows)
+	if len(fresh) > 0 && s.fresh != nil {
+		s.fresh(fresh)
+	}
+}
+
+// take returns the rows that were newer than those before.
+func (s *viewStore) take(rows []metastore.Row) []metastore.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next, changed := s.view.clone(), false
+	next := s.view.clone()
+	var fresh []metastore.Row
 	for _, row := range rows {
-		if row.Version <= s.versions[row.Key] {
+		if row.Version <= s.rows[row.Key].Version {
 			continue
 		}
-		s.versions[row.Key] = row.Version
-		changed = true
+		s.rows[row.Key] = row
+		fresh = append(fresh, row)
 		if err := s.applyRow(next, row); err != nil {
 			s.log.Error("row of the store cannot be read; the version before it stays in force",
 				zap.String("row", row.Key), zap.Uint64("version", row.Version), zap.Error(err))
 		}
 	}
-	if changed {
+	if len(fresh) > 0 {
 		s.publish(next)
 	}
+	return fresh
 }
 
 // replace takes all rows of a table as of version; rows that are missing were deleted.
@@ -75,8 +88,8 @@
 	}
 	s.mu.Lock()
 	var gone []metastore.Row
-	for key := range s.versions {
-		if tableOf(key) == table && !present[key] {
+	for key, row := range s.rows {
+		if tableOf(key) == table && !present[key] && !row.Deleted {
 			gone = append(gone, metastore.Row{Key: key, Version: listing.Version, Deleted: true})
 		}
 	}
@@ -160,15 +173,25 @@
 }
 
 func applyKeys(v *View, row metastore.Row) error {
-	service := strings.TrimPrefix(row.Key, keysPrefix)
-	if row.Deleted {
-		delete(v.Keys, service)
-		return nil
-	}
-	t, err := keyrange.Decode(row.Value)
+	service, bucket, err := parseKeysRow(row.Key)
 	if err != nil {
 		return err
 	}
-	v.Keys[service] = KeyTable{Table: t, Version: row.Version}
+	space, ok := v.Keys[service]
+	if !ok {
+		space = KeySpace{Space: keyrange.NewSpace()}
+	}
+	table := keyrange.New(keyrange.BucketSpan(bucket))
+	if !row.Deleted {
+		if table, err = keyrange.Decode(row.Value, keyrange.BucketSpan(bucket)); err != nil {
+			return err
+		}
+	}
+	space.Space = space.With(bucket, table)
+	space.Versions[bucket] = row.Version
+	if row.Deleted {
+		space.Versions[bucket] = 0
+	}
+	v.Keys[service] = space
 	return nil
 }
--- a/internal/node/watchduty.go
+++ b/internal/node/watchduty.go
@@ -17,6 +17,12 @@
 	// watchPauseMin and watchPauseMax bound the pause after a failed watch.
 	watchPauseMin = 50 * time.Millisecond
 	watchPauseMax = 800 * time.Millisecond
+	// idleCheck is the interval at which a node that does not follow a table looks
+	// whether it is to do so.
+	idleCheck = 200 * time.Millisecond
+	// relistInterval is the time after which a node that does not follow a table reads it
+	// again, against rows that the other nodes missed too.
+	relistInterval = 30 * time.Second
 )
 
 // watchDuty follows one table of the store and applies its rows to the view.
@@ -25,31 +31,45 @@
 	store metastore.WatchedTable
 	views *viewStore
 	log   *zap.Logger
+	// follows reports whether the table is to be followed now, and listEvery how often it
+	// is to be read otherwise.
+	follows   func() bool
+	listEvery func() time.Duration
+	// sampled is told the store's newest version and clock at each answer.
+	sampled func(version uint64, now time.Duration)
+	// listed is when the table was read last; zero if it was not.
+	listed time.Time
 }
 
 // run follows the table until ctx ends.
 func (d *watchDuty) run(ctx context.Context) {
-	pause, listed, lost := watchPauseMin, false, false
+	pause, lost := watchPauseMin, false
 	var after uint64
+	following := false
 	for ctx.Err() == nil {
-		var err error
-		if !listed {
-			var listing metastore.Listing
-			if listing, err = d.store.List(ctx, d.table); err == nil {
-				d.views.replace(d.table, listing)
-				after, listed = listing.Version, true
+		if !d.follows() {
+			following = false
+			if !d.listed.IsZero() && time.Since(d.listed) < d.listEvery() {
+				sleep(ctx, idleCheck)
+				continue
 			}
-		} else {
-			var changes metastore.Listing
-			if changes, err = d.store.Watch(ctx, d.table, after, watchWait); err == nil {
-				d.views.apply(changes.Rows...)
-				after = max(after, changes.Version)
+		}
+		var listing metastore.Listing
+		var err error
+		if following {
+			if listing, err = d.store.Watch(ctx, d.table, after, watchWait); err == nil {
+				d.views.apply(listing.Rows...)
 			}
+		} else if listing, err = d.store.List(ctx, d.table); err == nil {
+			d.views.replace(d.table, listing)
+			following, d.listed = d.follows(), time.Now()
 		}
 		if err == nil {
 			if lost {
-				d.log.Info("store regained", zap.String("table", d.table), zap.Uint64("version", after))
+				d.log.Info("store regained", zap.String("table", d.table), zap.Uint64("version", listing.Version))
 			}
+			d.sampled(listing.Version, listing.Now)
+			after = max(after, listing.Version)
 			pause, lost = watchPauseMin, false
 			continue
 		}
@@ -58,7 +78,7 @@
 		}
 		if errors.Is(err, metastore.ErrHistoryLost) {
 			d.log.Info("history of the table is gone, reading it whole", zap.String("table", d.table))
-			listed = false
+			following = false
 			continue
 		}
 		if !lost {
--- a/keyrange/owner.go
+++ b/keyrange/owner.go
@@ -1,7 +1,7 @@
 // Package keyrange keeps which backend server owns which keys of a service whose keys are
-// numbers in an ordered space. A Table is the value of one row of the store; each
-// transition is checked and committed on the condition that the row is unchanged, so a
-// decision that was made on an old view is never applied.
+// numbers in an ordered space. A Space is divided into Tables, each of which is the value of
+// one row of the store. Each transition is checked and committed on the condition that the
+// rows are unchanged, so a decision that was made on an old view is never applied.
 package keyrange
 
 // Owner is one life of a backend server.
--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -16,33 +16,32 @@
 	ErrMoving   = errors.New("a move of the keys is open")
 )
 
-// Table holds all ranges of a service, sorted, without gaps. The zero Table is not valid;
-// use New or Decode. Tables are values: transitions return a changed copy.
+// Table holds the ranges of a part of a service's key space, sorted, without gaps. The
+// zero Table is not valid; use New or Decode. Tables are values: transitions return a
+// changed copy.
 type Table struct {
 	// NextFence is the fencing token of the next change of owner.
 	NextFence uint64  `cbor:"1,keyasint"`
 	Ranges    []Range `cbor:"2,keyasint"`
 }
 
-// New returns a table in which nobody owns a key.
-func New() *Table {
-	return &Table{NextFence: 1, Ranges: []Range{{Span: Span{0, MaxKey}}}}
-}
+// New returns a table of a span in which nobody owns a key.
+func New(s Span) *Table { return &Table{NextFence: 1, Ranges: []Range{{Span: s}}} }
 
-// Decode reads the encoded form and checks that it covers the key space.
-func Decode(data []byte) (*Table, error) {
+// Decode reads the encoded form and checks that it covers the span.
+func Decode(data []byte, whole Span) (*Table, error) {
 	t := &Table{}
 	if err := cbor.Unmarshal(data, t); err != nil {
 		return nil, fmt.Errorf("key table: %w", err)
 	}
-	next := 0
+	next := int(whole.From)
 	for _, r := range t.Ranges {
 		if int(r.From) != next || r.To < r.From || r.Fence >= t.NextFence {
 			return nil, fmt.Errorf("key table: bad range %d to %d with fence %d", r.From, r.To, r.Fence)
 		}
 		next = int(r.To) + 1
 	}
-	if next != MaxKey+1 {
+	if next != int(whole.To)+1 {
 		return nil, fmt.Errorf("key table: ends at key %d", next-1)
 	}
 	return t, nil
@@ -57,17 +56,6 @@
 	return t.Ranges[i]
 }
 
-// OwnedBy returns the ranges of an owner.
-func (t *Table) OwnedBy(owner Owner) []Range {
-	var out []Range
-	for _, r := range t.Ranges {
-		if r.Owner == owner {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // Assign gives keys without an owner to owner.
 func (t *Table) Assign(s Span, owner Owner) (*Table, error) {
 	return t.edit(s, func(r *Range, fence uint64) error {
@@ -150,17 +138,9 @@
 	return out
 }
 
-// Owners returns the owners and the targets of open moves, each once.
-func (t *Table) Owners() []Owner {
-	var out []Owner
-	for _, r := range t.Ranges {
-		for _, o := range []Owner{r.Owner, r.Next} {
-			if !o.None() && !slices.Contains(out, o) {
-				out = append(out, o)
-			}
-		}
-	}
-	return out
+// involves reports whether owner owns keys or is the target of an open move.
+func (t *Table) involves(owner Owner) bool {
+	return slices.ContainsFunc(t.Ranges, func(r Range) bool { return r.Owner == owner || r.Next == owner })
 }
 
 func (t *Table) clone() *Table {
--- a/keyrange/table_test.go
+++ b/keyrange/table_test.go
@@ -12,7 +12,7 @@
 func TestTransitionsKeepOneOwnerAndGrowingFences(t *testing.T) {
 	owners := []Owner{{"a", "1"}, {"a", "2"}, {"b", "1"}, {"c", "1"}}
 	rapid.Check(t, func(t *rapid.T) {
-		table := New()
+		table := New(Span{0, MaxKey})
 		fences := map[uint16]uint64{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			from := rapid.Uint16().Draw(t, "from")
@@ -29,7 +29,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := Decode(data); err != nil {
+			if _, err := Decode(data, Span{0, MaxKey}); err != nil {
 				t.Fatalf("table after a transition cannot be read: %v", err)
 			}
 		}
@@ -71,7 +71,7 @@
 func TestMoveKeepsTheOwnerUntilItReleases(t *testing.T) {
 	g := NewWithT(t)
 	a, b := Owner{"a", "1"}, Owner{"b", "1"}
-	table, err := New().Assign(Span{0, MaxKey}, a)
+	table, err := New(Span{0, MaxKey}).Assign(Span{0, MaxKey}, a)
 	g.Expect(err).NotTo(HaveOccurred())
 	moving, err := table.BeginMove(Span{10, 19}, a, b)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -98,9 +98,9 @@
 	} {
 		data, err := (&Table{NextFence: 7, Ranges: ranges}).Encode()
 		g.Expect(err).NotTo(HaveOccurred())
-		_, err = Decode(data)
+		_, err = Decode(data, Span{0, MaxKey})
 		g.Expect(err).To(HaveOccurred())
 	}
-	_, err := Decode([]byte("not a table"))
+	_, err := Decode([]byte("not a table"), Span{0, MaxKey})
 	g.Expect(err).To(HaveOccurred())
 }
--- a/placement/change.go
+++ b/placement/change.go
@@ -11,7 +11,7 @@
 }
 
 // Apply makes the change in a table.
-func (c Change) Apply(t *keyrange.Table) (*keyrange.Table, error) {
+func (c Change) Apply(t *keyrange.Space) (*keyrange.Space, error) {
 	if c.From.None() {
 		return t.Assign(c.Span, c.To)
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -9,7 +9,7 @@
 
 // Input is what a plan is made from.
 type Input struct {
-	Table   *keyrange.Table
+	Space   *keyrange.Space
 	Members []Member
 	// Loads is the load of each key in slots of nominal speed.
 	Loads map[uint16]float64
@@ -73,7 +73,7 @@
 		p.keys = append(p.keys, key)
 	}
 	slices.Sort(p.keys)
-	for _, r := range in.Table.Ranges {
+	for _, r := range in.Space.Ranges() {
 		if r.Moving() {
 			p.open++
 		}
@@ -111,7 +111,7 @@
 }
 
 func (p *plan) assignUnowned() {
-	for _, r := range p.in.Table.Ranges {
+	for _, r := range p.in.Space.Ranges() {
 		if r.Owner.None() {
 			p.spread(r.Span, keyrange.Owner{})
 		}
@@ -119,7 +119,7 @@
 }
 
 func (p *plan) emptyDraining() {
-	for _, r := range p.in.Table.Ranges {
+	for _, r := range p.in.Space.Ranges() {
 		if b := p.bins[r.Owner]; b != nil && b.Draining && !r.Moving() {
 			p.spread(r.Span, r.Owner)
 		}
@@ -217,11 +217,8 @@
 // comes from the hottest part.
 func (p *plan) pick(owner keyrange.Owner, want float64) (best keyrange.Span, load float64) {
 	const excess = 1.2
-	for _, r := range p.in.Table.OwnedBy(owner) {
-		if r.Moving() {
-			continue
-		}
-		for _, free := range p.untouched(r.Span) {
+	for _, run := range settledRuns(p.in.Space.OwnedBy(owner)) {
+		for _, free := range p.untouched(run) {
 			i, _ := slices.BinarySearch(p.keys, free.From)
 			end := i
 			for end < len(p.keys) && p.keys[end] <= free.To {
@@ -251,6 +248,22 @@
 	return best, load
 }
 
+// settledRuns joins neighbouring ranges without an open move.
+func settledRuns(ranges []keyrange.Range) []keyrange.Span {
+	var out []keyrange.Span
+	for _, r := range ranges {
+		n := len(out)
+		switch {
+		case r.Moving():
+		case n > 0 && int(out[n-1].To)+1 == int(r.From):
+			out[n-1].To = r.To
+		default:
+			out = append(out, r.Span)
+		}
+	}
+	return out
+}
+
 // untouched returns the parts of s that this plan has not moved yet.
 func (p *plan) untouched(s keyrange.Span) []keyrange.Span {
 	parts := []keyrange.Span{s}
