--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -13,6 +13,10 @@
 	"github.com/basilway/basilway/verdict"
 )
 
+// throttledRetryAfter is when callers may come back that were refused at the sender; about
+// the time in which keys are moved away from an overloaded backend server.
+const throttledRetryAfter = 250 * time.Millisecond
+
 // Paths that nodes call on each other besides requests, which carry a ticket.
 const (
 	reportPath = "/basilway/report"
@@ -26,16 +30,23 @@
 	if m.Owner.Instance == n.config.Instance {
 		return n.backend.serve(ctx, t, e)
 	}
+	if !n.peers.allow(m.Address, t.priority) {
+		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "%s refuses most requests of this priority at present", m.Owner.Instance)
+		return outcome{err: err.WithRetryAfter(throttledRetryAfter)}
+	}
 	t.instance = m.Owner.Instance
 	// A request that could run elsewhere does not wait for a node that went silent. A
 	// stopping node ends nothing that may be at work.
 	mayCut := t.kind.Repeatable() && !t.sharded && !n.stopping.Load()
-	ctx, end := n.peers.begin(ctx, m.Address, mayCut)
+	ctx, end := n.peers.begin(ctx, m.Address, n.nominalWork(t.route), mayCut)
 	e.Header = e.Header.Clone()
 	e.Header.Set(hopHeader, t.encode(time.Now()))
 	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
 	out := n.hopOutcome(ctx, resp, err)
 	end(out, err)
+	if out.err == nil || out.err.Reason != verdict.ReasonOverloaded {
+		n.peers.accepted(m.Address, t.priority)
+	}
 	return out
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/throttle"
 )
 
 const (
@@ -21,12 +23,12 @@
 	peerUserTimeout = 1500 * time.Millisecond
 	// peerIdle is how long an unused connection to another node is kept.
 	peerIdle = 20 * time.Second
-	// peerSilence is how long a node may owe an answer, without any other answer of it,
-	// until it is probed. A request may take longer on its backend server.
+	// peerSilence is how long a node may owe an answer beyond the usual time of the
+	// request, without any other answer of it, until it is probed.
 	peerSilence = 200 * time.Millisecond
-	// probeTimeout bounds a probe of a node, and probeInterval is the pause between two
-	// probes of a node that cannot be reached.
-	probeTimeout  = 150 * time.Millisecond
+	// probeTimeout bounds a probe of a node, whose processor may be busy, and probeInterval
+	// is the pause between two probes of a node that cannot be reached.
+	probeTimeout  = 250 * time.Millisecond
 	probeInterval = 150 * time.Millisecond
 	// failureWeight is the weight of one result in the failure share of a backend server.
 	failureWeight = 0.1
@@ -42,6 +44,8 @@
 	outstanding int
 	failing     float64
 	work        time.Duration
+	// throttles by priority keep requests from an overloaded backend server.
+	throttles map[int]*throttle.Throttle
 	// seen is when the node answered last.
 	seen time.Time
 	// lost is set while the node cannot be reached, and probing while that is looked into.
@@ -65,7 +69,7 @@
 func (p *peers) get(address string) *peerState {
 	s := p.states[address]
 	if s == nil {
-		s = &peerState{waiting: map[*context.CancelCauseFunc]struct{}{}, pool: httpclient.NewPool(address, httpclient.Config{
+		s = &peerState{throttles: map[int]*throttle.Throttle{}, waiting: map[*context.CancelCauseFunc]struct{}{}, pool: httpclient.NewPool(address, httpclient.Config{
 			DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, IdleTimeout: peerIdle, MaxIdle: 64, ReadBuffer: 4096,
 		})}
 		p.states[address] = s
@@ -82,7 +86,7 @@
 
 // begin counts a request that is sent to a node. The returned context ends early if
 // mayCut and the node is found to be lost.
-func (p *peers) begin(ctx context.Context, address string, mayCut bool) (context.Context, func(outcome, error)) {
+func (p *peers) begin(ctx context.Context, address string, usual time.Duration, mayCut bool) (context.Context, func(outcome, error)) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	started := time.Now()
 	p.mu.Lock()
@@ -92,7 +96,7 @@
 		s.waiting[&cancel] = struct{}{}
 	}
 	p.mu.Unlock()
-	silence := time.AfterFunc(peerSilence, func() { p.check(address, started) })
+	silence := time.AfterFunc(peerSilence+usual, func() { p.check(address, started) })
 	return ctx, func(o outcome, err error) {
 		silence.Stop()
 		p.mu.Lock()
@@ -124,6 +128,29 @@
 	}
 }
 
+// allow reports whether a request is to be sent to a node, or refused here because the
+// backend server beside it refuses most requests of that priority.
+func (p *peers) allow(address string, priority int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.get(address)
+	t := s.throttles[priority]
+	if t == nil {
+		t = &throttle.Throttle{}
+		s.throttles[priority] = t
+	}
+	return t.Allow(throttle.DefaultConfig(), rand.Float64(), time.Now())
+}
+
+// accepted notes that a request was not refused for overload.
+func (p *peers) accepted(address string, priority int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.get(address).throttles[priority]; t != nil {
+		t.Accepted(throttle.DefaultConfig(), time.Now())
+	}
+}
+
 // check probes a node that owes an answer since started and has given no other.
 func (p *peers) check(address string, started time.Time) {
 	p.mu.Lock()
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -113,7 +113,9 @@
 // is not renewed.
 func (p *planner) candidacy(ctx context.Context) {
 	view := p.node.views.current()
-	if p.node.lease.validUntil().IsZero() || p.node.stopping.Load() {
+	if _, member := view.Members[p.node.config.Instance]; !member || p.node.lease.validUntil().IsZero() || p.node.stopping.Load() {
+		// A node that has just written its member row has read the cluster again, and
+		// knows whether there is a planner.
 		return
 	}
 	if view.Planner.Instance != "" && !p.plannerGone(ctx, view.Planner.Instance) {
--- a/placement/config.go
+++ b/placement/config.go
@@ -16,8 +16,10 @@
 	Trigger, Settle float64
 	// Busy is the utilization under which no keys are moved for balance.
 	Busy float64
-	// MaxMoves bounds the moves that a plan adds and MaxOpen those that are open.
-	MaxMoves, MaxOpen int
+	// MaxMoves bounds the moves for balance that a plan adds, and MaxOpen those that are
+	// open; both grow with the members, as MovesPerMember and OpenPerMember say.
+	MaxMoves, MaxOpen             int
+	MovesPerMember, OpenPerMember float64
 	// MinGain is the least load in slots that a move for balance shifts.
 	MinGain float64
 	// Window is the time constant of the load estimate. A short one follows hot keys
@@ -29,6 +31,6 @@
 func DefaultConfig() Config {
 	return Config{
 		IdleCost: 0.05, Trigger: 0.15, Settle: 0.05, Busy: 0.45,
-		MaxMoves: 12, MaxOpen: 24, MinGain: 0.15, Window: 1500 * time.Millisecond,
+		MaxMoves: 12, MaxOpen: 24, MovesPerMember: 0.5, OpenPerMember: 1, MinGain: 0.15, Window: 1500 * time.Millisecond,
 	}
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -178,7 +178,9 @@
 // near the mean.
 func (p *plan) balance() {
 	mean := p.mean()
-	for moves := 0; moves < p.config.MaxMoves && p.open < p.config.MaxOpen; moves++ {
+	maxMoves := max(p.config.MaxMoves, int(p.config.MovesPerMember*float64(len(p.ready))))
+	maxOpen := max(p.config.MaxOpen, int(p.config.OpenPerMember*float64(len(p.ready))))
+	for moves := 0; moves < maxMoves && p.open < maxOpen; moves++ {
 		from := slices.MaxFunc(p.ready, byUtilization)
 		to := p.coldest()
 		trigger := p.config.Trigger
