--- /dev/null
+++ b/httproute/route_test.go
@@ -0,0 +1,24 @@
+package httproute
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against parts of a route that do not get their share, also over short runs.
+func TestPickFollowsTheWeights(t *testing.T) {
+	g := NewWithT(t)
+	r := Route{Parts: []Part{{"a", 70}, {"b", 20}, {"c", 10}, {"d", 0}}}
+	for _, run := range []int{100, 300, 5000} {
+		count := map[string]int{}
+		for n := range run {
+			count[r.Pick(uint64(n)+17)]++
+		}
+		for _, p := range r.Parts {
+			share := float64(count[p.Service]) / float64(run)
+			g.Expect(math.Abs(share-float64(p.Weight)/100)).To(BeNumerically("<", 0.03), "%s of %d", p.Service, run)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/backendsim_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/keyrange"
+)
+
+// The headers of the test protocol.
+const (
+	simID       = "X-Id"
+	simDeadline = "X-Deadline"
+	simExpect   = "X-Expect"
+	simNotRun   = "X-Not-Run"
+	simCaller   = "X-Caller"
+	simKey      = "X-Key"
+	simSeal     = "X-Seal"
+)
+
+// simProtocol is a protocol of the tests: heartbeats are grant.Heartbeat in JSON.
+type simProtocol struct{}
+
+func (simProtocol) Headers() Headers {
+	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Seal: simSeal, Load: "X-Load", Backend: "X-Backend"}
+}
+
+func (simProtocol) DesiredState(data []byte) (httproute.Snapshot, error) {
+	var s httproute.Snapshot
+	err := json.Unmarshal(data, &s)
+	return s, err
+}
+
+func (simProtocol) DesiredStateRow() string { return "desired/state" }
+
+func (simProtocol) ReadyPath() string { return "GET /ready" }
+
+func (simProtocol) Announcement(r *http.Request) (grant.Heartbeat, bool, error) {
+	var hb grant.Heartbeat
+	if err := json.NewDecoder(r.Body).Decode(&hb); err != nil {
+		return hb, false, err
+	}
+	return hb, r.URL.Path == "/leave", nil
+}
+
+func (simProtocol) WriteReply(w http.ResponseWriter, reply grant.Reply) {
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+// backendSim is a backend server that holds keys as it is granted them.
+type backendSim struct {
+	id      string
+	service string
+	slots   int
+	work    time.Duration
+	server  *httptest.Server
+	// heartbeats is where it announces itself.
+	heartbeats string
+
+	mu       sync.Mutex
+	born     int64
+	sequence uint64
+	state    grant.State
+	granted  []grant.Grant
+	until    time.Time
+	released []grant.Release
+	runs     map[string]int // by request id
+	running  int
+	stop     chan struct{}
+}
+
+func newBackendSim(t *testing.T, id, service, heartbeats string) *backendSim {
+	t.Helper()
+	s := &backendSim{id: id, service: service, slots: 4, work: 5 * time.Millisecond, heartbeats: heartbeats, born: 1, runs: map[string]int{}, stop: make(chan struct{})}
+	s.server = httptest.NewServer(s)
+	go s.announce()
+	t.Cleanup(func() {
+		close(s.stop)
+		s.server.Close()
+	})
+	return s
+}
+
+func (s *backendSim) address() string { return s.server.Listener.Addr().String() }
+
+// heartbeatEvery is the interval of the simulated heartbeats.
+const heartbeatEvery = 120 * time.Millisecond
+
+func (s *backendSim) announce() {
+	for {
+		pause := heartbeatEvery
+		if s.beat() {
+			pause = 20 * time.Millisecond
+		}
+		select {
+		case <-time.After(pause):
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+// beat sends a heartbeat and returns true if there is more to release.
+func (s *backendSim) beat() bool {
+	s.mu.Lock()
+	s.sequence++
+	hb := grant.Heartbeat{ID: s.id, Born: s.born, Address: s.address(), Service: s.service, Slots: s.slots, Sequence: s.sequence, State: s.state, Released: s.released}
+	for _, g := range s.granted {
+		hb.Holds = append(hb.Holds, grant.Hold{Span: g.Span, Fence: g.Fence})
+	}
+	s.mu.Unlock()
+	body, _ := json.Marshal(hb)
+	sent := time.Now()
+	resp, err := http.Post("http://"+s.heartbeats+"/heartbeat", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var reply grant.Reply
+	if json.NewDecoder(resp.Body).Decode(&reply) != nil || !reply.Renew {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.released = nil
+	for _, old := range s.granted {
+		for key := int(old.From); key <= int(old.To); key++ {
+			if !covered(reply.Grants, uint16(key)) {
+				end := key
+				for end < int(old.To) && !covered(reply.Grants, uint16(end+1)) {
+					end++
+				}
+				s.released = append(s.released, grant.Release{Span: keyrange.Span{From: uint16(key), To: uint16(end)}, Handover: fmt.Sprintf("%s-%d", s.id, key)})
+				key = end
+			}
+		}
+	}
+	s.granted, s.until = reply.Grants, sent.Add(reply.Hold)
+	return len(s.released) > 0
+}
+
+func covered(grants []grant.Grant, key uint16) bool {
+	for _, g := range grants {
+		if g.Contains(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP implements http.Handler.
+func (s *backendSim) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get(simID)
+	w.Header().Set(simID, id)
+	key, keyed := parseKey(r.Header.Get(simKey))
+	s.mu.Lock()
+	refused := 0
+	switch {
+	case r.Header.Get(simExpect) != s.id:
+		refused = http.StatusMisdirectedRequest
+	case keyed && (!covered(s.granted, key) || time.Now().After(s.until)):
+		refused = http.StatusMisdirectedRequest
+	case s.running >= s.slots+8:
+		refused = http.StatusServiceUnavailable
+	}
+	if refused != 0 {
+		s.mu.Unlock()
+		w.Header().Set(simNotRun, "1")
+		w.WriteHeader(refused)
+		return
+	}
+	s.running++
+	s.runs[id]++
+	work := s.work
+	s.mu.Unlock()
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+	}
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	w.Header().Set(simSeal, s.id)
+	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
+}
+
+// owns returns whether it holds key now.
+func (s *backendSim) owns(key uint16) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return covered(s.granted, key) && time.Now().Before(s.until)
+}
+
+func (s *backendSim) maxRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, n := range s.runs {
+		most = max(most, n)
+	}
+	return most
+}
+
+// freeAddress returns a loopback address nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// send makes one request of a client and returns its status, its body and its headers.
+func send(ctx context.Context, method, address, path, id string, key int, body string) (int, string, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, "", nil, err
+	}
+	req.Host = "shop.example"
+	req.Header.Set(simID, id)
+	req.Header.Set(simKey, strconv.Itoa(key))
+	req.Header.Set(simDeadline, "2000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), resp.Header, err
+}
--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/metastore/memory"
+)
+
+// testNode is a node that runs, with its backend server.
+type testNode struct {
+	*Node
+	config  Config
+	backend *backendSim
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// testCluster is some nodes on one store.
+type testCluster struct {
+	t     *testing.T
+	store *memory.Store
+	nodes []*testNode
+}
+
+func newTestCluster(t *testing.T, n int) *testCluster {
+	t.Helper()
+	c := &testCluster{t: t, store: memory.New(memory.Rates{}, 1)}
+	c.desire(httproute.Snapshot{
+		Version:  1,
+		Services: []httproute.Service{{Name: "booking", Sharded: true}},
+		Routes: []httproute.Route{
+			{Name: "lookup", Host: "shop.example", Prefix: "/lookup/", Kind: httproute.Idempotent, Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2, Parts: []httproute.Part{{Service: "booking", Weight: 1}}},
+			{Name: "book", Host: "shop.example", Prefix: "/book/", Timeout: 2 * time.Second, TargetLatency: time.Second, Priority: 1, MaxAttempts: 2, Parts: []httproute.Part{{Service: "booking", Weight: 1}}},
+		},
+	})
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.cancel()
+		}
+		for _, n := range c.nodes {
+			<-n.done
+		}
+	})
+	for i := range n {
+		c.add(fmt.Sprintf("instance-%d", i))
+	}
+	return c
+}
+
+func (c *testCluster) desire(s httproute.Snapshot) {
+	data, err := json.Marshal(s)
+	if err == nil {
+		err = c.store.Commit(context.Background(), metastore.Txn{Writes: []metastore.Write{{Key: simProtocol{}.DesiredStateRow(), Value: data}}})
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// add starts a node with a backend server.
+func (c *testCluster) add(instance string) *testNode {
+	config := Config{
+		Instance: instance, Zone: "z", Service: "booking",
+		ClientAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), HeartbeatAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t),
+		Store: c.store, Protocol: simProtocol{},
+		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60},
+	}
+	n := &testNode{config: config, backend: newBackendSim(c.t, "b-"+instance, "booking", config.HeartbeatAddress)}
+	n.config.BackendAddress = n.backend.address()
+	c.nodes = append(c.nodes, n)
+	n.start()
+	return n
+}
+
+func (n *testNode) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.Node, n.cancel, n.done = New(n.config, zap.NewNop()), cancel, make(chan error, 1)
+	go func() { n.done <- n.Run(ctx) }()
+}
+
+// settled waits until every key has an owner that holds it.
+func (c *testCluster) settled() {
+	c.t.Helper()
+	NewWithT(c.t).Eventually(func() bool {
+		for key := 0; key < 65536; key += 997 {
+			if c.holders(uint16(key)) != 1 {
+				return false
+			}
+		}
+		for _, n := range c.nodes {
+			if len(n.views.current().Members) != len(c.nodes) {
+				return false
+			}
+		}
+		return true
+	}, 30*time.Second, 20*time.Millisecond).Should(BeTrue())
+}
+
+func (c *testCluster) holders(key uint16) int {
+	holders := 0
+	for _, n := range c.nodes {
+		if n.backend.owns(key) {
+			holders++
+		}
+	}
+	return holders
+}
+
+// Guards against a request that does not reach the one owner of its key, or reaches it
+// changed, whichever node takes it.
+func TestEveryNodeReachesTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 3)
+	c.settled()
+	for i := range 30 {
+		key := i * 2111
+		status, body, header, err := send(context.Background(), "POST", c.nodes[i%3].config.ClientAddress, "/book/a%2Fb?q=1", fmt.Sprint("r", i), key, "payload")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(200), body)
+		g.Expect(body).To(Equal("booking /book/a%2Fb?q=1 payload"))
+		g.Expect(header.Get(simSeal)).NotTo(BeEmpty())
+		g.Expect(header.Get(simID)).To(Equal(fmt.Sprint("r", i)))
+	}
+	status, _, _, err := send(context.Background(), "GET", c.nodes[0].config.ClientAddress, "/unknown/", "x", 1, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(404))
+	for _, n := range c.nodes {
+		g.Expect(n.backend.maxRuns()).To(BeNumerically("<=", 1))
+	}
+}
+
+// load sends requests through the nodes until stop is called, and counts results.
+type load struct {
+	stop    func()
+	served  atomic.Int64
+	refused atomic.Int64
+	cut     atomic.Int64
+	other   sync.Map
+}
+
+func (c *testCluster) load(nodes ...*testNode) *load {
+	l := &load{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for worker := range 8 {
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				n := nodes[(worker+i)%len(nodes)]
+				id := fmt.Sprintf("w%d-%d", worker, i)
+				status, body, _, err := send(context.Background(), "POST", n.config.ClientAddress, "/book/x", id, (worker*8192+i*37)%65536, "p")
+				switch {
+				case err != nil:
+					l.cut.Add(1)
+					l.other.Store(err.Error(), true)
+				case status == 200:
+					l.served.Add(1)
+				case status == 503:
+					l.refused.Add(1)
+				default:
+					l.other.Store(fmt.Sprint(status, body), true)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	l.stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	return l
+}
+
+func (l *load) unexpected() []any {
+	var out []any
+	l.other.Range(func(key, _ any) bool {
+		out = append(out, key)
+		return true
+	})
+	return out
+}
+
+// Guards against keys that are lost or held twice while a backend server leaves: its keys
+// move by hand-over, and requests for them are served all the while.
+func TestDrainMovesKeysWithoutFailures(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 3)
+	c.settled()
+	l := c.load(c.nodes[1], c.nodes[2])
+	leaving := c.nodes[0].backend
+	leaving.mu.Lock()
+	leaving.state = grant.Draining
+	leaving.mu.Unlock()
+	g.Eventually(func() bool {
+		leaving.mu.Lock()
+		defer leaving.mu.Unlock()
+		return len(leaving.granted) == 0
+	}, 20*time.Second, 10*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() bool {
+		for key := 0; key < 65536; key += 997 {
+			if c.holders(uint16(key)) != 1 {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 20*time.Millisecond).Should(BeTrue())
+	l.stop()
+	g.Expect(l.unexpected()).To(BeEmpty())
+	g.Expect(l.served.Load()).To(BeNumerically(">", 0))
+	warm := 0
+	for _, r := range c.nodes[1].views.current().Keys["booking"].Ranges() {
+		g.Expect(r.Owner.Instance).NotTo(Equal(c.nodes[0].config.Instance))
+		if r.Handover != "" {
+			warm++
+		}
+	}
+	g.Expect(warm).To(BeNumerically(">", 0))
+	for _, n := range c.nodes {
+		g.Expect(n.backend.maxRuns()).To(BeNumerically("<=", 1), "a request that is not idempotent ran twice")
+	}
+}
+
+// Guards against a request that is cut by a planned stop of the node that took it, and
+// against a restart that takes the keys away from a backend server that went on.
+func TestStopAndRestartOfANode(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 3)
+	c.settled()
+	before := c.nodes[0].views.current().Keys["booking"].OwnedBy(c.nodes[0].Node.backend.owner())
+	g.Expect(before).NotTo(BeEmpty())
+	l := c.load(c.nodes...)
+	c.nodes[0].cancel()
+	g.Eventually(c.nodes[0].done, 10*time.Second).Should(Receive(BeNil()))
+	c.nodes[0].start()
+	g.Eventually(func() bool { return c.nodes[0].views.current().Listed }, 10*time.Second).Should(BeTrue())
+	time.Sleep(300 * time.Millisecond)
+	l.stop()
+	for _, problem := range l.unexpected() {
+		// While the port is closed connections are refused, or closed before a request.
+		g.Expect(problem).To(Or(ContainSubstring("connection refused"), ContainSubstring("reset"), ContainSubstring("EOF")))
+	}
+	after := c.nodes[0].views.current().Keys["booking"].OwnedBy(before[0].Owner)
+	g.Expect(after).NotTo(BeEmpty(), "the backend server keeps its keys over a restart of the node")
+	for _, n := range c.nodes {
+		g.Expect(n.backend.maxRuns()).To(BeNumerically("<=", 1))
+	}
+}
+
+// Guards against requests that are sent to a backend server that must not get them: each
+// gate is looked at just before the first byte is sent.
+func TestGatesOfTheBackendServer(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 1)
+	c.settled()
+	b := c.nodes[0].Node.backend
+	keyed := ticket{service: "booking", sharded: true, key: 7}
+	g.Expect(b.gate(keyed)).To(BeNil())
+
+	b.mu.Lock()
+	until, active := b.holder, b.state
+	b.holder = grant.NewHolder(grant.DefaultConfig(), until.Owner(), time.Time{})
+	b.mu.Unlock()
+	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("not_owner"), "no grant")
+	b.mu.Lock()
+	b.holder, b.state = until, BackendDown
+	b.mu.Unlock()
+	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("backend_unavailable"))
+	b.mu.Lock()
+	b.state, b.leaveAcked = active, boottimeNow().Add(-c.nodes[0].config.Bounds.DrainTimeout)
+	b.mu.Unlock()
+	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+}
--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -23,6 +23,7 @@
 	pingPath   = "/basilway/ping"
 	rowsPath   = "/basilway/rows"
 	digestPath = "/basilway/digest"
+	storePath  = "/basilway/store"
 )
 
 // hop sends a request to the node beside m's backend server.
--- a/internal/node/leaseduty.go
+++ b/internal/node/leaseduty.go
@@ -55,8 +55,6 @@
 	// offered is the renewal that the planner was asked for, at offeredAt.
 	offered   *leaseOffer
 	offeredAt time.Time
-	// writing is set while this node writes the row itself.
-	writing bool
 	// priorUntil is when grants of an earlier process on this machine have ended.
 	priorUntil time.Time
 }
@@ -80,7 +78,7 @@
 func (d *leaseDuty) offer() *leaseOffer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.until.IsZero() || d.writing {
+	if d.until.IsZero() {
 		return nil
 	}
 	if d.offered == nil {
@@ -97,7 +95,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := answer.Renewed
-	if r == nil || d.offered == nil || d.writing || d.offered.Row.Nonce != r.Nonce {
+	if r == nil || d.offered == nil || d.offered.Row.Nonce != r.Nonce {
 		return
 	}
 	d.version, d.pending, d.offered = r.Version, nil, nil
@@ -159,7 +157,7 @@
 func (d *leaseDuty) adopt(version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.version, d.pending = version, nil
+	d.version, d.pending, d.offered = version, nil, nil
 }
 
 // keep renews the lease whenever the planner does not, until it is lost.
@@ -170,7 +168,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !d.beginOwnWrite() {
+		if !d.renewalDue() {
 			continue
 		}
 		sent, err := d.write(ctx)
@@ -190,21 +188,16 @@
 	}
 }
 
-// beginOwnWrite reports whether the node is to write its row itself now.
-func (d *leaseDuty) beginOwnWrite() bool {
+// renewalDue reports whether the node is to write its row itself now.
+func (d *leaseDuty) renewalDue() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.now().Sub(d.renewed) < leaseOwnWriteAfter {
-		return false
-	}
-	d.writing, d.offered = true, nil
-	return true
+	return d.now().Sub(d.renewed) >= leaseOwnWriteAfter
 }
 
 func (d *leaseDuty) endOwnWrite(sent time.Time, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.writing = false
 	if err == nil {
 		d.extend(sent)
 	}
@@ -244,7 +237,8 @@
 		return time.Time{}, readErr
 	}
 	d.mu.Lock()
-	own := version != 0 && slices.Contains(d.pending, nonce)
+	// The planner may have renewed the row meanwhile.
+	own := version != 0 && (version == d.version || slices.Contains(d.pending, nonce))
 	d.mu.Unlock()
 	if !own {
 		return time.Time{}, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/cluster"
-	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/retry"
 )
 
@@ -27,7 +26,7 @@
 	metrics *nodeMetrics
 	session cluster.Session
 
-	store   metastore.WatchedTable
+	store   *relayStore
 	views   *viewStore
 	lease   *leaseDuty
 	writer  *keyWriter
@@ -49,11 +48,12 @@
 // New returns a node that does not run yet.
 func New(config Config, log *zap.Logger) *Node {
 	n := &Node{
-		config: config, headers: config.Protocol.Headers(), log: log, store: config.Store,
+		config: config, headers: config.Protocol.Headers(), log: log,
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
 		peers:   newPeers(log.Named("peers")), demand: newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
 		budgets: map[string]*retry.SharedBudget{}, returns: returns{first: map[uint64]time.Time{}},
 	}
+	n.store = &relayStore{WatchedTable: config.Store, node: n, log: log.Named("relay")}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
 	n.lease = &leaseDuty{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: boottimeNow}
 	n.writer = &keyWriter{store: n.store, views: n.views, log: log.Named("keys")}
@@ -209,6 +209,7 @@
 	peers.HandleFunc("POST "+reportPath, n.serveReport)
 	peers.HandleFunc("POST "+rowsPath, n.spread.serveRows)
 	peers.HandleFunc("POST "+digestPath, n.spread.serveDigest)
+	peers.HandleFunc("POST "+storePath, n.store.serveStore)
 	peers.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -29,8 +29,11 @@
 	firstAssignWait = 1200 * time.Millisecond
 	// planWriteTimeout bounds the tries to write a plan; after it the plan is old.
 	planWriteTimeout = 1500 * time.Millisecond
-	// plannerStale is the age of its lease row after which a planner is replaced.
-	plannerStale = 4 * time.Second
+	// plannerStale is the age of its lease row after which a planner is replaced; it renews
+	// the row each renewInterval. plannerSteady is how long the store must have been
+	// reachable, so that a planner can renew after an outage.
+	plannerStale  = 3 * time.Second
+	plannerSteady = time.Second
 )
 
 // planner assigns and moves keys, and removes members whose lease ran out, while this
@@ -46,6 +49,8 @@
 	cold     map[string]bool
 	since    map[string]time.Time // first sight of a service's members
 	renewals map[string]*renewal
+	// answered is when the store answered this node last.
+	answered time.Time
 	balance  time.Time
 	polled   time.Time
 }
@@ -83,7 +88,12 @@
 func (p *planner) sample(version uint64, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sampleLocked(version, now)
+}
+
+func (p *planner) sampleLocked(version uint64, now time.Duration) {
 	p.expiry.Sample(version, now)
+	p.answered = time.Now()
 }
 
 // observe takes a report.
@@ -153,9 +163,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	age := p.expiry.Age(version)
-	p.log.Info("planner does not take reports", zap.String("planner", instance), zap.Duration("lease not renewed for", age))
-	return age >= plannerStale
+	age, steady := p.expiry.Age(version), p.expiry.Reachable()
+	p.log.Info("planner does not take reports", zap.String("planner", instance),
+		zap.Duration("lease not renewed for", age), zap.Duration("store reachable for", steady))
+	return age >= plannerStale && steady >= plannerSteady
 }
 
 // leaseVersions returns the version of each lease row by instance.
@@ -203,7 +214,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.expiry.Sample(listing.Version, listing.Now)
+	p.sampleLocked(listing.Version, listing.Now)
 	gone := append(p.expiry.Lost(leaseVersions(listing)), replacedHolders(listing)...)
 	p.mu.Unlock()
 	for _, lost := range gone {
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/metastore"
+)
+
+const (
+	// relayPause is how long no other node is asked after none could reach the store
+	// either: calls of the store are priced, and refused ones too.
+	relayPause = time.Second
+	// relayTries is the number of nodes that are asked for one call.
+	relayTries = 2
+)
+
+// relayStore makes calls of the store through other nodes if this node cannot reach it.
+// Transactions that are sent again are safe: they are conditional, and a write that took
+// effect shows as a conflict, after which the rows are read.
+type relayStore struct {
+	metastore.WatchedTable
+	node *Node
+	log  *zap.Logger
+
+	mu    sync.Mutex
+	after time.Time
+}
+
+// relayCall is a call of the store that another node is asked to make.
+type relayCall struct {
+	// Table is set to list a table, Txn to commit a transaction.
+	Table string         `cbor:"1,keyasint,omitempty"`
+	Txn   *metastore.Txn `cbor:"2,keyasint,omitempty"`
+}
+
+// relayResult is the result of a relayCall.
+type relayResult struct {
+	Listing metastore.Listing `cbor:"1,keyasint,omitempty"`
+	Applied metastore.Applied `cbor:"2,keyasint,omitempty"`
+	Failure relayFailure      `cbor:"3,keyasint,omitempty"`
+	Message string            `cbor:"4,keyasint,omitempty"`
+}
+
+// relayFailure is the kind of an error of the store.
+type relayFailure uint8
+
+const (
+	relayOK relayFailure = iota
+	relayConflict
+	relayUnavailable
+	relayUnknown
+)
+
+func failureOf(err error) relayFailure {
+	switch {
+	case err == nil:
+		return relayOK
+	case errors.Is(err, metastore.ErrConflict):
+		return relayConflict
+	case errors.Is(err, metastore.ErrUnavailable):
+		return relayUnavailable
+	default:
+		return relayUnknown
+	}
+}
+
+func (r relayResult) err() error {
+	switch r.Failure {
+	case relayOK:
+		return nil
+	case relayConflict:
+		return fmt.Errorf("%w: %s", metastore.ErrConflict, r.Message)
+	case relayUnavailable:
+		return fmt.Errorf("%w: %s", metastore.ErrUnavailable, r.Message)
+	default:
+		return fmt.Errorf("%w: %s", metastore.ErrUnknown, r.Message)
+	}
+}
+
+// List implements metastore.WatchedTable.
+func (s *relayStore) List(ctx context.Context, table string) (metastore.Listing, error) {
+	listing, err := s.WatchedTable.List(ctx, table)
+	if err == nil || ctx.Err() != nil {
+		return listing, err
+	}
+	result, ok := s.relay(ctx, relayCall{Table: table})
+	if !ok {
+		return listing, err
+	}
+	return result.Listing, result.err()
+}
+
+// Apply implements metastore.WatchedTable.
+func (s *relayStore) Apply(ctx context.Context, txn metastore.Txn) (metastore.Applied, error) {
+	applied, err := s.WatchedTable.Apply(ctx, txn)
+	if err == nil || errors.Is(err, metastore.ErrConflict) || ctx.Err() != nil {
+		return applied, err
+	}
+	result, ok := s.relay(ctx, relayCall{Txn: &txn})
+	if !ok {
+		return applied, err
+	}
+	if result.Failure == relayUnavailable && errors.Is(err, metastore.ErrUnknown) {
+		return applied, err
+	}
+	return result.Applied, result.err()
+}
+
+// relay asks other nodes to make a call. It returns false if none could reach the store.
+func (s *relayStore) relay(ctx context.Context, call relayCall) (relayResult, bool) {
+	s.mu.Lock()
+	paused := time.Now().Before(s.after)
+	s.mu.Unlock()
+	if paused {
+		return relayResult{}, false
+	}
+	body, err := cbor.Marshal(call)
+	if err != nil {
+		s.log.Error("call of the store cannot be encoded", zap.Error(err))
+		return relayResult{}, false
+	}
+	for _, address := range s.helpers() {
+		data, err := s.node.spread.post(ctx, address, storePath, body)
+		if err != nil {
+			continue
+		}
+		var result relayResult
+		if err := cbor.Unmarshal(data, &result); err != nil {
+			s.log.Warn("answer to a relayed call cannot be read", zap.String("address", address), zap.Error(err))
+			continue
+		}
+		if result.Failure == relayOK || result.Failure == relayConflict {
+			return result, true
+		}
+	}
+	s.mu.Lock()
+	s.after = time.Now().Add(relayPause)
+	s.mu.Unlock()
+	return relayResult{}, false
+}
+
+// helpers returns the planner, which reaches the store if any node does, and other nodes.
+func (s *relayStore) helpers() []string {
+	view := s.node.views.current()
+	var out, others []string
+	for instance, m := range view.Members {
+		switch {
+		case instance == s.node.config.Instance || s.node.peers.isLost(m.Address):
+		case instance == view.Planner.Instance:
+			out = append(out, m.Address)
+		default:
+			others = append(others, m.Address)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	out = append(out, others...)
+	return out[:min(len(out), relayTries)]
+}
+
+// serveStore makes a call of the store for another node.
+func (s *relayStore) serveStore(w http.ResponseWriter, r *http.Request) {
+	var call relayCall
+	if !s.node.spread.read(w, r, &call) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), spreadTimeout)
+	defer cancel()
+	var result relayResult
+	var err error
+	if call.Txn != nil {
+		result.Applied, err = s.WatchedTable.Apply(ctx, *call.Txn)
+	} else {
+		result.Listing, err = s.WatchedTable.List(ctx, call.Table)
+	}
+	if result.Failure = failureOf(err); err != nil {
+		result.Message = err.Error()
+	}
+	s.log.Info("call of the store made for another node", zap.String("remote", r.RemoteAddr), zap.Bool("write", call.Txn != nil), zap.Error(err))
+	s.node.spread.answer(w, result)
+}
--- a/internal/node/renewals.go
+++ b/internal/node/renewals.go
@@ -27,6 +27,17 @@
 	silentMember = 2 * time.Second
 )
 
+// plannerCutOff is the time without an answer of the store after which a planner takes no
+// reports, so that the nodes look for another one. It writes each renewInterval.
+const plannerCutOff = 1800 * time.Millisecond
+
+// cutOff reports whether the store did not answer this planner for a while.
+func (p *planner) cutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.answered) > plannerCutOff
+}
+
 // renewal is the state of the lease of one node at the planner.
 type renewal struct {
 	offer *leaseOffer
@@ -48,7 +59,8 @@
 	if r.Lease != nil && (state.done == nil || state.done.Nonce != r.Lease.Row.Nonce) {
 		state.offer = r.Lease
 	}
-	return reportAnswer{Renewed: state.done}
+	version, at := p.expiry.Newest()
+	return reportAnswer{Renewed: state.done, StoreVersion: version, StoreNow: at.Milliseconds()}
 }
 
 // runRenewals writes the renewals that nodes ask for.
@@ -137,7 +149,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if written {
-		p.expiry.Sample(applied.Version, applied.Now)
+		p.sampleLocked(applied.Version, applied.Now)
 	}
 	for _, o := range batch {
 		state := p.renewals[o.instance]
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -32,6 +32,10 @@
 type reportAnswer struct {
 	// Renewed is the last renewal of the node's lease by the planner.
 	Renewed *leaseRenewal `cbor:"1,keyasint,omitempty"`
+	// StoreVersion was the newest version of the store at StoreNow by the store's clock, in
+	// milliseconds. It tells members how old a version is without calls of their own.
+	StoreVersion uint64 `cbor:"2,keyasint,omitempty"`
+	StoreNow     int64  `cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -115,6 +119,9 @@
 		return fmt.Errorf("answer of the planner: %w", err)
 	}
 	n.lease.confirm(answer)
+	if answer.StoreVersion > 0 {
+		n.planner.sample(answer.StoreVersion, time.Duration(answer.StoreNow)*time.Millisecond)
+	}
 	n.spread.contact()
 	return nil
 }
@@ -132,7 +139,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if n.views.current().Planner.Instance != n.config.Instance || n.stopping.Load() {
+	if n.views.current().Planner.Instance != n.config.Instance || n.stopping.Load() || n.planner.cutOff() {
+		// The other nodes find a planner that reaches the store.
 		http.Error(w, "this node does not plan", http.StatusConflict)
 		return
 	}
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -40,11 +40,16 @@
 	budget := n.budget(req.ticket.service)
 	budget.FirstTry()
 	n.demand.add(req.ticket, n.nominalWork(req.route.Name))
+	var last outcome
 	for {
 		out, m := n.try(ctx, req)
 		if out.err == nil {
 			return out
 		}
+		if out.err.Reason == verdict.ReasonNoOwner && last.err != nil && !req.ticket.sharded {
+			return last // all that could run it have refused
+		}
+		last = out
 		req.tries++
 		if out.arrived {
 			req.sends++
--- a/membership/expiry/tracker.go
+++ b/membership/expiry/tracker.go
@@ -76,6 +76,17 @@
 	return 0
 }
 
+// Newest returns the newest sample that was kept; zeros without one.
+func (t *Tracker) Newest() (version uint64, at time.Duration) {
+	if n := len(t.samples); n > 0 {
+		return t.samples[n-1].version, t.samples[n-1].at
+	}
+	return 0, 0
+}
+
+// Reachable returns how long the store has answered without gaps.
+func (t *Tracker) Reachable() time.Duration { return t.last - t.since }
+
 // Lost takes the versions of all rows by holder, as of the last sample, and returns the
 // holders whose rows are unchanged for too long.
 func (t *Tracker) Lost(versions map[string]uint64) []Lost {
--- a/placement/config.go
+++ b/placement/config.go
@@ -20,6 +20,9 @@
 	// open; both grow with the members, as MovesPerMember and OpenPerMember say.
 	MaxMoves, MaxOpen             int
 	MovesPerMember, OpenPerMember float64
+	// HeavyGain is by how much the capacity of a member must exceed that of the owner of a
+	// key that fills it for the key to be moved there.
+	HeavyGain float64
 	// MinGain is the least load in slots that a move for balance shifts.
 	MinGain float64
 	// Window is the time constant of the load estimate. A short one follows hot keys
@@ -31,6 +34,6 @@
 func DefaultConfig() Config {
 	return Config{
 		IdleCost: 0.05, Trigger: 0.15, Settle: 0.05, Busy: 0.45,
-		MaxMoves: 12, MaxOpen: 24, MovesPerMember: 0.5, OpenPerMember: 1, MinGain: 0.15, Window: 1500 * time.Millisecond,
+		MaxMoves: 12, MaxOpen: 24, MovesPerMember: 0.5, OpenPerMember: 1, HeavyGain: 1.25, MinGain: 0.15, Window: 1500 * time.Millisecond,
 	}
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -31,6 +31,7 @@
 	p.assignUnowned()
 	p.emptyDraining()
 	if in.Balance {
+		p.placeHeavy()
 		p.balance()
 	}
 	return p.changes
@@ -174,6 +175,37 @@
 	p.touched = append(p.touched, c.Span)
 }
 
+// placeHeavy moves keys that are heavier than their member to the member with the greatest
+// capacity, if that serves clearly more of them. The other keys of either member leave by
+// balance.
+func (p *plan) placeHeavy() {
+	best := slices.MaxFunc(p.ready, func(a, b *bin) int { return cmp.Compare(a.capacity(), b.capacity()) })
+	for _, key := range p.keys {
+		load := p.in.Loads[key]
+		r := p.in.Space.Find(key)
+		from := p.bins[r.Owner]
+		if from == nil || from.Draining || r.Moving() || load <= from.capacity() || best.Cold {
+			continue
+		}
+		if best.capacity() < p.config.HeavyGain*from.capacity() || p.heavyOn(best.Owner) {
+			continue
+		}
+		p.add(Change{Span: keyrange.Span{From: key, To: key}, From: r.Owner, To: best.Owner})
+		from.load -= load
+		best.load += load
+	}
+}
+
+// heavyOn reports whether owner has, or is to get, a key that fills it.
+func (p *plan) heavyOn(owner keyrange.Owner) bool {
+	for _, key := range p.keys {
+		if p.in.Loads[key] > p.bins[owner].capacity() && target(p.in.Space.Find(key)) == owner {
+			return true
+		}
+	}
+	return slices.ContainsFunc(p.changes, func(c Change) bool { return c.To == owner && c.From != c.To && c.Span.Keys() == 1 })
+}
+
 // balance moves spans from the busiest member to the least busy one until the busiest is
 // near the mean.
 func (p *plan) balance() {
--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/keyrange"
+)
+
+func members(n, slots int, speeds ...float64) []Member {
+	var out []Member
+	for i := range n {
+		speed := 1.0
+		if len(speeds) > 0 {
+			speed = speeds[i%len(speeds)]
+		}
+		out = append(out, Member{Owner: keyrange.Owner{Instance: fmt.Sprintf("m%02d", i), Incarnation: "1"}, Slots: slots, Speed: speed})
+	}
+	return out
+}
+
+// settle applies plans until there are no more, completing each move at once.
+func settle(t *testing.T, in Input, rounds int) *keyrange.Space {
+	t.Helper()
+	for range rounds {
+		changes := Plan(in, DefaultConfig())
+		if len(changes) == 0 {
+			break
+		}
+		for _, c := range changes {
+			next, err := c.Apply(in.Space)
+			if err != nil {
+				t.Fatalf("plan cannot be applied: %v", err)
+			}
+			in.Space = next
+			for _, r := range next.Ranges() {
+				if r.Moving() {
+					if in.Space, err = in.Space.Release(r.Span, r.Owner, "token"); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+	}
+	return in.Space
+}
+
+// utilizations returns the load of each member for each slot of nominal speed.
+func utilizations(s *keyrange.Space, ms []Member, loads map[uint16]float64) []float64 {
+	out := make([]float64, len(ms))
+	for key, load := range loads {
+		for i, m := range ms {
+			if s.Find(key).Owner == m.Owner {
+				out[i] += load / m.capacity()
+			}
+		}
+	}
+	return out
+}
+
+func highest(values []float64) float64 {
+	out := 0.0
+	for _, v := range values {
+		out = max(out, v)
+	}
+	return out
+}
+
+func mean(loads map[uint16]float64, ms []Member) float64 {
+	load, capacity := 0.0, 0.0
+	for _, l := range loads {
+		load += l
+	}
+	for _, m := range ms {
+		capacity += m.capacity()
+	}
+	return load / capacity
+}
+
+// Guards against keys that nobody gets, and against a first assignment that ignores speed.
+func TestFirstAssignmentCoversAllKeysByCapacity(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(8, 6, 0.6, 1, 1.4)
+	space := settle(t, Input{Space: keyrange.NewSpace(), Members: ms}, 1)
+	keys := map[keyrange.Owner]float64{}
+	for _, r := range space.Ranges() {
+		g.Expect(r.Owner.None()).To(BeFalse())
+		keys[r.Owner] += float64(r.Keys())
+	}
+	total := 0.0
+	for _, m := range ms {
+		total += m.capacity()
+	}
+	for _, m := range ms {
+		g.Expect(keys[m.Owner] / (keyrange.MaxKey + 1)).To(BeNumerically("~", m.capacity()/total, 0.01))
+	}
+}
+
+// Guards against hot keys that stay on one member: with 40 % of the requests on 200 or 60
+// neighbouring keys the steady imbalance must come down to 1.25, the target of the design.
+// Without moves it is as the log shows.
+func TestHotNeighboursAreDivided(t *testing.T) {
+	g := NewWithT(t)
+	for _, hot := range []int{60, 200} {
+		ms := members(8, 6, 0.6, 1, 1.4)
+		loads := map[uint16]float64{}
+		rng := rand.New(rand.NewPCG(uint64(hot), 1))
+		// Zipf-like popularity with the busy keys close to one another, and a hot range.
+		for i := range 6000 {
+			loads[uint16(20000+i*7)] += 0.6 * 28 * math.Pow(float64(i+1), -0.78) / 26.4
+		}
+		start := uint16(rng.IntN(60000))
+		for i := range hot {
+			loads[start+uint16(i)] += 0.4 * 28 / float64(hot)
+		}
+		first := settle(t, Input{Space: keyrange.NewSpace(), Members: ms}, 1)
+		before := highest(utilizations(first, ms, loads)) / mean(loads, ms)
+		space := settle(t, Input{Space: first, Members: ms, Loads: loads, Balance: true}, 6)
+		after := highest(utilizations(space, ms, loads)) / mean(loads, ms)
+		t.Logf("%d hot keys: imbalance %.2f before, %.2f after, %d ranges", hot, before, after, len(space.Ranges()))
+		g.Expect(after).To(BeNumerically("<=", 1.25))
+	}
+}
+
+// Guards against a key that is heavier than any member staying on a slow one, and against
+// neighbours that suffer from it.
+func TestHeavyKeyGetsTheFastestMember(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(6, 4, 0.6, 1, 1.4)
+	first := settle(t, Input{Space: keyrange.NewSpace(), Members: ms}, 1)
+	heavy := first.OwnedBy(ms[0].Owner)[0].From
+	loads := map[uint16]float64{heavy: 30}
+	for i := range 600 {
+		loads[uint16(i*109+51)] += 0.015
+	}
+	space := settle(t, Input{Space: first, Members: ms, Loads: loads, Balance: true}, 12)
+	owner := space.Find(heavy).Owner
+	g.Expect(owner.Instance).To(BeElementOf("m02", "m05"))
+	others := 0.0
+	for key, load := range loads {
+		if key != heavy && space.Find(key).Owner == owner {
+			others += load
+		}
+	}
+	g.Expect(others).To(BeNumerically("<", 0.2), "slots of work of other keys beside the heavy one")
+}
+
+// Guards against a plan that moves keys to and fro while the load only fluctuates.
+func TestNoiseMovesNothing(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(8, 6)
+	first := settle(t, Input{Space: keyrange.NewSpace(), Members: ms}, 1)
+	rng := rand.New(rand.NewPCG(3, 3))
+	loads := map[uint16]float64{}
+	for i := range 4000 {
+		loads[uint16(i*16)] = 28.0 / 4000 * (0.5 + rng.Float64())
+	}
+	g.Expect(Plan(Input{Space: first, Members: ms, Loads: loads, Balance: true}, DefaultConfig())).To(BeEmpty())
+}
+
+// Guards against keys that stay on a member that leaves.
+func TestDrainingMemberIsEmptied(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(5, 6)
+	first := settle(t, Input{Space: keyrange.NewSpace(), Members: ms}, 1)
+	ms[1].Draining = true
+	changes := Plan(Input{Space: first, Members: ms}, DefaultConfig())
+	keys := 0
+	for _, c := range changes {
+		g.Expect(c.From).To(Equal(ms[1].Owner))
+		keys += c.Keys()
+	}
+	owned := 0
+	for _, r := range first.OwnedBy(ms[1].Owner) {
+		owned += r.Keys()
+	}
+	g.Expect(keys).To(Equal(owned))
+}
+
+// Guards against an estimate that takes load for gone, or for ever.
+func TestDemandFollowsTheLoad(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	d := NewDemand(DefaultConfig().Window, now)
+	for range 400 {
+		now = now.Add(25 * time.Millisecond)
+		d.Add(7, 50*time.Millisecond, now)
+	}
+	g.Expect(d.Loads(now)[7]).To(BeNumerically("~", 2, 0.2))
+	g.Expect(d.Loads(now.Add(15 * time.Second))).To(BeEmpty())
+}
+
+// Guards against requests that go to a backend server that only fails fast, and against a
+// far one while a near one is free.
+func TestCompletionOrder(t *testing.T) {
+	g := NewWithT(t)
+	work := 50 * time.Millisecond
+	free := Candidate{Slots: 6, Work: work}
+	g.Expect(free.Completion()).To(BeNumerically("<", Candidate{Slots: 6, Work: work, Distance: time.Millisecond}.Completion()))
+	g.Expect(free.Completion()).To(BeNumerically("<", Candidate{Slots: 6, Work: work / 10, Failing: 0.5}.Completion()))
+	g.Expect(free.Completion()).To(BeNumerically("<", Candidate{Slots: 6, Work: work, Reported: 12}.Completion()))
+	g.Expect(Candidate{Slots: 6, Work: work, Reported: 12, Age: time.Second}.Completion()).
+		To(BeNumerically("<", Candidate{Slots: 6, Work: work, Reported: 12}.Completion()))
+}
