--- a/waitqueue/config.go
+++ b/waitqueue/config.go
@@ -19,6 +19,9 @@
 	// MinRetryAfter and MaxRetryAfter bound the time after which a refused caller is
 	// told to come back.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	// ReviewInterval is the least time between two checks of the line for requests that
+	// wait in vain; 0 turns them off. A check costs the processor time of sorting the line.
+	ReviewInterval time.Duration
 	// MaxWaiting bounds the waiting requests.
 	MaxWaiting int
 }
@@ -28,5 +31,6 @@
 	return Config{
 		InitialWork: 60 * time.Millisecond, Smoothing: 0.05, Spread: 0.3, LateShare: 0.8,
 		MinRetryAfter: 30 * time.Millisecond, MaxRetryAfter: time.Second, MaxWaiting: 512,
+		ReviewInterval: 10 * time.Millisecond,
 	}
 }
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -36,6 +36,8 @@
 	waiting []waiting
 	work    map[string]time.Duration
 	rates   map[group]*rate
+	// reviewed is when the line was last checked for requests that wait in vain.
+	reviewed time.Time
 }
 
 // New returns a queue for a backend server without slots: requests wait until SetSlots.
@@ -141,24 +143,13 @@
 	if q.slots == 0 {
 		return 0
 	}
-	var ahead time.Duration
-	for _, r := range q.running {
-		ahead += max(r.work-now.Sub(r.started), r.work/4)
-	}
+	ahead := q.runningWork(now)
 	for _, o := range q.waiting {
 		if o.before(w, now) {
 			ahead += o.work
 		}
 	}
-	late := now.Add(ahead / time.Duration(q.slots)).Add(w.work).After(w.Target)
-	coming := 0.0
-	for g, r := range q.rates {
-		if g.better(w.group()) || late && g == w.group() {
-			coming += r.value(now)
-		}
-	}
-	free := float64(q.slots) * (1 - min(coming/float64(q.slots), maxUtilization))
-	return time.Duration(float64(ahead) / free)
+	return time.Duration(float64(ahead) / q.freeSlots(w, ahead, now))
 }
 
 func (q *Queue) refuse(id ID, wait time.Duration) Decision {
@@ -195,6 +186,62 @@
 	return true
 }
 
+// review refuses requests that the line is not expected to get to before their deadline.
+// What was expected when they came may have been wrong: the backend server turned slow, or
+// more requests that go first arrived.
+func (q *Queue) review(now time.Time) []Decision {
+	if q.config.ReviewInterval == 0 || q.slots == 0 || now.Sub(q.reviewed) < q.config.ReviewInterval {
+		return nil
+	}
+	q.reviewed = now
+	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
+		switch {
+		case a.before(b, now):
+			return -1
+		case b.before(a, now):
+			return 1
+		default:
+			return 0
+		}
+	})
+	var out []Decision
+	ahead := q.runningWork(now)
+	kept := q.waiting[:0]
+	for _, w := range q.waiting {
+		wait := time.Duration(float64(ahead) / q.freeSlots(w, ahead, now))
+		if now.Add(wait + w.work).After(w.Deadline) {
+			out = append(out, q.refuse(w.ID, wait))
+			continue
+		}
+		ahead += w.work
+		kept = append(kept, w)
+	}
+	q.waiting = kept
+	return out
+}
+
+// runningWork returns the work that is left of the running requests.
+func (q *Queue) runningWork(now time.Time) time.Duration {
+	var left time.Duration
+	for _, r := range q.running {
+		left += max(r.work-now.Sub(r.started), r.work/4)
+	}
+	return left
+}
+
+// freeSlots returns the slots that are left for w and the work ahead of it, after those
+// that requests take which arrive later and go first.
+func (q *Queue) freeSlots(w waiting, ahead time.Duration, now time.Time) float64 {
+	late := now.Add(ahead / time.Duration(q.slots)).Add(w.work).After(w.Target)
+	coming := 0.0
+	for g, r := range q.rates {
+		if g.better(w.group()) || late && g == w.group() {
+			coming += r.value(now)
+		}
+	}
+	return float64(q.slots) * (1 - min(coming/float64(q.slots), maxUtilization))
+}
+
 // Advance starts waiting requests on free slots and refuses those that can no longer be
 // answered before their deadline.
 func (q *Queue) Advance(now time.Time) []Decision {
@@ -206,6 +253,7 @@
 		}
 		return expired
 	})
+	out = append(out, q.review(now)...)
 	for len(q.waiting) > 0 && len(q.running) < q.slots {
 		best := 0
 		for i := range q.waiting {
--- a/waitqueue/replay_test.go
+++ b/waitqueue/replay_test.go
@@ -111,12 +111,17 @@
 	served, asked int
 	byKind        map[string][2]float64 // earned and owed
 	work          time.Duration         // of the requests that were served
+	held          time.Duration         // by refused requests until their refusal
+	refusals      int
+	arrivals      map[ID]time.Time
+	slowFrom      time.Time // when the server turns slow, by a factor
+	slow          time.Duration
 }
 
 func newReplay(l line, seed uint64) *replay {
 	return &replay{
 		rng: rand.New(rand.NewPCG(seed, 1)), line: l, now: time.Unix(0, 0), clients: map[ID]*client{},
-		byKind: map[string][2]float64{},
+		byKind: map[string][2]float64{}, arrivals: map[ID]time.Time{},
 	}
 }
 
@@ -148,7 +153,7 @@
 func (r *replay) arrive(c *client) {
 	r.nextID++
 	id := r.nextID
-	r.clients[id] = c
+	r.clients[id], r.arrivals[id] = c, r.now
 	d, others := r.line.Offer(Item{
 		ID: id, Route: c.kind.route, Priority: c.kind.priority,
 		Target: c.first.Add(c.kind.target), Deadline: c.first.Add(c.kind.deadline),
@@ -161,9 +166,15 @@
 		c := r.clients[d.ID]
 		switch d.Verb {
 		case Run:
-			r.at(r.now.Add(c.work), func() { r.finish(d.ID, c) })
+			work := c.work
+			if r.slow > 0 && !r.now.Before(r.slowFrom) {
+				work *= r.slow
+			}
+			r.at(r.now.Add(work), func() { r.finish(d.ID, c) })
 		case Refuse:
 			delete(r.clients, d.ID)
+			r.held += r.now.Sub(r.arrivals[d.ID])
+			r.refusals++
 			left := c.first.Add(c.kind.deadline).Sub(r.now)
 			if c.retried || left <= 0 {
 				continue
@@ -214,14 +225,18 @@
 }
 
 // result is what callers got.
-type result struct{ payoff, served, lookup, booking, work float64 }
+type result struct {
+	payoff, served, lookup, booking, work float64
+	// held is the mean time that refused requests were held.
+	held time.Duration
+}
 
 func play(l line, seed uint64, load func(r *replay)) result {
 	r := newReplay(l, seed)
 	load(r)
 	r.run()
 	share := func(route string) float64 { return r.byKind[route][0] / r.byKind[route][1] }
-	return result{r.earned / r.owed, float64(r.served) / float64(r.asked), share("lookup"), share("booking"), r.work.Seconds()}
+	return result{r.earned / r.owed, float64(r.served) / float64(r.asked), share("lookup"), share("booking"), r.work.Seconds(), r.held / time.Duration(max(r.refusals, 1))}
 }
 
 const replaySlots = 6
@@ -271,6 +286,31 @@
 	g.Expect(refused).To(BeNumerically("<", refusedBefore*2/3))
 }
 
+// Guards against requests that wait until their deadline for nothing: the server turns to
+// a third of its speed, so that what was expected when they came is wrong. The policy
+// before looked at a request only when it arrived and at its deadline.
+func TestHopelessRequestsAreRefusedEarly(t *testing.T) {
+	g := NewWithT(t)
+	unreviewed := func() line {
+		config := DefaultConfig()
+		config.ReviewInterval = 0
+		q := New(config)
+		q.SetSlots(replaySlots, time.Unix(0, 0))
+		return q
+	}
+	load := func(r *replay) {
+		r.load(0, 4*time.Second, 0.8*replaySlots)
+		r.slowFrom, r.slow = time.Unix(2, 0), 3
+	}
+	for seed := range uint64(4) {
+		got, before := play(policy(), seed, load), play(unreviewed(), seed, load)
+		t.Logf("seed %d: refused after %v, served %.3f; before %v, %.3f", seed, got.held, got.served, before.held, before.served)
+		g.Expect(got.held).To(BeNumerically("<", before.held))
+		g.Expect(got.held).To(BeNumerically("<", 100*time.Millisecond), "half of the lookups' target")
+		g.Expect(got.payoff).To(BeNumerically(">", before.payoff-0.02))
+	}
+}
+
 // Guards against a policy that costs callers something when there is room for all.
 func TestCalmLoadIsServedInTime(t *testing.T) {
 	g := NewWithT(t)
