--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -63,7 +63,11 @@
 	merged    int // number of the view's strikes that are in strikes
 	records   []quarantine.Record
 	running   map[uint64]int // fingerprints in flight
-	started   time.Time
+	// closedAt is when the backend server's port was found closed; zero while it is open.
+	closedAt time.Time
+	// cut are the fingerprints of requests whose connection ended, with the time.
+	cut     map[uint64]time.Time
+	started time.Time
 }
 
 func newBackend(n *Node) *backend {
@@ -73,7 +77,7 @@
 			DialTimeout: backendDialTimeout, IdleTimeout: backendIdle, MaxIdle: 16, ReadBuffer: 4096,
 		}),
 		strikes: quarantine.New(quarantine.Config{Session: n.session, MaxAhead: maxClockDifference}),
-		running: map[uint64]int{}, started: boottimeNow(),
+		running: map[uint64]int{}, cut: map[uint64]time.Time{}, started: boottimeNow(),
 	}
 }
 
@@ -145,7 +149,7 @@
 	if !same {
 		b.begin(hb, known)
 	}
-	b.last, b.lastAt = hb, now
+	b.last, b.lastAt, b.closedAt = hb, now, time.Time{}
 	next := BackendReady
 	if hb.State == grant.Draining || !b.leaveAcked.IsZero() {
 		next = BackendDraining
@@ -198,6 +202,37 @@
 	b.changed.notify()
 }
 
+// crashWindow is the time within which the connections of a backend server that crashed
+// are found to be ended.
+const crashWindow = time.Second
+
+// portClosed notes that nobody listens at the backend server's port.
+func (b *backend) portClosed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closedAt.IsZero() && b.state != BackendDown {
+		b.closedAt = boottimeNow()
+		b.log.Info("port of the backend server is closed", zap.Int("in flight", len(b.running)), zap.Bool("leaving", !b.leaveAcked.IsZero()))
+	}
+	b.wake()
+}
+
+// checkClosed finds out whether a backend server with a closed port ended. One that leaves
+// closes its port first and finishes its requests then, and keeps its keys until the end.
+func (b *backend) checkClosed(ctx context.Context) {
+	b.mu.Lock()
+	if b.closedAt.IsZero() || b.state == BackendDown || len(b.running) > 0 {
+		b.mu.Unlock()
+		return
+	}
+	leaving, closedFor := !b.leaveAcked.IsZero(), boottimeNow().Sub(b.closedAt)
+	b.mu.Unlock()
+	if leaving && (closedFor < memberTick || !b.probe(ctx)) {
+		return
+	}
+	b.down(b.owner(), "its port is closed")
+}
+
 // down notes that an incarnation ended. Requests that were in flight get a strike.
 func (b *backend) down(owner keyrange.Owner, why string) {
 	b.mu.Lock()
@@ -206,12 +241,18 @@
 		return
 	}
 	b.log.Warn("backend server down", zap.String("backend", owner.Incarnation), zap.String("reason", why),
-		zap.Duration("last heartbeat", boottimeNow().Sub(b.lastAt)), zap.Int("in flight", len(b.running)))
+		zap.Duration("last heartbeat", boottimeNow().Sub(b.lastAt)), zap.Int("in flight", len(b.running)), zap.Int("cut", len(b.cut)))
 	b.state = BackendDown
 	var lost []quarantine.Fingerprint
 	for f := range b.running {
 		lost = append(lost, quarantine.Fingerprint(f))
 	}
+	for f, at := range b.cut {
+		if time.Since(at) < crashWindow {
+			lost = append(lost, quarantine.Fingerprint(f))
+		}
+	}
+	clear(b.cut)
 	b.records = append(b.records, b.strikes.Crashed(lost, time.Now())...)
 	b.wake()
 	b.changed.notify()
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -78,6 +78,7 @@
 	released []grant.Release
 	runs     map[string]int // by request id
 	running  int
+	quiet    bool // sends no heartbeats
 	stop     chan struct{}
 }
 
@@ -115,6 +116,10 @@
 // beat sends a heartbeat and returns true if there is more to release.
 func (s *backendSim) beat() bool {
 	s.mu.Lock()
+	if s.quiet {
+		s.mu.Unlock()
+		return false
+	}
 	s.sequence++
 	hb := grant.Heartbeat{ID: s.id, Born: s.born, Address: s.address(), Service: s.service, Slots: s.slots, Sequence: s.sequence, State: s.state, Released: s.released}
 	for _, g := range s.granted {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/metastore/memory"
+	"github.com/basilway/basilway/quarantine"
 )
 
 // testNode is a node that runs, with its backend server.
@@ -281,3 +282,31 @@
 	b.mu.Unlock()
 	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
 }
+
+// Guards against two owners: a backend server that leaves closes its port before it has
+// finished its last requests, and holds their keys until then.
+func TestClosedPortEndsNoBackendServerThatIsAtWork(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 1)
+	c.settled()
+	b := c.nodes[0].Node.backend
+	sim := c.nodes[0].backend
+	sim.mu.Lock()
+	sim.quiet = true
+	sim.mu.Unlock()
+	time.Sleep(heartbeatEvery) // a heartbeat on its way
+	sim.server.Listener.Close()
+	b.mu.Lock()
+	b.leaveAcked = boottimeNow()
+	b.running[42] = 1
+	b.mu.Unlock()
+	b.portClosed()
+	state := func() BackendState {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.state
+	}
+	g.Consistently(state, 3*memberTick).ShouldNot(Equal(BackendDown))
+	b.endRun(42, quarantine.Ticket{})
+	g.Eventually(state, 10*memberTick).Should(Equal(BackendDown))
+}
--- a/internal/node/memberduty.go
+++ b/internal/node/memberduty.go
@@ -35,6 +35,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-b.kick:
+			b.checkClosed(ctx)
 		case <-ticker.C:
 			b.checkSilence(ctx)
 		case <-ctx.Done():
@@ -55,6 +56,7 @@
 		silent = now.Sub(b.started)
 	}
 	b.mu.Unlock()
+	b.checkClosed(ctx)
 	if silent < silentAfter || state == BackendDown {
 		return
 	}
@@ -63,7 +65,7 @@
 		return
 	}
 	if b.probe(ctx) {
-		b.down(holder.Owner(), "silent, and its port is closed")
+		b.portClosed()
 		return
 	}
 	sharded := b.sharded()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,9 +50,10 @@
 	n := &Node{
 		config: config, headers: config.Protocol.Headers(), log: log,
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
-		peers:   newPeers(log.Named("peers")), demand: newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
+		demand:  newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
 		budgets: map[string]*retry.SharedBudget{}, returns: returns{first: map[uint64]time.Time{}},
 	}
+	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
 	n.store = &relayStore{WatchedTable: config.Store, node: n, log: log.Named("relay")}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
 	n.lease = &leaseDuty{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: boottimeNow}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -30,6 +30,9 @@
 	// is the pause between two probes of a node that cannot be reached.
 	probeTimeout  = 250 * time.Millisecond
 	probeInterval = 150 * time.Millisecond
+	// silentProbes is the number of probes without an answer after which requests end that
+	// could run elsewhere; one may be late because the node's processor is busy.
+	silentProbes = 2
 	// failureWeight is the weight of one result in the failure share of a backend server.
 	failureWeight = 0.1
 	// workWeight is the weight of one measurement in the mean time on a backend server.
@@ -59,12 +62,16 @@
 
 // peers keeps the state of all nodes that this node sends requests to.
 type peers struct {
-	log    *zap.Logger
-	mu     sync.Mutex
-	states map[string]*peerState // by address
+	log *zap.Logger
+	// stopping reports whether this node stops.
+	stopping func() bool
+	mu       sync.Mutex
+	states   map[string]*peerState // by address
 }
 
-func newPeers(log *zap.Logger) *peers { return &peers{log: log, states: map[string]*peerState{}} }
+func newPeers(log *zap.Logger, stopping func() bool) *peers {
+	return &peers{log: log, stopping: stopping, states: map[string]*peerState{}}
+}
 
 func (p *peers) get(address string) *peerState {
 	s := p.states[address]
@@ -168,17 +175,20 @@
 		s.lost = true
 		p.log.Info("node lost", zap.String("address", address), zap.Duration("last answer", time.Since(s.seen)), zap.Error(cause))
 	}
-	// A node whose port is closed may be finishing its last requests; one that ended has
-	// reset its connections.
-	var failure *httpclient.Error
-	if !errors.As(cause, &failure) || !failure.Refused && !failure.Closed {
-		for cancel := range s.waiting {
-			(*cancel)(errPeerSilent)
-		}
-	}
 	p.probeLocked(address, s)
 }
 
+// cutWaiting ends the requests that could run elsewhere. A stopping node ends nothing
+// that may be at work.
+func (p *peers) cutWaiting(s *peerState) {
+	if p.stopping() {
+		return
+	}
+	for cancel := range s.waiting {
+		(*cancel)(errPeerSilent)
+	}
+}
+
 func (p *peers) probeLocked(address string, s *peerState) {
 	if s.probing {
 		return
@@ -189,7 +199,7 @@
 
 // probe looks whether a node answers, and again until it does or is no longer a member.
 func (p *peers) probe(address string, s *peerState) {
-	for {
+	for silent := 0; ; {
 		err := ping(s.pool, address)
 		p.mu.Lock()
 		if err == nil || p.states[address] != s {
@@ -201,6 +211,15 @@
 			return
 		}
 		p.suspectLocked(address, s, err)
+		// A node whose port is closed may be finishing its last requests; one that ended has
+		// reset its connections.
+		var failure *httpclient.Error
+		if !errors.As(err, &failure) || !failure.Refused && !failure.Closed {
+			silent++
+		}
+		if silent == silentProbes {
+			p.cutWaiting(s)
+		}
 		p.mu.Unlock()
 		time.Sleep(probeInterval)
 	}
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -22,7 +22,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	address := l.Addr().String()
 	l.Close()
-	p := newPeers(zap.NewNop())
+	p := newPeers(zap.NewNop(), func() bool { return false })
 	ctx, end := p.begin(context.Background(), address, 0, true)
 	g.Eventually(func() bool { return p.isLost(address) }, 5*time.Second).Should(BeTrue())
 	g.Expect(ctx.Err()).NotTo(HaveOccurred())
@@ -30,6 +30,19 @@
 	p.retain(nil)
 }
 
+// Guards against a request that a stopping node ends although its backend server may be at
+// work on it.
+func TestStoppingNodeEndsNoRequests(t *testing.T) {
+	g := NewWithT(t)
+	p := newPeers(zap.NewNop(), func() bool { return true })
+	ctx, end := p.begin(context.Background(), "127.0.0.1:1", 0, true)
+	p.mu.Lock()
+	p.cutWaiting(p.get("127.0.0.1:1"))
+	p.mu.Unlock()
+	g.Expect(ctx.Err()).NotTo(HaveOccurred())
+	end(outcome{err: verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "")}, nil)
+}
+
 // Guards against requests that wait until their deadline for a node that went silent,
 // although they could run elsewhere, and against one that is lost for good after a pause.
 func TestSilentNodeEndsRequestsAndComesBack(t *testing.T) {
@@ -60,7 +73,7 @@
 			}()
 		}
 	}()
-	p := newPeers(zap.NewNop())
+	p := newPeers(zap.NewNop(), func() bool { return false })
 	address := l.Addr().String()
 	ctx, end := p.begin(context.Background(), address, 0, true)
 	g.Eventually(ctx.Done(), 5*time.Second).Should(BeClosed())
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -76,7 +76,7 @@
 		return nil
 	case b.state == BackendUnknown:
 		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "the backend server has not announced itself").WithRetryAfter(notReadyRetryAfter)
-	case b.state == BackendDown:
+	case b.state == BackendDown || !b.closedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
 	case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.DrainTimeout*drainShare/100:
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the backend server leaves").WithRetryAfter(notReadyRetryAfter)
@@ -149,6 +149,22 @@
 	if b.running[f]--; b.running[f] <= 0 {
 		delete(b.running, f)
 	}
+	if !b.closedAt.IsZero() {
+		b.wake()
+	}
+}
+
+// noteCut remembers a request whose connection ended, in case the backend server crashed.
+func (b *backend) noteCut(f uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for other, at := range b.cut {
+		if now.Sub(at) >= crashWindow {
+			delete(b.cut, other)
+		}
+	}
+	b.cut[f] = now
 }
 
 // mergeStrikes takes the strikes that other nodes wrote.
@@ -182,7 +198,7 @@
 		return outcome{err: refused}
 	}
 	if err != nil {
-		return b.failed(ctx, owner.Incarnation, err)
+		return b.failed(ctx, t, err)
 	}
 	if resp.Header.Get(headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return b.declined(resp)
@@ -206,7 +222,7 @@
 const declinedRetryAfter = 50 * time.Millisecond
 
 // failed classifies an exchange without an answer.
-func (b *backend) failed(ctx context.Context, incarnation string, err error) outcome {
+func (b *backend) failed(ctx context.Context, t ticket, err error) outcome {
 	var failure *httpclient.Error
 	if !errors.As(err, &failure) {
 		return outcome{err: verdict.From(err), arrived: true}
@@ -214,11 +230,11 @@
 	if failure.Refused || failure.Closed {
 		// The backend server closes connections over its limit too; only a closed port
 		// shows that it ended.
+		if failure.Stage == httpclient.Sent && failure.Closed {
+			b.noteCut(t.fingerprint)
+		}
 		if failure.Refused || b.probe(context.WithoutCancel(ctx)) {
-			owner := b.owner()
-			if owner.Incarnation == incarnation {
-				b.down(owner, "its port is closed")
-			}
+			b.portClosed()
 		}
 	}
 	if failure.Stage == httpclient.NotSent {
