--- a/internal/node/keywriter.go
+++ b/internal/node/keywriter.go
@@ -12,8 +12,12 @@
 	"github.com/basilway/basilway/metastore"
 )
 
-// keyWritePause is the pause before a write of the key table is tried again.
-const keyWritePause = 60 * time.Millisecond
+const (
+	// keyWritePause is the pause before a write of the key table is tried again. It doubles
+	// up to keyWritePauseMax while the store does not take it.
+	keyWritePause    = 40 * time.Millisecond
+	keyWritePauseMax = 800 * time.Millisecond
+)
 
 // errNoChange is returned by an edit that has nothing to write.
 var errNoChange = errors.New("nothing to change")
@@ -32,6 +36,7 @@
 // the row is unchanged, until the outcome is certain, edit fails or ctx ends. The view
 // shows the result when update returns.
 func (w *keyWriter) update(ctx context.Context, service string, edit keyEdit) error {
+	pause := keyWritePause
 	for {
 		err := w.try(ctx, service, edit)
 		if err == nil || errors.Is(err, errNoChange) {
@@ -41,7 +46,10 @@
 			return err
 		}
 		w.log.Debug("key table not written", zap.String("service", service), zap.Error(err))
-		sleep(ctx, jitter(keyWritePause))
+		sleep(ctx, jitter(pause))
+		if !errors.Is(err, metastore.ErrConflict) {
+			pause = min(2*pause, keyWritePauseMax)
+		}
 		if ctx.Err() != nil {
 			return err
 		}
--- a/internal/node/leaseduty.go
+++ b/internal/node/leaseduty.go
@@ -26,8 +26,11 @@
 	// leaseOwnWriteAfter is the age of the last renewal after which a node writes its row
 	// itself, because the planner does not.
 	leaseOwnWriteAfter = 3 * time.Second
-	// leaseRetryInterval is the pause after a renewal that failed.
+	// leaseRetryInterval is the pause after a renewal that failed; it doubles with each
+	// failure up to leaseRetryMax, as refused calls of the store are priced too. A lease
+	// must be back within two seconds of the store's return.
 	leaseRetryInterval = 250 * time.Millisecond
+	leaseRetryMax      = 1500 * time.Millisecond
 )
 
 // leaseDuty keeps the node's lease: the right to grant keys to the backend server beside
@@ -162,17 +165,22 @@
 
 // keep renews the lease whenever the planner does not, until it is lost.
 func (d *leaseDuty) keep(ctx context.Context) {
-	failing := false
+	failing, pause := false, leaseRetryInterval
 	for {
-		sleep(ctx, jitter(leaseRetryInterval))
+		sleep(ctx, jitter(pause))
 		if ctx.Err() != nil {
 			return
 		}
 		if !d.renewalDue() {
+			pause = leaseRetryInterval
 			continue
 		}
 		sent, err := d.write(ctx)
 		d.endOwnWrite(sent, err)
+		pause = min(2*pause, leaseRetryMax)
+		if err == nil {
+			pause = leaseRetryInterval
+		}
 		switch {
 		case err == nil && failing:
 			d.log.Info("lease renewed again", zap.Uint64("version", d.version))
--- a/internal/node/memberduty.go
+++ b/internal/node/memberduty.go
@@ -19,6 +19,9 @@
 // that failed.
 const memberTick = 500 * time.Millisecond
 
+// memberRetry is the pause after a write that failed.
+const memberRetry = 1200 * time.Millisecond
+
 // runMember writes what is known of the backend server to the store: its state, keys that
 // it released or lost, and strikes. It compares what is with what the store shows, so a
 // failed write is made again at the next tick.
@@ -32,6 +35,7 @@
 	b.adoptSlots()
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
+	var failed time.Time
 	for ctx.Err() == nil {
 		select {
 		case <-b.kick:
@@ -41,7 +45,11 @@
 		case <-ctx.Done():
 			return
 		}
+		if time.Since(failed) < memberRetry {
+			continue
+		}
 		if err := b.reconcile(ctx); err != nil && ctx.Err() == nil {
+			failed = time.Now()
 			b.log.Warn("state of the backend server not written", zap.Error(err))
 		}
 	}
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -42,13 +42,13 @@
 	node *Node
 	log  *zap.Logger
 
-	mu       sync.Mutex
-	expiry   *expiry.Tracker
-	demand   map[string]*placement.Demand
-	works    map[string]map[string]time.Duration // by instance, then route
-	cold     map[string]bool
-	since    map[string]time.Time // first sight of a service's members
-	renewals map[string]*renewal
+	mu                 sync.Mutex
+	expiry             *expiry.Tracker
+	demand, slowDemand map[string]*placement.Demand
+	works              map[string]map[string]time.Duration // by instance, then route
+	cold               map[string]bool
+	since              map[string]time.Time // first sight of a service's members
+	renewals           map[string]*renewal
 	// answered is when the store answered this node last.
 	answered time.Time
 	balance  time.Time
@@ -66,7 +66,7 @@
 func (p *planner) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.demand = map[string]*placement.Demand{}
+	p.demand, p.slowDemand = map[string]*placement.Demand{}, map[string]*placement.Demand{}
 	p.works = map[string]map[string]time.Duration{}
 	p.cold = map[string]bool{}
 	p.since = map[string]time.Time{}
@@ -105,10 +105,12 @@
 		d := p.demand[service]
 		if d == nil {
 			d = placement.NewDemand(placement.DefaultConfig().Window, now)
-			p.demand[service] = d
+			p.demand[service], p.slowDemand[service] = d, placement.NewDemand(placement.DefaultConfig().SlowWindow, now)
 		}
 		for _, k := range keys {
-			d.Add(k.Key, time.Duration(k.Micros)*time.Microsecond, now)
+			work := time.Duration(k.Micros) * time.Microsecond
+			d.Add(k.Key, work, now)
+			p.slowDemand[service].Add(k.Key, work, now)
 		}
 	}
 	works := map[string]time.Duration{}
@@ -345,6 +347,9 @@
 	in := placement.Input{Space: table, Loads: map[uint16]float64{}}
 	if d := p.demand[service]; d != nil {
 		in.Loads = d.Loads(now)
+		if slow := p.slowDemand[service]; slow.Settled(now) {
+			in.SlowLoads = slow.Loads(now)
+		}
 		in.Balance = d.Settled(now) && now.Sub(p.balance) >= balanceInterval
 	}
 	members := view.ServiceMembers(service)
--- a/internal/node/watchduty.go
+++ b/internal/node/watchduty.go
@@ -16,7 +16,7 @@
 	watchWait = 25 * time.Second
 	// watchPauseMin and watchPauseMax bound the pause after a failed watch.
 	watchPauseMin = 50 * time.Millisecond
-	watchPauseMax = 800 * time.Millisecond
+	watchPauseMax = 1200 * time.Millisecond
 	// idleCheck is the interval at which a node that does not follow a table looks
 	// whether it is to do so.
 	idleCheck = 200 * time.Millisecond
--- a/placement/config.go
+++ b/placement/config.go
@@ -28,12 +28,17 @@
 	// Window is the time constant of the load estimate. A short one follows hot keys
 	// sooner and takes noise for load.
 	Window time.Duration
+	// SlowWindow is the time constant of a second estimate with less noise, which evens
+	// out lasting differences; SlowTrigger and SlowSettle are its Trigger and Settle.
+	SlowWindow              time.Duration
+	SlowTrigger, SlowSettle float64
 }
 
 // DefaultConfig returns the configuration of the daemon.
 func DefaultConfig() Config {
 	return Config{
-		IdleCost: 0.05, Trigger: 0.15, Settle: 0.05, Busy: 0.45,
+		IdleCost: 0.05, Trigger: 0.18, Settle: 0.06, Busy: 0.45,
 		MaxMoves: 12, MaxOpen: 24, MovesPerMember: 0.5, OpenPerMember: 1, HeavyGain: 1.25, MinGain: 0.15, Window: 1500 * time.Millisecond,
+		SlowWindow: 6 * time.Second, SlowTrigger: 0.07, SlowSettle: 0.03,
 	}
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -11,8 +11,9 @@
 type Input struct {
 	Space   *keyrange.Space
 	Members []Member
-	// Loads is the load of each key in slots of nominal speed.
-	Loads map[uint16]float64
+	// Loads is the load of each key in slots of nominal speed, as of Config.Window, and
+	// SlowLoads as of Config.SlowWindow; nil until that has passed.
+	Loads, SlowLoads map[uint16]float64
 	// Balance allows moves for balance only.
 	Balance bool
 }
@@ -32,7 +33,12 @@
 	p.emptyDraining()
 	if in.Balance {
 		p.placeHeavy()
-		p.balance()
+		p.balance(config.Trigger, config.Settle)
+	}
+	if in.Balance && in.SlowLoads != nil && len(p.changes) == 0 {
+		in.Loads = in.SlowLoads
+		p = newPlan(in, config)
+		p.balance(config.SlowTrigger, config.SlowSettle)
 	}
 	return p.changes
 }
@@ -208,16 +214,15 @@
 
 // balance moves spans from the busiest member to the least busy one until the busiest is
 // near the mean.
-func (p *plan) balance() {
+func (p *plan) balance(trigger, settle float64) {
 	mean := p.mean()
 	maxMoves := max(p.config.MaxMoves, int(p.config.MovesPerMember*float64(len(p.ready))))
 	maxOpen := max(p.config.MaxOpen, int(p.config.OpenPerMember*float64(len(p.ready))))
 	for moves := 0; moves < maxMoves && p.open < maxOpen; moves++ {
 		from := slices.MaxFunc(p.ready, byUtilization)
 		to := p.coldest()
-		trigger := p.config.Trigger
 		if moves > 0 {
-			trigger = p.config.Settle
+			trigger = settle
 		}
 		if to == nil || from == to || from.utilization() < max(p.config.Busy, mean+trigger) {
 			return
