--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -49,7 +49,7 @@
 		panic(err) // only for a nil flag set
 	}
 	root.AddCommand(newCatalogueCommand(o), newStatusCommand(o), newOwnersCommand(o),
-		newDrainCommand(o), newFenceCommand(o), newCallCommand(o))
+		newDrainCommand(o), newFenceCommand(o), newCallCommand(o), newExplainCommand())
 	return root
 }
 
--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -47,6 +47,7 @@
 	encoder.EncodeDuration = zapcore.StringDurationEncoder
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, atomic)).With(zap.String("instance", settings.Node.Instance))
 	defer func() { _ = log.Sync() }()
+	settings.Node.DroppedLines = out.Dropped
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,7 +30,10 @@
 	Store metastore.WatchedTable
 	// Protocol decodes what clients, backend servers and operators send.
 	Protocol Protocol
-	// Limits of the platform that bound the node's own timing.
+	// DroppedLines counts log lines that were dropped because the output took none; nil if
+	// it is not counted.
+	DroppedLines func() uint64
+	// Bounds are limits of the platform that bound the node's own timing.
 	Bounds Bounds
 }
 
--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -31,7 +31,8 @@
 	if m.Owner.Instance == n.config.Instance {
 		return n.backend.serve(ctx, t, e)
 	}
-	if !n.peers.allow(m.Address, t.priority) {
+	senders := len(n.views.current().Members)
+	if !n.peers.allow(m.Address, t.priority, senders) {
 		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "%s refuses most requests of this priority at present", m.Owner.Instance)
 		return outcome{err: err.WithRetryAfter(throttledRetryAfter)}
 	}
@@ -46,7 +47,7 @@
 	out := n.hopOutcome(ctx, resp, err)
 	end(out, err)
 	if out.err == nil || out.err.Reason != verdict.ReasonOverloaded {
-		n.peers.accepted(m.Address, t.priority)
+		n.peers.accepted(m.Address, t.priority, senders)
 	}
 	return out
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,9 @@
 		}
 		return 0
 	})
+	if n.config.DroppedLines != nil {
+		m.set.NewGauge("basilway_node_log_lines_blocked_total", func() float64 { return float64(n.config.DroppedLines()) })
+	}
 	return m
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -137,7 +137,7 @@
 
 // allow reports whether a request is to be sent to a node, or refused here because the
 // backend server beside it refuses most requests of that priority.
-func (p *peers) allow(address string, priority int) bool {
+func (p *peers) allow(address string, priority, senders int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.get(address)
@@ -146,15 +146,15 @@
 		t = &throttle.Throttle{}
 		s.throttles[priority] = t
 	}
-	return t.Allow(throttle.DefaultConfig(), rand.Float64(), time.Now())
+	return t.Allow(throttle.DefaultConfig(senders), rand.Float64(), time.Now())
 }
 
 // accepted notes that a request was not refused for overload.
-func (p *peers) accepted(address string, priority int) {
+func (p *peers) accepted(address string, priority, senders int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t := p.get(address).throttles[priority]; t != nil {
-		t.Accepted(throttle.DefaultConfig(), time.Now())
+		t.Accepted(throttle.DefaultConfig(senders), time.Now())
 	}
 }
 
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -25,9 +25,16 @@
 	Window time.Duration
 }
 
-// DefaultConfig returns the configuration of the daemon.
-func DefaultConfig() Config {
-	return Config{Multiplier: 1.6, Allowance: 1, Window: time.Second}
+// allAllowances is the number of requests that all senders together send in a window
+// whatever happens to them.
+const allAllowances = 40
+
+// minAllowance is the least allowance of a sender.
+const minAllowance = 0.5
+
+// DefaultConfig returns the configuration of the daemon, one of a number of senders.
+func DefaultConfig(senders int) Config {
+	return Config{Multiplier: 2, Allowance: max(minAllowance, allAllowances/float64(max(senders, 1))), Window: time.Second}
 }
 
 // Throttle keeps the counts for one server and one rank of requests. It is not safe for
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -21,14 +21,14 @@
 		now = now.Add(gap)
 		tokens = min(5, tokens+gap.Seconds()*capacity)
 		t := &throttles[rng.IntN(senders)]
-		if throttled && !t.Allow(DefaultConfig(), rng.Float64(), now) {
+		if throttled && !t.Allow(DefaultConfig(senders), rng.Float64(), now) {
 			continue
 		}
 		reached++
 		if tokens >= 1 {
 			tokens--
 			accepted++
-			t.Accepted(DefaultConfig(), now)
+			t.Accepted(DefaultConfig(senders), now)
 		}
 	}
 	return reached / seconds, accepted / seconds
@@ -46,6 +46,15 @@
 	g.Expect(accepted).To(BeNumerically(">", 0.9*capacity))
 }
 
+// Guards against senders that refuse what a moderately overloaded server could choose from.
+func TestModerateOverloadReachesTheServer(t *testing.T) {
+	g := NewWithT(t)
+	reached, accepted := replay(11, 75, 50, true)
+	t.Logf("reached %.0f, accepted %.0f", reached, accepted)
+	g.Expect(reached).To(BeNumerically(">", 0.97*75))
+	g.Expect(accepted).To(BeNumerically(">", 0.97*50))
+}
+
 // Guards against requests that are refused although the server has room.
 func TestNothingIsRefusedBelowCapacity(t *testing.T) {
 	g := NewWithT(t)
