--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -173,7 +173,11 @@
 func (p *peers) suspectLocked(address string, s *peerState, cause error) {
 	if !s.lost {
 		s.lost = true
-		p.log.Info("node lost", zap.String("address", address), zap.Duration("last answer", time.Since(s.seen)), zap.Error(cause))
+		var silent time.Duration // 0 if the node never answered
+		if !s.seen.IsZero() {
+			silent = time.Since(s.seen)
+		}
+		p.log.Info("node lost", zap.String("address", address), zap.Duration("since its last answer", silent), zap.Error(cause))
 	}
 	p.probeLocked(address, s)
 }
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,11 +24,9 @@
 	// lostRetryAfter is when callers may come back whose key is owned by a node that cannot
 	// be reached; about the time of a restart.
 	lostRetryAfter = 600 * time.Millisecond
-	// farZone is the cost of a request to another availability zone, and farDownload
-	// that of a large answer, whose bytes between zones are priced. In this time an
-	// answer is better awaited nearby.
-	farZone     = 8 * time.Millisecond
-	farDownload = 150 * time.Millisecond
+	// farZone is the cost of a request to another availability zone, as time; two round
+	// trips.
+	farZone = 8 * time.Millisecond
 )
 
 // noTaker lets a try that reached no backend server be repeated without a budget.
@@ -183,28 +182,38 @@
 	return ready
 }
 
-// nearestFree returns the candidate with the earliest expected answer.
+// nearestFree returns the candidate to send the request to. Large answers stay in the
+// availability zone as long as a server of it has not refused the request.
 func (n *Node) nearestFree(req *request, members []Member) Member {
+	if near := n.inZone(members); req.route.Kind == httproute.Download && len(near) > 0 {
+		members = near
+	}
 	work := n.nominalWork(req.route.Name)
-	best, bestTime := members[0], time.Duration(0)
+	candidates := make([]placement.Candidate, len(members))
 	for i, m := range members {
 		c := n.peers.candidate(m.Address, work, time.Now())
 		if m.Owner.Instance == n.config.Instance {
 			load := n.backend.lane.load()
-			c.Reported, c.Age, c.Slots = load.running+load.waiting, 0, load.slots
+			c.Reported, c.Age = load.running+load.waiting, 0
 		}
 		c.Slots = max(m.Slots, 1)
 		if m.Zone != n.config.Zone {
 			c.Distance = farZone
-			if req.route.Kind == httproute.Download {
-				c.Distance = farDownload
-			}
 		}
-		if t := c.Completion(); i == 0 || t < bestTime {
-			best, bestTime = m, t
+		candidates[i] = c
+	}
+	return members[placement.Choose(candidates, rand.New(rand.NewPCG(rand.Uint64(), 0)))]
+}
+
+// inZone returns the members in the node's availability zone.
+func (n *Node) inZone(members []Member) []Member {
+	var out []Member
+	for _, m := range members {
+		if m.Zone == n.config.Zone {
+			out = append(out, m)
 		}
 	}
-	return best
+	return out
 }
 
 // isLost reports whether a node cannot be reached at present.
