--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -49,6 +49,9 @@
 	work        time.Duration
 	// throttles by priority keep requests from an overloaded backend server.
 	throttles map[int]*throttle.Throttle
+	// overheads are the times of answers beyond the work of the backend server, by whether
+	// they are large: waiting, the way, and a link that is full.
+	overheads map[bool]overhead
 	// seen is when the node answered last.
 	seen time.Time
 	// lost is set while the node cannot be reached, and probing while that is looked into.
@@ -76,7 +79,7 @@
 func (p *peers) get(address string) *peerState {
 	s := p.states[address]
 	if s == nil {
-		s = &peerState{throttles: map[int]*throttle.Throttle{}, waiting: map[*context.CancelCauseFunc]struct{}{}, pool: httpclient.NewPool(address, httpclient.Config{
+		s = &peerState{throttles: map[int]*throttle.Throttle{}, overheads: map[bool]overhead{}, waiting: map[*context.CancelCauseFunc]struct{}{}, pool: httpclient.NewPool(address, httpclient.Config{
 			DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout, IdleTimeout: peerIdle, MaxIdle: 64, ReadBuffer: 4096,
 		})}
 		p.states[address] = s
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -68,12 +68,14 @@
 		return outcome{err: err}, m
 	}
 	req.visited = append(req.visited, m.Owner.Instance)
+	started := time.Now()
 	out := n.hop(ctx, m, req.ticket, req.exchange)
 	if out.load.work > 0 {
 		n.noteWork(req.route.Name, out.load.work)
 	}
 	if out.err == nil {
 		out = hold(out)
+		n.peers.noteOverhead(m.Address, req.route.Kind == httproute.Download, time.Since(started), out.load.work)
 	}
 	return out, m
 }
@@ -191,14 +193,14 @@
 	work := n.nominalWork(req.route.Name)
 	candidates := make([]placement.Candidate, len(members))
 	for i, m := range members {
-		c := n.peers.candidate(m.Address, work, time.Now())
+		c := n.peers.candidate(m.Address, work, req.route.Kind == httproute.Download, time.Now())
 		if m.Owner.Instance == n.config.Instance {
 			load := n.backend.lane.load()
 			c.Reported, c.Age = load.running+load.waiting, 0
 		}
 		c.Slots = max(m.Slots, 1)
 		if m.Zone != n.config.Zone {
-			c.Distance = farZone
+			c.Distance += farZone
 		}
 		candidates[i] = c
 	}
@@ -225,11 +227,11 @@
 }
 
 // candidate returns what is known of the backend server beside a node.
-func (p *peers) candidate(address string, work time.Duration, now time.Time) placement.Candidate {
+func (p *peers) candidate(address string, work time.Duration, large bool, now time.Time) placement.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.get(address)
-	c := placement.Candidate{Work: work, Outstanding: s.outstanding, Failing: s.failing}
+	c := placement.Candidate{Work: work, Outstanding: s.outstanding, Failing: s.failing, Distance: s.overheads[large].value(now)}
 	if s.load.known {
 		c.Reported, c.Age = s.load.running+s.load.waiting, now.Sub(s.loadAt)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -37,9 +37,10 @@
 // delay is the expected completion time beyond the work itself.
 func (c Candidate) delay() time.Duration { return c.Completion() - c.Work }
 
-// weight is the number of requests a second that the backend server can run.
+// weight is the number of requests a second that the backend server can run, less for a
+// way there that is slow.
 func (c Candidate) weight() float64 {
-	return float64(max(c.Slots, 1)) / max(c.Work.Seconds(), 1e-3)
+	return float64(max(c.Slots, 1)) / max((c.Work+c.Distance).Seconds(), 1e-3)
 }
 
 // draw returns a candidate other than one, by weight.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -16,7 +16,8 @@
 	Outstanding int
 	// Work is the expected time of a request there.
 	Work time.Duration
-	// Distance is the cost of the way there and back, as time.
+	// Distance is the cost of the way there and back, as time, with what was seen of full
+	// links and waiting lines.
 	Distance time.Duration
 	// Failing is the share of the last requests that failed there, 0 to 1.
 	Failing float64
