Bind a restarted node to a leave that it acknowledged, or its earlier process

From the code: a leave that arrives before the first heartbeat was acknowledged and dropped, and a leave that only the earlier process knew was unknown. Now a leave binds without a heartbeat, a server is taken over from the store only if its health check says that it is not leaving, and a first heartbeat that says so ends all sends. Each case has a test; before the change the first fails.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -57,6 +57,11 @@
 	// leaveAcked is when the backend server learned that its leave was noted; zero if it
 	// does not leave.
 	leaveAcked time.Time
+	// leftID is the id of the backend server that said last that its membership ends.
+	leftID string
+	// adoptable is set if the backend server that the store names answered a health check
+	// of this process.
+	adoptable bool
 	// completed are moves whose keys are released but not written yet.
 	completed []grant.Completed
 	strikes   *quarantine.Table
@@ -110,7 +115,7 @@
 func (b *backend) adopted(t ticket) bool {
 	view := b.node.views.current()
 	m, ok := view.Members[b.node.config.Instance]
-	if !ok || m.State != BackendReady || boottimeNow().Sub(b.started) > adoptFor {
+	if !ok || !b.adoptable || m.State != BackendReady || boottimeNow().Sub(b.started) > adoptFor {
 		return false
 	}
 	if !t.sharded {
@@ -124,18 +129,44 @@
 	return r.Owner == m.Owner && !r.Moving()
 }
 
-// adoptSlots takes the number of slots from the store before the first heartbeat.
-func (b *backend) adoptSlots() {
+// adopt takes the backend server over that the store names, before its first heartbeat, if
+// it says that it is healthy: an earlier process may have acknowledged its leave without
+// the store knowing.
+func (b *backend) adopt(ctx context.Context) {
+	view := b.node.views.current()
+	m, ok := view.Members[b.node.config.Instance]
+	if !ok || m.State != BackendReady || view.Routes == nil {
+		return
+	}
+	service, _ := view.Routes.Service(m.Service)
+	healthy := b.healthy(ctx, service.HealthPath, grant.IncarnationID(m.Owner.Incarnation))
+	b.log.Info("backend server of the store", zap.String("backend", m.Owner.Incarnation), zap.Bool("taken over", healthy))
 	b.mu.Lock()
+	b.adoptable = healthy
 	known := b.holder != nil
 	b.mu.Unlock()
-	m := b.node.views.current().Members[b.node.config.Instance]
-	if !known && m.Slots > 0 {
-		b.log.Info("backend server taken over from the store", zap.String("backend", m.Owner.Incarnation), zap.Stringer("state", m.State))
+	if healthy && !known {
 		b.lane.setSlots(m.Slots)
 	}
 }
 
+// healthy reports whether the backend server with an id answers its health check.
+func (b *backend) healthy(ctx context.Context, path, id string) bool {
+	if path == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
+	defer cancel()
+	resp, err := b.pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: path, Host: b.pool.Address(), Header: http.Header{}}, nil)
+	if err != nil {
+		b.log.Info("no answer to a health check", zap.Error(err))
+		return false
+	}
+	defer resp.Body.Close()
+	drain(resp.Body)
+	return resp.StatusCode == http.StatusOK && resp.Header.Get(b.node.headers.Backend) == id
+}
+
 // note takes a heartbeat and returns false if it is from an earlier life or out of order.
 func (b *backend) note(hb grant.Heartbeat) bool {
 	b.mu.Lock()
@@ -160,6 +191,10 @@
 		b.state = next
 		if next == BackendDraining && b.leaveAcked.IsZero() {
 			b.leaveAcked = now
+			if !known {
+				// An earlier process of this node may have acknowledged the leave long ago.
+				b.leaveAcked = now.Add(-b.node.config.Bounds.DrainTimeout)
+			}
 		}
 		b.wake()
 		b.changed.notify()
@@ -179,7 +214,10 @@
 	}
 	owner := keyrange.Owner{Instance: b.node.config.Instance, Incarnation: hb.Incarnation()}
 	b.holder = grant.NewHolder(config, owner, until)
-	b.completed, b.leaveAcked, b.state = nil, time.Time{}, BackendUnknown
+	b.completed, b.state = nil, BackendUnknown
+	if hb.ID != b.leftID {
+		b.leaveAcked = time.Time{}
+	}
 	b.log.Info("backend server found", zap.String("backend", hb.Incarnation()), zap.Int("slots", hb.Slots),
 		zap.Duration("cold", hb.Cold), zap.String("software", hb.Software))
 	b.lane.setSlots(hb.Slots)
@@ -190,14 +228,17 @@
 func (b *backend) leave(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.holder == nil || b.last.ID != id || b.state == BackendDown {
+	if b.holder != nil && b.last.ID != id || b.state == BackendDown {
 		return
 	}
-	b.log.Info("backend server leaves", zap.String("backend", b.last.Incarnation()), zap.Stringer("state", b.state))
+	b.log.Info("backend server leaves", zap.String("backend", id), zap.Stringer("state", b.state))
 	if b.leaveAcked.IsZero() {
 		b.leaveAcked = boottimeNow()
 	}
-	b.state = BackendDraining
+	b.leftID = id
+	if b.holder != nil {
+		b.state = BackendDraining
+	}
 	b.wake()
 	b.changed.notify()
 }
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -167,6 +167,15 @@
 
 // ServeHTTP implements http.Handler.
 func (s *backendSim) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		w.Header().Set("X-Backend", s.id)
+		if s.state == grant.Draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(simID)
 	w.Header().Set(simID, id)
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -40,7 +40,7 @@
 	c := &testCluster{t: t, store: memory.New(memory.Rates{}, 1)}
 	c.desire(httproute.Snapshot{
 		Version:  1,
-		Services: []httproute.Service{{Name: "booking", Sharded: true}},
+		Services: []httproute.Service{{Name: "booking", Sharded: true, HealthPath: "/health"}},
 		Routes: []httproute.Route{
 			{Name: "lookup", Host: "shop.example", Prefix: "/lookup/", Kind: httproute.Idempotent, Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2, Parts: []httproute.Part{{Service: "booking", Weight: 1}}},
 			{Name: "book", Host: "shop.example", Prefix: "/book/", Timeout: 2 * time.Second, TargetLatency: time.Second, Priority: 1, MaxAttempts: 2, Parts: []httproute.Part{{Service: "booking", Weight: 1}}},
@@ -310,3 +310,50 @@
 	b.endRun(42, quarantine.Ticket{})
 	g.Eventually(state, 10*memberTick).Should(Equal(BackendDown))
 }
+
+// Guards against requests to a backend server whose leave was acknowledged before this
+// process had its first heartbeat: the node has just been restarted.
+func TestLeaveRightAfterARestartBinds(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 1)
+	c.settled()
+	n := c.nodes[0]
+	n.backend.mu.Lock()
+	n.backend.quiet = true
+	n.backend.mu.Unlock()
+	n.cancel()
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.start()
+	b := n.Node.backend
+	keyed := ticket{service: "booking", sharded: true, key: 7}
+	g.Eventually(func() any { return b.gate(keyed) }, 3*time.Second).Should(BeNil(), "taken over from the store")
+	b.leave(n.backend.id)
+	b.mu.Lock()
+	b.leaveAcked = b.leaveAcked.Add(-n.config.Bounds.DrainTimeout)
+	b.mu.Unlock()
+	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+	g.Eventually(func() BackendState { return n.views.current().Members[n.config.Instance].State }, 5*time.Second).Should(Equal(BackendDraining))
+	// A heartbeat that was sent before the leave changes nothing.
+	b.note(grant.Heartbeat{ID: n.backend.id, Born: 1, Address: n.backend.address(), Service: "booking", Slots: 4, Sequence: 9999})
+	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+}
+
+// Guards against a node that takes a leaving backend server over from the store: the
+// earlier process may have acknowledged the leave while the store was away.
+func TestLeavingBackendServerIsNotTakenOver(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 1)
+	c.settled()
+	n := c.nodes[0]
+	n.backend.mu.Lock()
+	n.backend.quiet, n.backend.state = true, grant.Draining
+	n.backend.mu.Unlock()
+	n.cancel()
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.start()
+	g.Eventually(func() bool { return n.views.current().Listed }, 10*time.Second).Should(BeTrue())
+	keyed := ticket{service: "booking", sharded: true, key: 7}
+	g.Consistently(func() any { return n.Node.backend.gate(keyed) }, time.Second).ShouldNot(BeNil())
+	n.Node.backend.note(grant.Heartbeat{ID: n.backend.id, Born: 1, Address: n.backend.address(), Service: "booking", Slots: 4, Sequence: 9999, State: grant.Draining})
+	g.Expect(n.Node.backend.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+}
--- a/internal/node/memberduty.go
+++ b/internal/node/memberduty.go
@@ -26,13 +26,13 @@
 // it released or lost, and strikes. It compares what is with what the store shows, so a
 // failed write is made again at the next tick.
 func (b *backend) runMember(ctx context.Context) {
-	for view, changed := b.node.views.get(); !view.Listed && ctx.Err() == nil; view, changed = b.node.views.get() {
+	for view, changed := b.node.views.get(); (!view.Listed || view.Routes == nil) && ctx.Err() == nil; view, changed = b.node.views.get() {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 		}
 	}
-	b.adoptSlots()
+	b.adopt(ctx)
 	ticker := time.NewTicker(memberTick)
 	defer ticker.Stop()
 	var failed time.Time
@@ -129,7 +129,12 @@
 	}
 	b.mu.Lock()
 	if b.holder == nil {
+		leaving := !b.leaveAcked.IsZero()
 		b.mu.Unlock()
+		if m, ok := view.Members[b.node.config.Instance]; ok && leaving && m.State == BackendReady {
+			m.State, m.version = BackendDraining, 0
+			return b.writeMember(ctx, m)
+		}
 		return nil
 	}
 	want := Member{
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -72,14 +72,14 @@
 	defer b.mu.Unlock()
 	now := boottimeNow()
 	switch {
-	case b.state == BackendUnknown && b.adopted(t):
-		return nil
-	case b.state == BackendUnknown:
-		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "the backend server has not announced itself").WithRetryAfter(notReadyRetryAfter)
 	case b.state == BackendDown || !b.closedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
 	case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.DrainTimeout*drainShare/100:
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the backend server leaves").WithRetryAfter(notReadyRetryAfter)
+	case b.holder == nil && b.adopted(t):
+		return nil
+	case b.holder == nil:
+		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "the backend server has not announced itself").WithRetryAfter(notReadyRetryAfter)
 	case t.sharded && !b.holder.Serving(t.key, now):
 		return verdict.New(verdict.NotRun, verdict.ReasonNotOwner, "key %d is not granted to the backend server", t.key).WithRetryAfter(notReadyRetryAfter)
 	}
