--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -105,68 +102,6 @@
 	return b.holder.Owner()
 }
 
-// adoptFor is how long a process that started serves the backend server that an earlier
-// process knew, until a heartbeat arrives. The backend server refuses requests for keys
-// that it no longer holds.
-const adoptFor = 4 * time.Second
-
-// adopted reports whether a request may be sent to the backend server that the store
-// names, before its first heartbeat to this process. b.mu must be held.
-func (b *backend) adopted(t ticket) bool {
-	view := b.node.views.current()
-	m, ok := view.Members[b.node.config.Instance]
-	if !ok || !b.adoptable || m.State != BackendReady || boottimeNow().Sub(b.started) > adoptFor {
-		return false
-	}
-	if !t.sharded {
-		return true
-	}
-	table, ok := view.Keys[t.service]
-	if !ok {
-		return false
-	}
-	r := table.Find(t.key)
-	return r.Owner == m.Owner && !r.Moving()
-}
-
-// adopt takes the backend server over that the store names, before its first heartbeat, if
-// it says that it is healthy: an earlier process may have acknowledged its leave without
-// the store knowing.
-func (b *backend) adopt(ctx context.Context) {
-	view := b.node.views.current()
-	m, ok := view.Members[b.node.config.Instance]
-	if !ok || m.State != BackendReady || view.Routes == nil {
-		return
-	}
-	service, _ := view.Routes.Service(m.Service)
-	healthy := b.healthy(ctx, service.HealthPath, grant.IncarnationID(m.Owner.Incarnation))
-	b.log.Info("backend server of the store", zap.String("backend", m.Owner.Incarnation), zap.Bool("taken over", healthy))
-	b.mu.Lock()
-	b.adoptable = healthy
-	known := b.holder != nil
-	b.mu.Unlock()
-	if healthy && !known {
-		b.lane.setSlots(m.Slots)
-	}
-}
-
-// healthy reports whether the backend server with an id answers its health check.
-func (b *backend) healthy(ctx context.Context, path, id string) bool {
-	if path == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
-	defer cancel()
-	resp, err := b.pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: path, Host: b.pool.Address(), Header: http.Header{}}, nil)
-	if err != nil {
-		b.log.Info("no answer to a health check", zap.Error(err))
-		return false
-	}
-	defer resp.Body.Close()
-	drain(resp.Body)
-	return resp.StatusCode == http.StatusOK && resp.Header.Get(b.node.headers.Backend) == id
-}
-
 // note takes a heartbeat and returns false if it is from an earlier life or out of order.
 func (b *backend) note(hb grant.Heartbeat) bool {
 	b.mu.Lock()
@@ -243,74 +178,6 @@
 	b.changed.notify()
 }
 
-// crashWindow is the time within which the connections of a backend server that crashed
-// are found to be ended.
-const crashWindow = time.Second
-
-// portClosed notes that nobody listens at the backend server's port.
-func (b *backend) portClosed() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.closedAt.IsZero() && b.state != BackendDown {
-		b.closedAt = boottimeNow()
-		b.log.Info("port of the backend server is closed", zap.Int("in flight", len(b.running)), zap.Bool("leaving", !b.leaveAcked.IsZero()))
-	}
-	b.wake()
-}
-
-// checkClosed finds out whether a backend server with a closed port ended. One that leaves
-// closes its port first and finishes its requests then, and keeps its keys until the end.
-func (b *backend) checkClosed(ctx context.Context) {
-	b.mu.Lock()
-	if b.closedAt.IsZero() || b.state == BackendDown || len(b.running) > 0 {
-		b.mu.Unlock()
-		return
-	}
-	leaving, closedFor := !b.leaveAcked.IsZero(), boottimeNow().Sub(b.closedAt)
-	b.mu.Unlock()
-	if leaving && (closedFor < memberTick || !b.probe(ctx)) {
-		return
-	}
-	b.down(b.owner(), "its port is closed")
-}
-
-// down notes that an incarnation ended. Requests that were in flight get a strike.
-func (b *backend) down(owner keyrange.Owner, why string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.holder == nil || b.holder.Owner() != owner || b.state == BackendDown {
-		return
-	}
-	b.log.Warn("backend server down", zap.String("backend", owner.Incarnation), zap.String("reason", why),
-		zap.Duration("last heartbeat", boottimeNow().Sub(b.lastAt)), zap.Int("in flight", len(b.running)), zap.Int("cut", len(b.cut)))
-	b.state = BackendDown
-	var lost []quarantine.Fingerprint
-	for f := range b.running {
-		lost = append(lost, quarantine.Fingerprint(f))
-	}
-	for f, at := range b.cut {
-		if time.Since(at) < crashWindow {
-			lost = append(lost, quarantine.Fingerprint(f))
-		}
-	}
-	clear(b.cut)
-	b.records = append(b.records, b.strikes.Crashed(lost, time.Now())...)
-	b.wake()
-	b.changed.notify()
-}
-
-// probe reports whether nobody listens at the backend server's address any more.
-func (b *backend) probe(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", b.pool.Address())
-	if err == nil {
-		conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // announce is the HTTP handler for the backend server's calls.
 func (b *backend) announce(w http.ResponseWriter, r *http.Request) {
 	hb, leaves, err := b.node.config.Protocol.Announcement(r)
--- a/internal/node/planduty.go
+++ b/internal/node/planduty.go
@@ -283,7 +283,7 @@
 		_, err = p.node.store.Apply(ctx, txn)
 	}
 	if err != nil {
-		p.log.Info("lost instance not removed", zap.String("instance", lost.Holder), zap.Error(err))
+		p.log.Info("lost instance not removed", zap.String("lost", lost.Holder), zap.Error(err))
 	}
 }
 
@@ -298,7 +298,11 @@
 		Conditions: []metastore.Condition{{Key: leaseKey(instance)}, {Key: memberKey(instance), Version: m.version}},
 		Writes:     []metastore.Write{{Key: memberKey(instance), Delete: true}},
 	})
-	p.log.Info("member without a lease removed", zap.String("instance", instance), zap.Error(err))
+	if err != nil {
+		p.log.Info("member without a lease not removed", zap.String("member", instance), zap.Error(err))
+		return
+	}
+	p.log.Info("member without a lease removed", zap.String("member", instance))
 }
 
 // plan makes the next changes for a service.
