--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -126,7 +126,7 @@
 		h.Set("Connection", "close")
 	}
 	if out.err != nil {
-		n.logOutcome(t, e.ID, out, "peer")
+		n.logOutcome(t, e.ID, out)
 		h.Set(n.headers.RequestID, e.ID)
 		h.Set(hopOutcomeHeader, encodeFailure(out))
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -290,9 +290,9 @@
 }
 
 // logOutcome writes a line about a request that this node did not serve for another one.
-func (n *Node) logOutcome(t ticket, id string, out outcome, from string) {
+func (n *Node) logOutcome(t ticket, id string, out outcome) {
 	load := n.backend.lane.load()
-	n.events.request("request not served here", id, zap.String("from", from), zap.String("route", t.route), zap.Uint16("key", t.key),
+	n.events.request("request not served here", id, zap.String("route", t.route), zap.Uint16("key", t.key),
 		zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)), zap.String("cause", out.err.Message),
 		zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots))
 }
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -13,12 +13,8 @@
 	RequestID string
 	// DeadlineMS is how many milliseconds the caller waits.
 	DeadlineMS string
-	// Seal is the backend server's signature of an answer.
-	Seal string
 	// ExpectBackend makes any other backend server refuse the request.
 	ExpectBackend string
-	// Load holds the requests running and waiting at the backend server, and its slots.
-	Load string
 	// NotRun marks an answer of a backend server that did not run the request.
 	NotRun string
 	// Caller is the service from whose instance the request comes.
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -51,11 +51,11 @@
 	plannerMissed = 3
 )
 
-// reportDuty sends reports to the planner and finds out when it is gone.
+// runReports sends reports to the planner and finds out when it is gone.
 func (n *Node) runReports(ctx context.Context) {
 	missed := 0
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(2*reportInterval*2/3))
+		sleep(ctx, jitter(reportInterval*4/3))
 		view := n.views.current()
 		if view.Planner.Instance == n.config.Instance {
 			n.lease.confirm(n.planner.observe(n.report()))
