Serve connections that wait to be accepted when the daemon stops

Cause: closing a listener resets the connections in its backlog. Ruled out: the server's own shutdown, which waits for the first request of accepted connections. Trial not kept: a socket filter that drops new connections; this machine has none (EOPNOTSUPP). The daemon now takes the backlog over and stops the listening in one step.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -70,12 +70,20 @@
 }
 
 // stopAccepting closes the listener for callers and lets accepted connections send their
-// requests. The HTTP server closes a connection without an answer if it reads a request
-// after its own shutdown began.
+// requests, those included that waited to be accepted. The HTTP server closes a connection
+// without an answer if it reads a request after its own shutdown began.
 func (d *Daemon) stopAccepting() {
+	waiting, err := takeBacklog(d.listener)
+	if err != nil {
+		d.log.Warn("connections that wait may be reset", zap.Error(err))
+	}
 	if err := d.listener.Close(); err != nil {
 		d.log.Debug("listener not closed", zap.Error(err))
 	}
+	if len(waiting) > 0 {
+		// Shutdown of the server ends it.
+		go func() { _ = d.server.Serve(newConnListener(d.listener.Addr(), waiting)) }()
+	}
 	<-d.accepted
 	time.Sleep(firstRequest)
 }
