--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +61,16 @@
 	_ = json.NewEncoder(w).Encode(reply)
 }
 
+// simFault is what goes wrong with a request.
+type simFault uint8
+
+const (
+	simNone    simFault = iota
+	simCut              // runs, and the connection ends without an answer
+	simPart             // runs, and the connection ends within the answer
+	simDecline          // is declined without running
+)
+
 // backendSim is a backend server that holds keys as it is granted them.
 type backendSim struct {
 	id      string
@@ -79,7 +91,9 @@
 	runs     map[string]int // by request id
 	running  int
 	quiet    bool // sends no heartbeats
-	stop     chan struct{}
+	// faults are what happens to the next requests that are not refused.
+	faults []simFault
+	stop   chan struct{}
 }
 
 func newBackendSim(t *testing.T, id, service, heartbeats string) *backendSim {
@@ -181,13 +195,16 @@
 	w.Header().Set(simID, id)
 	key, keyed := parseKey(r.Header.Get(simKey))
 	s.mu.Lock()
-	refused := 0
+	refused, fault := 0, simNone
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
 	switch {
 	case r.Header.Get(simExpect) != s.id:
 		refused = http.StatusMisdirectedRequest
 	case keyed && (!covered(s.granted, key) || time.Now().After(s.until)):
 		refused = http.StatusMisdirectedRequest
-	case s.running >= s.slots+8:
+	case s.running >= s.slots+8 || fault == simDecline:
 		refused = http.StatusServiceUnavailable
 	}
 	if refused != 0 {
@@ -208,6 +225,14 @@
 	s.running--
 	s.mu.Unlock()
 	w.Header().Set(simSeal, s.id)
+	switch fault {
+	case simCut:
+		panic(http.ErrAbortHandler)
+	case simPart:
+		w.Header().Set("Content-Length", "1000")
+		_, _ = w.Write([]byte("part of an answer"))
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
 }
 
@@ -218,6 +243,20 @@
 	return covered(s.granted, key) && time.Now().Before(s.until)
 }
 
+// fail sets what happens to the next requests.
+func (s *backendSim) fail(faults ...simFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// ran returns how often the request with an id ran.
+func (s *backendSim) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
 func (s *backendSim) maxRuns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -228,15 +267,25 @@
 	return most
 }
 
+// nextPort is the port that freeAddress tries next. It stays below the ports that the
+// kernel gives to outgoing connections, so that none of them takes an address before its
+// server listens.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(10000 + os.Getpid()%200*100)) }
+
 // freeAddress returns a loopback address nobody listens at.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+nextPort.Add(1)%20000)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // send makes one request of a client and returns its status, its body and its headers.
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -22,6 +22,7 @@
 // testNode is a node that runs, with its backend server.
 type testNode struct {
 	*Node
+	cluster *testCluster
 	config  Config
 	backend *backendSim
 	cancel  context.CancelFunc
@@ -33,19 +34,29 @@
 	t     *testing.T
 	store *memory.Store
 	nodes []*testNode
+	// desired is the first desired state.
+	desired httproute.Snapshot
+}
+
+// limit changes the limit on the header of a request.
+func (c *testCluster) limit(headerBytes int) {
+	next := c.desired
+	next.Version++
+	next.Limits.HeaderBytes = headerBytes
+	c.desire(next)
 }
 
 func newTestCluster(t *testing.T, n int) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, store: memory.New(memory.Rates{}, 1)}
-	c.desire(httproute.Snapshot{
+	c := &testCluster{t: t, store: memory.New(memory.Rates{}, 1), desired: httproute.Snapshot{
 		Version:  1,
 		Services: []httproute.Service{{Name: "booking", Sharded: true, HealthPath: "/health"}},
 		Routes: []httproute.Route{
 			{Name: "lookup", Host: "shop.example", Prefix: "/lookup/", Kind: httproute.Idempotent, Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2, Parts: []httproute.Part{{Service: "booking", Weight: 1}}},
 			{Name: "book", Host: "shop.example", Prefix: "/book/", Timeout: 2 * time.Second, TargetLatency: time.Second, Priority: 1, MaxAttempts: 2, Parts: []httproute.Part{{Service: "booking", Weight: 1}}},
 		},
-	})
+	}}
+	c.desire(c.desired)
 	t.Cleanup(func() {
 		for _, n := range c.nodes {
 			n.cancel()
@@ -78,7 +89,7 @@
 		Store: c.store, Protocol: simProtocol{},
 		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60},
 	}
-	n := &testNode{config: config, backend: newBackendSim(c.t, "b-"+instance, "booking", config.HeartbeatAddress)}
+	n := &testNode{cluster: c, config: config, backend: newBackendSim(c.t, "b-"+instance, "booking", config.HeartbeatAddress)}
 	n.config.BackendAddress = n.backend.address()
 	c.nodes = append(c.nodes, n)
 	n.start()
@@ -122,6 +133,7 @@
 // Guards against a request that does not reach the one owner of its key, or reaches it
 // changed, whichever node takes it.
 func TestEveryNodeReachesTheOwner(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 3)
 	c.settled()
@@ -195,6 +207,7 @@
 // Guards against keys that are lost or held twice while a backend server leaves: its keys
 // move by hand-over, and requests for them are served all the while.
 func TestDrainMovesKeysWithoutFailures(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 3)
 	c.settled()
@@ -235,6 +248,7 @@
 // Guards against a request that is cut by a planned stop of the node that took it, and
 // against a restart that takes the keys away from a backend server that went on.
 func TestStopAndRestartOfANode(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 3)
 	c.settled()
@@ -261,6 +275,7 @@
 // Guards against requests that are sent to a backend server that must not get them: each
 // gate is looked at just before the first byte is sent.
 func TestGatesOfTheBackendServer(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 1)
 	c.settled()
@@ -286,6 +301,7 @@
 // Guards against two owners: a backend server that leaves closes its port before it has
 // finished its last requests, and holds their keys until then.
 func TestClosedPortEndsNoBackendServerThatIsAtWork(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 1)
 	c.settled()
@@ -314,6 +330,7 @@
 // Guards against requests to a backend server whose leave was acknowledged before this
 // process had its first heartbeat: the node has just been restarted.
 func TestLeaveRightAfterARestartBinds(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 1)
 	c.settled()
@@ -341,6 +358,7 @@
 // Guards against a node that takes a leaving backend server over from the store: the
 // earlier process may have acknowledged the leave while the store was away.
 func TestLeavingBackendServerIsNotTakenOver(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 1)
 	c.settled()
--- /dev/null
+++ b/internal/node/gates_test.go
@@ -0,0 +1,401 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/quarantine"
+	"github.com/basilway/basilway/verdict"
+)
+
+// bookingKey is a request's key in the tests of single gates; a cluster of one node owns
+// all keys.
+var bookingKey = ticket{service: "booking", sharded: true, key: 7}
+
+// single returns a node that owns all keys.
+func single(t *testing.T) *testNode {
+	t.Helper()
+	t.Parallel()
+	c := newTestCluster(t, 1)
+	c.settled()
+	return c.nodes[0]
+}
+
+// quiet stops the heartbeats of the node's backend server, with one that may be on its way.
+func (n *testNode) quiet() {
+	n.backend.mu.Lock()
+	n.backend.quiet = true
+	n.backend.mu.Unlock()
+	time.Sleep(heartbeatEvery)
+}
+
+// with changes the state of the backend that the node tracks.
+func (n *testNode) with(change func(b *backend)) {
+	n.Node.backend.mu.Lock()
+	defer n.Node.backend.mu.Unlock()
+	change(n.Node.backend)
+}
+
+func (n *testNode) tracked() BackendState {
+	n.Node.backend.mu.Lock()
+	defer n.Node.backend.mu.Unlock()
+	return n.Node.backend.state
+}
+
+// Guards against requests to a backend server that is known to have closed its port, but
+// not yet to have ended.
+func TestClosedPortGetsNoRequests(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	n.with(func(b *backend) { b.closedAt, b.running[1] = boottimeNow(), 1 })
+	g.Expect(n.Node.backend.gate(bookingKey)).To(HaveField("Reason", verdict.ReasonBackendDown))
+}
+
+// Guards against a send after a gate closed while the request waited in line: the gate is
+// looked at again when the connection is ready.
+func TestGateIsLookedAtBeforeTheFirstByte(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	n.with(func(b *backend) { b.state = BackendDown })
+	booking := bookingKey
+	booking.deadline = time.Now().Add(time.Second)
+	out := n.Node.backend.send(t.Context(), booking, httpclient.Exchange{
+		Method: http.MethodPost, URI: "/book/x", Host: "shop.example", Header: http.Header{simID: {"late"}, simKey: {"7"}}, IDHeader: simID, ID: "late",
+	})
+	g.Expect(out.err).To(HaveField("Verdict", verdict.NotRun))
+	g.Expect(out.arrived).To(BeFalse())
+	g.Expect(n.backend.ran("late")).To(BeZero())
+}
+
+// Guards against a request that crashes one backend server after the other: two strikes
+// keep it out, whichever node saw the crashes.
+func TestRequestWithTwoStrikesIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	booking := bookingKey
+	booking.fingerprint, booking.deadline, booking.target = 99, time.Now().Add(time.Second), time.Now().Add(time.Second)
+	f := quarantine.Fingerprint(booking.fingerprint)
+	n.with(func(b *backend) {
+		b.strikes.Crashed([]quarantine.Fingerprint{f}, time.Now())
+		b.strikes.Crashed([]quarantine.Fingerprint{f}, time.Now())
+	})
+	out := n.Node.backend.serve(t.Context(), booking, httpclient.Exchange{
+		Method: http.MethodPost, URI: "/book/x", Host: "shop.example", Header: http.Header{simID: {"crash"}, simKey: {"7"}}, IDHeader: simID, ID: "crash",
+	})
+	g.Expect(out.err).To(HaveField("Reason", verdict.ReasonQuarantined))
+	g.Expect(n.backend.ran("crash")).To(BeZero())
+}
+
+// Guards against a request that runs behind the wrong node, because an address went from
+// one machine to another.
+func TestRequestForAnotherNodeIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	booking := bookingKey
+	booking.instance, booking.deadline, booking.target = "instance-9", time.Now().Add(time.Second), time.Now().Add(time.Second)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.config.PeerAddress+"/book/x", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	req.Header.Set(hopHeader, booking.encode(time.Now()))
+	req.Header.Set(simID, "stray")
+	req.Header.Set(simKey, "7")
+	resp, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	out, err := decodeFailure(resp.Header.Get(hopOutcomeHeader))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.err.Verdict).To(Equal(verdict.NotRun))
+	g.Expect(n.backend.ran("stray")).To(BeZero())
+}
+
+// Guards against the health check of another backend server, or of one that is not well,
+// taken for that of the one that the store names.
+func TestOnlyTheNamedBackendServerIsTakenOver(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	b := n.Node.backend
+	g.Expect(b.healthy(t.Context(), "/health", n.backend.id)).To(BeTrue())
+	g.Expect(b.healthy(t.Context(), "/health", "another")).To(BeFalse())
+	n.backend.mu.Lock()
+	n.backend.state = grant.Draining
+	n.backend.mu.Unlock()
+	g.Expect(b.healthy(t.Context(), "/health", n.backend.id)).To(BeFalse())
+}
+
+// Guards against a take-over that goes on without heartbeats, or that covers keys which
+// another backend server is about to get.
+func TestTakeOverIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	n.with(func(b *backend) { b.holder, b.adoptable, b.started = nil, true, boottimeNow() })
+	g.Expect(n.Node.backend.gate(bookingKey)).To(BeNil())
+
+	space := n.views.current().Keys["booking"]
+	r := space.Find(7)
+	moving, err := space.BeginMove(keyrange.Span{From: r.From, To: r.From}, r.Owner, keyrange.Owner{Instance: "instance-9", Incarnation: "b-1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	value, err := moving.Table(0).Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	n.views.apply(metastore.Row{Key: keysKey("booking", 0), Value: value, Version: space.Versions[0] + 1})
+	first := bookingKey
+	first.key = r.From
+	g.Expect(n.Node.backend.gate(first)).NotTo(BeNil(), "the key moves")
+	g.Expect(n.Node.backend.gate(bookingKey)).To(BeNil(), "the others do not")
+
+	n.with(func(b *backend) { b.started = boottimeNow().Add(-adoptFor - time.Second) })
+	g.Expect(n.Node.backend.gate(bookingKey)).NotTo(BeNil())
+}
+
+// Guards against a second run of a request that may have run, and against a 503, which
+// promises that it has not.
+func TestRequestThatMayHaveRunIsNotRepeatedOrDenied(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	for _, fault := range []simFault{simCut, simPart} {
+		id := map[simFault]string{simCut: "cut", simPart: "part"}[fault]
+		n.backend.fail(fault)
+		status, _, _, err := send(t.Context(), http.MethodPost, n.config.ClientAddress, "/book/x", id, 7, "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusBadGateway))
+		g.Expect(n.backend.ran(id)).To(Equal(1))
+	}
+}
+
+// Guards against sends beyond the route's attempts, and against a 503 for a request whose
+// last try was declined, but whose first one may have run.
+func TestAttemptsOfARequestThatMayBeRepeated(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	saveRetries(n)
+	n.backend.fail(simCut, simNone)
+	status, _, _, err := send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/x", "again", 7, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(n.backend.ran("again")).To(Equal(2))
+
+	n.backend.fail(simCut, simDecline)
+	status, _, _, err = send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/x", "declined", 7, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusBadGateway))
+
+	n.backend.fail(simCut, simCut, simCut)
+	status, _, _, err = send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/x", "often", 7, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusBadGateway))
+	g.Expect(n.backend.ran("often")).To(Equal(2))
+	n.backend.fail()
+}
+
+// saveRetries lets the node's budget of repeats fill up.
+func saveRetries(n *testNode) {
+	budget := n.budget("booking")
+	for range 100 {
+		budget.FirstTry()
+	}
+}
+
+// Guards against repeats beyond the budget, which amplify an overload.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	budget := n.budget("booking")
+	for budget.TryRetry(time.Now()) {
+		// Spends what the budget has at the start.
+	}
+	n.backend.fail(simCut, simNone)
+	status, _, _, err := send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/x", "spent", 7, "")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusBadGateway))
+	g.Expect(n.backend.ran("spent")).To(Equal(1))
+	n.backend.fail()
+}
+
+// Guards against a lost node that is taken for one that got nothing.
+func TestFailedHopTellsWhetherTheRequestMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	for stage, want := range map[httpclient.Stage]verdict.Verdict{httpclient.NotSent: verdict.NotRun, httpclient.Sent: verdict.MayHaveRun} {
+		out := hopFailure(t.Context(), &httpclient.Error{Stage: stage, Err: errors.New("connection reset")})
+		g.Expect(out.err.Verdict).To(Equal(want))
+		g.Expect(out.arrived).To(Equal(want != verdict.NotRun))
+	}
+}
+
+// Guards against a failed exchange with the backend server that is reported as not sent.
+func TestFailedSendTellsWhetherTheRequestMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	for stage, want := range map[httpclient.Stage]verdict.Verdict{httpclient.NotSent: verdict.NotRun, httpclient.Sent: verdict.MayHaveRun} {
+		out := n.Node.backend.failed(context.Background(), bookingKey, &httpclient.Error{Stage: stage, Err: errors.New("connection reset")})
+		g.Expect(out.err.Verdict).To(Equal(want))
+	}
+}
+
+// Guards against a cut answer that looks complete to the client.
+func TestCutStreamIsNotPassedOnAsWhole(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(copyBody(&discard{}, &cutReader{})).To(BeFalse())
+}
+
+type discard struct{}
+
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// cutReader ends with an error after some bytes.
+type cutReader struct{ read bool }
+
+func (r *cutReader) Read(p []byte) (int, error) {
+	if r.read {
+		return 0, errors.New("connection reset")
+	}
+	r.read = true
+	return min(len(p), 10), nil
+}
+
+// Guards against grants of a node without a lease: the wiring hands the node's lease to
+// the holder.
+func TestNodeWithoutALeaseGrantsNothing(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	b := n.Node.backend
+	beat := func() grant.Reply {
+		b.mu.Lock()
+		hb := b.last
+		hb.Sequence++
+		b.mu.Unlock()
+		g.Expect(b.note(hb)).To(BeTrue())
+		return b.reply(t.Context(), hb)
+	}
+	g.Expect(beat().Renew).To(BeTrue())
+	n.lease.mu.Lock()
+	n.lease.until, n.lease.offered = time.Time{}, nil
+	n.lease.mu.Unlock()
+	g.Expect(beat().Renew).To(BeFalse())
+}
+
+// Guards against a heartbeat of an earlier life, or one that was overtaken, which would
+// grant keys to a backend server that has ended or report holds that it no longer has.
+func TestOldHeartbeatsAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	b := n.Node.backend
+	b.mu.Lock()
+	hb := b.last
+	b.mu.Unlock()
+	g.Expect(b.note(hb)).To(BeFalse(), "the same again")
+	older := hb
+	older.Sequence--
+	g.Expect(b.note(older)).To(BeFalse(), "overtaken")
+	earlier := hb
+	earlier.Born, earlier.Sequence = hb.Born-1, hb.Sequence+10
+	g.Expect(b.note(earlier)).To(BeFalse(), "of an earlier life")
+	g.Expect(b.holderOwner().Incarnation).To(Equal(hb.Incarnation()))
+}
+
+// Guards against two owners: a backend server that is silent, but whose port is open, may
+// hold its keys until its holds run out.
+func TestSilentBackendServerKeepsItsKeysUntilItsHoldsRunOut(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	n.with(func(b *backend) { b.lastAt = boottimeNow().Add(-silentAfter - time.Second) })
+	b := n.Node.backend
+	b.mu.Lock()
+	until := b.holder.Until()
+	b.mu.Unlock()
+	b.checkSilence(t.Context())
+	g.Expect(boottimeNow()).To(BeTemporally("<", until))
+	g.Expect(n.tracked()).To(Equal(BackendReady))
+	g.Eventually(n.tracked, 10*time.Second).Should(Equal(BackendDown))
+	g.Expect(boottimeNow()).To(BeTemporally(">", until))
+}
+
+// Guards against two owners after a restart of the node: the backend server that an
+// earlier process granted keys to may hold them until those grants have ended.
+func TestEarlierGrantsAreWaitedOut(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	owner := n.Node.backend.holderOwner()
+	prior := boottimeNow().Add(time.Minute)
+	n.lease.mu.Lock()
+	n.lease.priorUntil = prior
+	n.lease.mu.Unlock()
+	b := n.Node.backend
+	b.mu.Lock()
+	last := b.last
+	b.holder = nil
+	b.mu.Unlock()
+	b.dropEarlier(t.Context(), boottimeNow())
+	g.Expect(n.views.current().Keys["booking"].OwnedBy(owner)).NotTo(BeEmpty())
+	last.Sequence++
+	g.Expect(b.note(last)).To(BeTrue())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g.Expect(b.holder.Until()).To(BeTemporally("==", prior))
+}
+
+// Guards against a desired state that goes back to an older version, which an answer that
+// was overtaken may carry.
+func TestDesiredStateDoesNotGoBack(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	before := n.views.current().Routes
+	row := simProtocol{}.DesiredStateRow()
+	n.views.apply(metastore.Row{Key: row, Value: []byte(`{"Version":0}`), Version: 1 << 40})
+	g.Expect(n.views.current().Routes).To(BeIdenticalTo(before))
+	n.views.apply(metastore.Row{Key: row, Value: []byte(`not JSON`), Version: 1 << 41})
+	g.Expect(n.views.current().Routes).To(BeIdenticalTo(before))
+}
+
+// Guards against keys that are taken from a node whose lease was renewed since the
+// planner read it.
+func TestRenewedLeaseKeepsItsKeys(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	listing, err := n.Node.store.List(t.Context(), leaseTable)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listing.Rows).To(HaveLen(1))
+	owner := n.Node.backend.holderOwner()
+	n.planner.fence(t.Context(), lostHolder(n.config.Instance, listing.Rows[0].Version-1))
+	g.Expect(n.views.current().Keys["booking"].OwnedBy(owner)).NotTo(BeEmpty())
+	listing, err = n.Node.store.List(t.Context(), leaseTable)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listing.Rows).To(HaveLen(1))
+}
+
+// Guards against a plan that undoes a change which its planner has not seen.
+func TestKeyTableIsWrittenOnlyAsItWasRead(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	owner := n.Node.backend.holderOwner()
+	behind := newViewStore(simProtocol{}, zap.NewNop())
+	listing, err := n.Node.store.List(t.Context(), clusterTable)
+	g.Expect(err).NotTo(HaveOccurred())
+	behind.replace(clusterTable, listing)
+	edit := func(key uint16) keyEdit {
+		return func(s *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
+			next, err := s.BeginMove(keyrange.Span{From: key, To: key}, owner, keyrange.Owner{Instance: "instance-9", Incarnation: "b-1"})
+			return next, metastore.Txn{}, err
+		}
+	}
+	g.Expect(n.writer.update(t.Context(), "booking", edit(10))).To(Succeed())
+	late := &keyWriter{store: n.Node.store, views: behind, log: zap.NewNop()}
+	g.Expect(late.update(t.Context(), "booking", edit(20))).To(Succeed())
+	table := behind.current().Keys["booking"]
+	g.Expect(table.Find(10).Moving()).To(BeTrue(), "the first change is still there")
+	g.Expect(table.Find(20).Moving()).To(BeTrue())
+}
