Use one set of functions for calls between nodes

Reports to the planner repeated what the spread of rows does, with another timeout and another limit on the size.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -129,7 +129,7 @@
 		return relayResult{}, false
 	}
 	for _, address := range s.helpers() {
-		data, err := s.node.spread.post(ctx, address, storePath, body)
+		data, err := s.node.post(ctx, address, storePath, spreadTimeout, body)
 		if err != nil {
 			continue
 		}
@@ -169,7 +169,7 @@
 // serveStore makes a call of the store for another node.
 func (s *relayStore) serveStore(w http.ResponseWriter, r *http.Request) {
 	var call relayCall
-	if !s.node.spread.read(w, r, &call) {
+	if !s.node.readCall(w, r, &call) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), spreadTimeout)
@@ -185,5 +185,5 @@
 		result.Message = err.Error()
 	}
 	s.log.Info("call of the store made for another node", zap.String("remote", r.RemoteAddr), zap.Bool("write", call.Txn != nil), zap.Error(err))
-	s.node.spread.answer(w, result)
+	s.node.answerCall(w, result)
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -1,17 +1,13 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
-
-	"github.com/basilway/basilway/internal/httpclient"
 )
 
 // report is what a node tells the planner.
@@ -44,8 +40,6 @@
 	reportInterval = 400 * time.Millisecond
 	// reportTimeout bounds one report.
 	reportTimeout = 700 * time.Millisecond
-	// maxReport is the size in bytes of the largest report that is accepted.
-	maxReport = 1 << 20
 	// plannerMissed is the number of failed reports after which this node looks whether
 	// it should plan.
 	plannerMissed = 3
@@ -98,22 +92,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	resp, err := n.peers.pool(m.Address).Do(ctx, httpclient.Exchange{
-		Method: http.MethodPost, URI: reportPath, Host: m.Address, Header: http.Header{}, Body: body,
-	}, nil)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	data, err := n.post(ctx, m.Address, reportPath, reportTimeout, body)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("the planner answered %d", resp.StatusCode)
-	}
 	var answer reportAnswer
 	if err := cbor.Unmarshal(data, &answer); err != nil {
 		return fmt.Errorf("answer of the planner: %w", err)
@@ -122,21 +104,13 @@
 	if answer.StoreVersion > 0 {
 		n.planner.sample(answer.StoreVersion, time.Duration(answer.StoreNow)*time.Millisecond)
 	}
-	n.spread.contact()
 	return nil
 }
 
 // serveReport takes the report of another node.
 func (n *Node) serveReport(w http.ResponseWriter, r *http.Request) {
-	var body bytes.Buffer
-	if _, err := io.Copy(&body, io.LimitReader(r.Body, maxReport)); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
 	var report report
-	if err := cbor.Unmarshal(body.Bytes(), &report); err != nil {
-		n.log.Warn("report of another node rejected", zap.String("remote", r.RemoteAddr), zap.Error(err))
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !n.readCall(w, r, &report) {
 		return
 	}
 	if n.views.current().Planner.Instance != n.config.Instance || n.stopping.Load() || n.planner.cutOff() {
@@ -144,12 +118,5 @@
 		http.Error(w, "this node does not plan", http.StatusConflict)
 		return
 	}
-	data, err := cbor.Marshal(n.planner.observe(report))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	if _, err := w.Write(data); err != nil {
-		n.log.Debug("answer to a report not sent", zap.Error(err))
-	}
+	n.answerCall(w, n.planner.observe(report))
 }
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -1,11 +1,9 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -17,7 +15,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
-	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/metastore"
 )
 
@@ -36,8 +33,6 @@
 	// a node reads the store itself, every isolatedPoll.
 	isolatedAfter = 4 * time.Second
 	isolatedPoll  = 2 * time.Second
-	// maxRows is the size in bytes of the largest message with rows.
-	maxRows = 8 << 20
 )
 
 // rowSpread passes the rows of the cluster on from node to node, so that only the planner
@@ -132,7 +127,7 @@
 }
 
 func (s *rowSpread) push(ctx context.Context, address string, body []byte) {
-	if _, err := s.post(ctx, address, rowsPath, body); err != nil {
+	if _, err := s.node.post(ctx, address, rowsPath, spreadTimeout, body); err != nil {
 		// The comparison of digests makes up for it.
 		s.log.Debug("rows not delivered", zap.String("address", address), zap.Error(err))
 	}
@@ -202,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := s.post(ctx, address, digestPath, body)
+	data, err := s.node.post(ctx, address, digestPath, spreadTimeout, body)
 	if err != nil {
 		return err
 	}
@@ -229,7 +224,7 @@
 	if body, err = cbor.Marshal(exchange); err != nil {
 		return err
 	}
-	if data, err = s.post(ctx, address, rowsPath, body); err != nil {
+	if data, err = s.node.post(ctx, address, rowsPath, spreadTimeout, body); err != nil {
 		return err
 	}
 	var got rowsMessage
@@ -240,75 +235,27 @@
 	return nil
 }
 
-// post sends a message to another node and returns its answer.
-func (s *rowSpread) post(ctx context.Context, address, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
-	defer cancel()
-	resp, err := s.node.peers.pool(address).Do(ctx, httpclient.Exchange{
-		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body,
-	}, nil)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRows))
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("the node answered %d", resp.StatusCode)
-	}
-	s.contact()
-	return data, nil
-}
-
 // serveRows takes rows of another node and returns those that it asks for.
 func (s *rowSpread) serveRows(w http.ResponseWriter, r *http.Request) {
 	var message rowsMessage
-	if !s.read(w, r, &message) {
+	if !s.node.readCall(w, r, &message) {
 		return
 	}
 	s.node.views.apply(message.Rows...)
-	s.answer(w, rowsMessage{Rows: s.node.views.rowsOf(message.Want)})
+	s.node.answerCall(w, rowsMessage{Rows: s.node.views.rowsOf(message.Want)})
 }
 
 // serveDigest compares what another node knows with what this one knows.
 func (s *rowSpread) serveDigest(w http.ResponseWriter, r *http.Request) {
 	var message digestMessage
-	if !s.read(w, r, &message) {
+	if !s.node.readCall(w, r, &message) {
 		return
 	}
 	sum, versions := s.node.views.digest()
 	if sum == message.Sum {
 		versions = nil
 	}
-	s.answer(w, digestMessage{Sum: sum, Versions: versions})
-}
-
-func (s *rowSpread) read(w http.ResponseWriter, r *http.Request, message any) bool {
-	var body bytes.Buffer
-	_, err := io.Copy(&body, io.LimitReader(r.Body, maxRows))
-	if err == nil {
-		err = cbor.Unmarshal(body.Bytes(), message)
-	}
-	if err != nil {
-		s.log.Warn("message of another node rejected", zap.String("remote", r.RemoteAddr), zap.Error(err))
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	s.contact()
-	return true
-}
-
-func (s *rowSpread) answer(w http.ResponseWriter, message any) {
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	if _, err := w.Write(data); err != nil {
-		s.log.Debug("answer to another node not sent", zap.Error(err))
-	}
+	s.node.answerCall(w, digestMessage{Sum: sum, Versions: versions})
 }
 
 // digest returns a sum over all rows that is equal on nodes that know the same versions,
