--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -81,6 +81,9 @@
 
 // newRequest checks a request and reads its body.
 func (n *Node) newRequest(w http.ResponseWriter, r *http.Request, routes *httproute.Table, route *httproute.Route, started time.Time) (*request, int, error) {
+	if limit, size := routes.Limits.HeaderBytes, headerSize(r); limit > 0 && size > limit {
+		return nil, http.StatusRequestHeaderFieldsTooLarge, fmt.Errorf("the header has %d bytes; at most %d are allowed", size, limit)
+	}
 	left := route.Timeout
 	if value := r.Header.Get(n.headers.DeadlineMS); value != "" {
 		ms, err := strconv.ParseFloat(value, 64)
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -27,6 +27,18 @@
 	}
 }
 
+// headerSize returns the bytes of a request's first line and header fields on the wire, as
+// HTTP/1.1 writes them.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" HTTP/1.1\r\n") + len("Host: \r\n") + len(r.Host) + len("\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(": ") + len(value) + len("\r\n")
+		}
+	}
+	return size
+}
+
 // maxBufferedBody is the size in bytes up to which the body of a request is kept, so that
 // it can be sent again. Longer ones are streamed.
 const maxBufferedBody = 1 << 20
