Pace large answers by the instance's link

Cause: on the grown sites links carry 13 or 14 Mbit/s, and downloads ask for 79 and 73 % of them on the machines that serve them, before the second crossing from the node to its client.

Ruled out: hot keys (seconds without any had as many refusals), processor time (7 % of a core at most), placement (the load was spread evenly).

Large answers now get 86 % of the link, one after the other, and one that the link would make late is refused before it takes a slot.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -24,6 +24,9 @@
 	ClientAddress, ReadyAddress, HeartbeatAddress string
 	// PeerAddress is where other nodes reach this one.
 	PeerAddress string
+	// LinkBitsPerSecond is the rate of the instance's link; 0 if it is not known, and then
+	// large answers are not paced.
+	LinkBitsPerSecond float64
 	// MetricsAddress serves metrics at /metrics; empty turns them off.
 	MetricsAddress string
 	// Store keeps what must outlast the process.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -148,13 +148,17 @@
 	id := req.exchange.ID
 	if out.err == nil {
 		defer out.resp.Body.Close()
+		if length := out.resp.ContentLength; out.transfer == 0 && (length < 0 || length >= largeAnswer) {
+			out.transfer = n.pacer.join(max(length, 0))
+		}
+		defer n.pacer.leave(out.transfer)
 		n.metrics.served(req.route.Name, n.config.Service, out.resp.StatusCode, took)
 		if req.sends > 1 || took > req.route.TargetLatency {
 			n.events.request("served late or repeated", id, zap.String("route", req.route.Name), zap.Int("status", out.resp.StatusCode),
 				zap.Duration("took", took), zap.Int("sends", req.sends), zap.Int("tries", req.tries))
 		}
 		writeHead(w, out.resp)
-		if !copyBody(w, out.resp.Body) {
+		if !copyBody(n.pacer.writer(w, out.transfer), out.resp.Body) {
 			n.events.request("answer broke off", id, zap.String("route", req.route.Name))
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/node/hop.go
+++ b/internal/node/hop.go
@@ -120,6 +120,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	out := n.backend.serve(ctx, t, e)
+	if out.transfer != 0 {
+		defer n.pacer.leave(out.transfer)
+		// The backend server does not wait for the link.
+		out = hold(out)
+	}
 	h := w.Header()
 	h.Set(hopLoadHeader, out.load.encode())
 	if n.stopping.Load() {
@@ -134,7 +139,7 @@
 	}
 	defer out.resp.Body.Close()
 	writeHead(w, out.resp)
-	if !copyBody(w, out.resp.Body) {
+	if !copyBody(n.pacer.writer(w, out.transfer), out.resp.Body) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/node/lane.go
+++ b/internal/node/lane.go
@@ -108,6 +108,13 @@
 	return laneLoad{l.queue.Running(), l.queue.Waiting(), l.queue.Slots()}
 }
 
+// work returns the expected time of a route on the backend server.
+func (l *lane) work(route string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Work(route)
+}
+
 // works returns the expected times of all routes on the backend server.
 func (l *lane) works() map[string]time.Duration {
 	l.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,8 @@
 	peers   *peers
 	demand  *demandMeter
 	works   workMeter
+	sizes   answerSizes
+	pacer   *pacer
 	returns returns
 
 	sequence atomic.Uint64
@@ -51,6 +53,7 @@
 		config: config, headers: config.Protocol.Headers(), log: log,
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
 		demand:  newDemandMeter(), works: workMeter{routes: map[string]time.Duration{}},
+		sizes: answerSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, returns: returns{first: map[uint64]time.Time{}},
 	}
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/basilway/basilway/pacing"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -17,6 +18,8 @@
 	err  *verdict.Error
 	// arrived is set if the request reached the backend server.
 	arrived bool
+	// transfer is the turn of a large answer on this instance's link; 0 if it has none.
+	transfer pacing.ID
 	// load is what the node beside the backend server said of it.
 	load peerLoad
 }
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -69,7 +69,10 @@
 		n.noteWork(req.route.Name, out.load.work)
 	}
 	if out.err == nil {
-		out = hold(out)
+		transfer := out.transfer
+		if out = hold(out); out.err != nil {
+			n.pacer.leave(transfer)
+		}
 		n.peers.noteOverhead(m.Address, req.route.Kind == httproute.Download, time.Since(started), out.load.work)
 	}
 	return out, m
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/pacing"
 	"github.com/basilway/basilway/quarantine"
 	"github.com/basilway/basilway/verdict"
 	"github.com/basilway/basilway/waitqueue"
@@ -44,6 +45,59 @@
 	if err := b.awaitKey(ctx, t); err != nil {
 		return outcome{err: err}
 	}
+	transfer, refused := b.reserveLink(t)
+	if refused != nil {
+		return outcome{err: refused}
+	}
+	out := b.run(ctx, t, e)
+	if out.err != nil {
+		b.node.pacer.leave(transfer)
+		return out
+	}
+	length := out.resp.ContentLength
+	if length >= 0 && out.resp.StatusCode < http.StatusMultipleChoices {
+		b.node.sizes.note(t.route, length)
+	}
+	if length >= 0 && length < largeAnswer {
+		b.node.pacer.leave(transfer)
+		return out
+	}
+	if length < 0 {
+		length = maxHeldAnswer
+	}
+	if transfer == 0 {
+		transfer = b.node.pacer.join(length)
+	}
+	b.node.pacer.resize(transfer, length)
+	out.transfer = transfer
+	return out
+}
+
+// reserveLink returns the turn of a large answer on the link; 0 for other requests. One
+// that the link would make late is refused before it takes a slot.
+func (b *backend) reserveLink(t ticket) (pacing.ID, *verdict.Error) {
+	size := b.node.sizes.expected(t.route, t.kind)
+	if size < largeAnswer {
+		return 0, nil
+	}
+	wait := time.Until(t.target) - b.lane.work(t.route)
+	id, backlog, ok := b.node.pacer.admit(size, wait)
+	if !ok {
+		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "the link is taken for %v by large answers", backlog)
+		return 0, err.WithRetryAfter(min(max(backlog-max(wait, 0), minLinkRetryAfter), maxLinkRetryAfter))
+	}
+	return id, nil
+}
+
+// minLinkRetryAfter and maxLinkRetryAfter bound the time after which a caller comes back
+// that was refused because the link is full.
+const (
+	minLinkRetryAfter = 50 * time.Millisecond
+	maxLinkRetryAfter = time.Second
+)
+
+// run sends the request when it has a slot of the backend server.
+func (b *backend) run(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
 	done, refused := b.lane.enter(ctx, waitqueue.Item{
 		Route: t.route, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
 	})
