Balance keys beside a hot key, and spread less of each change

The plan stopped at the busiest member. That is the owner of the hot key, which has nothing else to give, so nothing was balanced while a hot key lasted. Besides, a slow member did not give to a fast one with more load in slots, and the load of a hot key beyond what its owner can run counted as work that the others were to take.

So members that are full get nothing, the trigger grows with the load, plans are smaller, key rows name owners once, and only the node that wrote or read a change in the store sends it to the instances that it concerns; the others pass it on at random only. Before, every node sent each row to all that ever got keys in it.

--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -23,8 +23,11 @@
 	// besides those that it concerns. Three reach nearly all nodes of a hundred; the
 	// comparison of digests reaches the rest.
 	spreadFanout = 3
-	// spreadDelay is the time in which rows are collected for one message.
-	spreadDelay = 8 * time.Millisecond
+	// spreadDelay is the time in which rows are collected for one message, and forwardDelay
+	// that for rows that came from another node. The first is short against the wait for a
+	// key that moves; a longer second one joins the changes of a row into one.
+	spreadDelay  = 8 * time.Millisecond
+	forwardDelay = 25 * time.Millisecond
 	// spreadTimeout bounds one message.
 	spreadTimeout = 300 * time.Millisecond
 	// digestInterval is the time between two comparisons with a random node.
@@ -43,14 +46,18 @@
 	log  *zap.Logger
 	kick chan struct{}
 
-	mu      sync.Mutex
-	pending map[string]metastore.Row
+	mu sync.Mutex
+	// pending are the rows to pass on, and concerned the instances that need them first.
+	pending   map[string]metastore.Row
+	concerned map[string]bool
+	// forwarded is set while all pending rows came from other nodes.
+	forwarded bool
 	// contacted is the time of the last successful exchange with another node.
 	contacted time.Time
 }
 
 func newSpread(n *Node) *rowSpread {
-	return &rowSpread{node: n, log: n.log.Named("spread"), kick: make(chan struct{}, 1), pending: map[string]metastore.Row{}, contacted: time.Now()}
+	return &rowSpread{node: n, log: n.log.Named("spread"), kick: make(chan struct{}, 1), pending: map[string]metastore.Row{}, concerned: map[string]bool{}, contacted: time.Now()}
 }
 
 // rowsMessage carries rows, or asks for some.
@@ -81,13 +88,23 @@
 	return time.Since(s.contacted) > isolatedAfter
 }
 
-// fresh queues rows that were new to this node.
-func (s *rowSpread) fresh(rows []metastore.Row) {
+// fresh queues rows that were new to this node. The instances that a change concerns hear
+// of it from the nodes that wrote it or read it in the store; other nodes pass it on at
+// random only.
+func (s *rowSpread) fresh(rows []freshRow, forwarded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forwarded = forwarded && (s.forwarded || len(s.pending) == 0)
 	for _, row := range rows {
-		if tableOf(row.Key) == clusterTable {
-			s.pending[row.Key] = row
+		if tableOf(row.Key) != clusterTable {
+			continue
+		}
+		s.pending[row.Key] = row.Row
+		if forwarded {
+			continue
+		}
+		for _, instance := range row.concerned {
+			s.concerned[instance] = true
 		}
 	}
 	select {
@@ -104,12 +121,20 @@
 		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, spreadDelay)
+		s.mu.Lock()
+		delay := spreadDelay
+		if s.forwarded {
+			delay = forwardDelay
+		}
+		s.mu.Unlock()
+		sleep(ctx, delay)
 		s.mu.Lock()
 		rows := make([]metastore.Row, 0, len(s.pending))
 		for _, row := range s.pending {
 			rows = append(rows, row)
 		}
+		concerned := s.concerned
+		s.concerned = map[string]bool{}
 		clear(s.pending)
 		s.mu.Unlock()
 		if len(rows) == 0 {
@@ -120,7 +145,7 @@
 			s.log.Error("rows cannot be encoded", zap.Error(err))
 			continue
 		}
-		for _, address := range s.targets(rows) {
+		for _, address := range s.targets(concerned) {
 			go s.push(ctx, address, body)
 		}
 	}
@@ -133,24 +158,9 @@
 	}
 }
 
-// targets returns the addresses of the nodes that the rows concern and of some random ones.
-func (s *rowSpread) targets(rows []metastore.Row) []string {
+// targets returns the addresses of the concerned instances and of some random ones.
+func (s *rowSpread) targets(concerned map[string]bool) []string {
 	view := s.node.views.current()
-	concerned := map[string]bool{}
-	for _, row := range rows {
-		if !strings.HasPrefix(row.Key, keysPrefix) {
-			continue
-		}
-		service, bucket, err := parseKeysRow(row.Key)
-		if err != nil {
-			continue
-		}
-		for _, r := range view.Keys[service].Table(bucket).Ranges {
-			if r.Moving() || r.Handover != "" {
-				concerned[r.Owner.Instance], concerned[r.Next.Instance] = true, true
-			}
-		}
-	}
 	var out, others []string
 	for instance, m := range view.Members {
 		switch {
@@ -231,7 +241,7 @@
 	if err := cbor.Unmarshal(data, &got); err != nil {
 		return fmt.Errorf("rows: %w", err)
 	}
-	s.node.views.apply(got.Rows...)
+	s.node.views.learn(got.Rows...)
 	return nil
 }
 
@@ -241,7 +251,7 @@
 	if !s.node.readCall(w, r, &message) {
 		return
 	}
-	s.node.views.apply(message.Rows...)
+	s.node.views.learn(message.Rows...)
 	s.node.answerCall(w, rowsMessage{Rows: s.node.views.rowsOf(message.Want)})
 }
 
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -20,8 +20,9 @@
 	protocol Protocol
 	log      *zap.Logger
 
-	// fresh is told the rows that were new, if not nil. It must not block.
-	fresh func(rows []metastore.Row)
+	// fresh is told the rows that were new, if not nil, and whether they came from another
+	// node. It must not block.
+	fresh func(rows []freshRow, forwarded bool)
 
 	mu      sync.Mutex
 	view    *View
@@ -49,30 +50,42 @@
 	return v
 }
 
-// apply takes rows of the store, of another node or of a transaction of this node.
-func (s *viewStore) apply(rows ...metastore.Row) {
+// freshRow is a row that was new.
+type freshRow struct {
+	metastore.Row
+	// concerned are the instances whose keys the row changes.
+	concerned []string
+}
+
+// apply takes rows of the store or of a transaction of this node.
+func (s *viewStore) apply(rows ...metastore.Row) { s.takeAndTell(rows, false) }
+
+// learn takes rows of another node.
+func (s *viewStore) learn(rows ...metastore.Row) { s.takeAndTell(rows, true) }
+
+func (s *viewStore) takeAndTell(rows []metastore.Row, forwarded bool) {
 	fresh := s.take(rows)
 	if len(fresh) > 0 && s.fresh != nil {
-		s.fresh(fresh)
+		s.fresh(fresh, forwarded)
 	}
 }
 
 // take returns the rows that were newer than those before.
-func (s *viewStore) take(rows []metastore.Row) []metastore.Row {
+func (s *viewStore) take(rows []metastore.Row) []freshRow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.view.clone()
-	var fresh []metastore.Row
+	var fresh []freshRow
 	for _, row := range rows {
 		if row.Version <= s.rows[row.Key].Version {
 			continue
 		}
 		s.rows[row.Key] = row
-		fresh = append(fresh, row)
 		if err := s.applyRow(next, row); err != nil {
 			s.log.Error("row of the store cannot be read; the version before it stays in force",
 				zap.String("row", row.Key), zap.Uint64("version", row.Version), zap.Error(err))
 		}
+		fresh = append(fresh, freshRow{row, concernedBy(row, s.view, next)})
 	}
 	if len(fresh) > 0 {
 		s.publish(next)
@@ -80,6 +93,28 @@
 	return fresh
 }
 
+// concernedBy returns the instances whose keys are others in next than before because of
+// row.
+func concernedBy(row metastore.Row, before, next *View) []string {
+	service, bucket, err := parseKeysRow(row.Key)
+	if err != nil {
+		return nil // not a row with keys
+	}
+	var earlier *keyrange.Table
+	if space, ok := before.Keys[service]; ok {
+		earlier = space.Table(bucket)
+	}
+	space, ok := next.Keys[service]
+	if !ok {
+		return nil
+	}
+	var out []string
+	for _, owner := range space.Table(bucket).Changed(earlier) {
+		out = append(out, owner.Instance)
+	}
+	return out
+}
+
 // replace takes all rows of a table as of version; rows that are missing were deleted.
 func (s *viewStore) replace(table string, listing metastore.Listing) {
 	present := map[string]bool{}
--- a/keyrange/range.go
+++ b/keyrange/range.go
@@ -4,14 +4,14 @@
 type Range struct {
 	Span
 	// Owner may run requests for the keys; none while nobody owns them.
-	Owner Owner `cbor:"3,keyasint"`
+	Owner Owner
 	// Fence is the fencing token of the owner. It grows with each change of owner.
-	Fence uint64 `cbor:"4,keyasint"`
+	Fence uint64
 	// Handover is the token with which the last owner released the keys. With it the
 	// keys are warm on the new owner.
-	Handover string `cbor:"5,keyasint,omitempty"`
+	Handover string
 	// Next is the owner to which a planned move takes the keys; none without a move.
-	Next Owner `cbor:"6,keyasint,omitempty"`
+	Next Owner
 }
 
 // Moving reports whether a planned move is open.
--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"sort"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // Errors of the transitions. They mean that the view behind the decision is out of date.
@@ -21,35 +19,30 @@
 // changed copy.
 type Table struct {
 	// NextFence is the fencing token of the next change of owner.
-	NextFence uint64  `cbor:"1,keyasint"`
-	Ranges    []Range `cbor:"2,keyasint"`
+	NextFence uint64
+	Ranges    []Range
 }
 
 // New returns a table of a span in which nobody owns a key.
 func New(s Span) *Table { return &Table{NextFence: 1, Ranges: []Range{{Span: s}}} }
 
-// Decode reads the encoded form and checks that it covers the span.
-func Decode(data []byte, whole Span) (*Table, error) {
-	t := &Table{}
-	if err := cbor.Unmarshal(data, t); err != nil {
-		return nil, fmt.Errorf("key table: %w", err)
-	}
-	next := int(whole.From)
+// Changed returns who owns, or is to get, the ranges that are not the same in an earlier
+// table.
+func (t *Table) Changed(earlier *Table) []Owner {
+	var out []Owner
 	for _, r := range t.Ranges {
-		if int(r.From) != next || r.To < r.From || r.Fence >= t.NextFence {
-			return nil, fmt.Errorf("key table: bad range %d to %d with fence %d", r.From, r.To, r.Fence)
+		if earlier != nil && earlier.Find(r.From) == r {
+			continue
+		}
+		for _, o := range []Owner{r.Owner, r.Next} {
+			if !o.None() && !slices.Contains(out, o) {
+				out = append(out, o)
+			}
 		}
-		next = int(r.To) + 1
-	}
-	if next != int(whole.To)+1 {
-		return nil, fmt.Errorf("key table: ends at key %d", next-1)
 	}
-	return t, nil
+	return out
 }
 
-// Encode returns the form that Decode reads.
-func (t *Table) Encode() ([]byte, error) { return cbor.Marshal(t) }
-
 // Find returns the range of a key.
 func (t *Table) Find(key uint16) Range {
 	i := sort.Search(len(t.Ranges), func(i int) bool { return t.Ranges[i].To >= key })
--- a/keyrange/table_test.go
+++ b/keyrange/table_test.go
@@ -1,8 +1,10 @@
 package keyrange
 
 import (
+	"reflect"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 )
@@ -29,9 +31,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := Decode(data, Span{0, MaxKey}); err != nil {
+			read, err := Decode(data, Span{0, MaxKey})
+			if err != nil {
 				t.Fatalf("table after a transition cannot be read: %v", err)
 			}
+			if !reflect.DeepEqual(read, table) {
+				t.Fatalf("table is read as %v; it is %v", read, table)
+			}
 		}
 	})
 }
@@ -86,21 +92,67 @@
 	g.Expect(table.Find(15).Owner).To(Equal(a), "tables are values")
 }
 
-// Guards against a table that is taken over although it cannot be right.
-func TestDecodeRejectsGapsAndOverlaps(t *testing.T) {
+// Guards against a table that is taken over although it cannot be right. The encoded form
+// has only the ends of ranges, so gaps and overlaps show as ends out of order.
+func TestDecodeRejectsTablesThatCannotBeRight(t *testing.T) {
 	g := NewWithT(t)
-	for _, ranges := range [][]Range{
+	for _, ranges := range [][]encodedRange{
 		nil,
-		{{Span: Span{1, MaxKey}}},
-		{{Span: Span{0, 10}}, {Span: Span{12, MaxKey}}},
-		{{Span: Span{0, 10}}, {Span: Span{10, MaxKey}}},
-		{{Span: Span{0, MaxKey}, Fence: 7}},
+		{{To: MaxKey - 1}},
+		{{To: 10}, {To: 10}, {To: MaxKey}},
+		{{To: 10}, {To: 9}, {To: MaxKey}},
+		{{To: MaxKey}, {To: MaxKey}},
+		{{To: MaxKey, Fence: 7}},
+		{{To: MaxKey, Owner: 2}},
+		{{To: MaxKey, Next: 2}},
+		{{To: MaxKey, Owner: -1}},
 	} {
-		data, err := (&Table{NextFence: 7, Ranges: ranges}).Encode()
+		data, err := cbor.Marshal(encodedTable{NextFence: 7, Owners: []Owner{{"a", "1"}}, Ranges: ranges})
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = Decode(data, Span{0, MaxKey})
 		g.Expect(err).To(HaveOccurred())
 	}
-	_, err := Decode([]byte("not a table"), Span{0, MaxKey})
+	// The part of a key space that another row has.
+	data, err := New(BucketSpan(1)).Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = Decode(data, BucketSpan(0))
 	g.Expect(err).To(HaveOccurred())
+	_, err = Decode([]byte("not a table"), Span{0, MaxKey})
+	g.Expect(err).To(HaveOccurred())
+}
+
+// Guards against a row whose names grow with its ranges: it is sent to every node with each
+// change.
+func TestEncodedTableNamesOwnersOnce(t *testing.T) {
+	g := NewWithT(t)
+	table := New(BucketSpan(0))
+	owner := Owner{Instance: "sidecar-kumamoto-hall-23", Incarnation: "i-6bbac2ec0b@1785836495000"}
+	other := Owner{Instance: "sidecar-kagoshima-hall-5", Incarnation: "i-872620ca0c@1785836495000"}
+	for from := 0; from < 100; from++ {
+		who := owner
+		if from%2 == 1 {
+			who = other
+		}
+		var err error
+		table, err = table.Assign(Span{From: uint16(from), To: uint16(from)}, who)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	data, err := table.Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(data)).To(BeNumerically("<", 101*12+200))
+}
+
+// Guards against a change that is told to instances whose keys stay as they are.
+func TestChangedNamesOnlyTheOwnersOfWhatChanged(t *testing.T) {
+	g := NewWithT(t)
+	a, b, c := Owner{"a", "1"}, Owner{"b", "1"}, Owner{"c", "1"}
+	table, err := New(BucketSpan(0)).Assign(Span{0, 99}, a)
+	g.Expect(err).NotTo(HaveOccurred())
+	table, err = table.Assign(Span{100, BucketSpan(0).To}, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	moving, err := table.BeginMove(Span{10, 19}, a, c)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(moving.Changed(table)).To(ConsistOf(a, c))
+	g.Expect(table.Changed(table)).To(BeEmpty())
+	g.Expect(table.Changed(nil)).To(ConsistOf(a, b))
 }
--- a/placement/config.go
+++ b/placement/config.go
@@ -16,6 +16,9 @@
 	Trigger, Settle float64
 	// Busy is the utilization under which no keys are moved for balance.
 	Busy float64
+	// Full is the utilization from which a member gets nothing for balance: its slots are
+	// busy, so that moves between full members serve nobody more.
+	Full float64
 	// MaxMoves bounds the moves for balance that a plan adds, and MaxOpen those that are
 	// open; both grow with the members, as MovesPerMember and OpenPerMember say.
 	MaxMoves, MaxOpen             int
@@ -37,8 +40,8 @@
 // DefaultConfig returns the configuration of the daemon.
 func DefaultConfig() Config {
 	return Config{
-		IdleCost: 0.05, Trigger: 0.18, Settle: 0.06, Busy: 0.45,
-		MaxMoves: 12, MaxOpen: 24, MovesPerMember: 0.5, OpenPerMember: 1, HeavyGain: 1.25, MinGain: 0.15, Window: 1500 * time.Millisecond,
+		IdleCost: 0.05, Trigger: 0.18, Settle: 0.06, Busy: 0.45, Full: 1,
+		MaxMoves: 12, MaxOpen: 24, MovesPerMember: 0.2, OpenPerMember: 0.4, HeavyGain: 1.25, MinGain: 0.15, Window: 1500 * time.Millisecond,
 		SlowWindow: 6 * time.Second, SlowTrigger: 0.07, SlowSettle: 0.03,
 	}
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -52,19 +52,24 @@
 func (b *bin) utilization() float64 { return b.load / b.capacity() }
 
 type plan struct {
-	config  Config
-	in      Input
-	keys    []uint16 // with load, ascending
-	perKey  float64  // idle cost of a key
-	bins    map[keyrange.Owner]*bin
-	ready   []*bin
+	config Config
+	in     Input
+	keys   []uint16 // with load, ascending
+	// loads is the load of each key up to the capacity of its member: what is beyond can be
+	// served nowhere and must not look like work for others.
+	loads  map[uint16]float64
+	perKey float64 // idle cost of a key
+	bins   map[keyrange.Owner]*bin
+	ready  []*bin
+	// placed are the new owners of heavy keys that this plan moves.
+	placed  map[uint16]keyrange.Owner
 	open    int
 	changes []Change
 	touched []keyrange.Span
 }
 
 func newPlan(in Input, config Config) *plan {
-	p := &plan{config: config, in: in, bins: map[keyrange.Owner]*bin{}}
+	p := &plan{config: config, in: in, bins: map[keyrange.Owner]*bin{}, loads: map[uint16]float64{}, placed: map[uint16]keyrange.Owner{}}
 	total := 0.0
 	for _, m := range in.Members {
 		b := &bin{Member: m}
@@ -76,8 +81,12 @@
 	}
 	slices.SortFunc(p.ready, func(a, b *bin) int { return cmp.Compare(a.Owner.Instance, b.Owner.Instance) })
 	p.perKey = config.IdleCost * total / (keyrange.MaxKey + 1)
-	for key := range in.Loads {
+	for key, load := range in.Loads {
+		if b := p.bins[target(in.Space.Find(key))]; b != nil {
+			load = min(load, b.capacity())
+		}
 		p.keys = append(p.keys, key)
+		p.loads[key] = load
 	}
 	slices.Sort(p.keys)
 	for _, r := range in.Space.Ranges() {
@@ -103,7 +112,7 @@
 	sum := p.perKey * float64(s.Keys())
 	i, _ := slices.BinarySearch(p.keys, s.From)
 	for ; i < len(p.keys) && p.keys[i] <= s.To; i++ {
-		sum += p.in.Loads[p.keys[i]]
+		sum += p.loads[p.keys[i]]
 	}
 	return sum
 }
@@ -166,7 +175,7 @@
 	for key := int(s.From); key <= int(s.To); key++ {
 		sum += p.perKey
 		if i < len(p.keys) && int(p.keys[i]) == key {
-			sum += p.in.Loads[p.keys[i]]
+			sum += p.loads[p.keys[i]]
 			i++
 		}
 		if sum > limit {
@@ -182,58 +191,92 @@
 }
 
 // placeHeavy moves keys that are heavier than their member to the member with the greatest
-// capacity, if that serves clearly more of them. The other keys of either member leave by
-// balance.
+// capacity that has none, if that serves clearly more of them or if two of them share a
+// member. The other keys of either member leave by balance.
 func (p *plan) placeHeavy() {
-	best := slices.MaxFunc(p.ready, func(a, b *bin) int { return cmp.Compare(a.capacity(), b.capacity()) })
 	for _, key := range p.keys {
-		load := p.in.Loads[key]
 		r := p.in.Space.Find(key)
 		from := p.bins[r.Owner]
-		if from == nil || from.Draining || r.Moving() || load <= from.capacity() || best.Cold {
+		if from == nil || from.Draining || r.Moving() || !p.heavy(key) {
 			continue
 		}
-		if best.capacity() < p.config.HeavyGain*from.capacity() || p.heavyOn(best.Owner) {
+		best := p.roomForHeavy()
+		if best == nil || best.capacity() < p.config.HeavyGain*from.capacity() && len(p.heavyOn(from.Owner)) < 2 {
 			continue
 		}
 		p.add(Change{Span: keyrange.Span{From: key, To: key}, From: r.Owner, To: best.Owner})
-		from.load -= load
-		best.load += load
+		from.load -= p.loads[key]
+		p.loads[key] = min(p.in.Loads[key], best.capacity())
+		best.load += p.loads[key]
+		p.placed[key] = best.Owner
 	}
 }
 
-// heavyOn reports whether owner has, or is to get, a key that fills it.
-func (p *plan) heavyOn(owner keyrange.Owner) bool {
+// heavy reports whether a key alone fills the member that has it.
+func (p *plan) heavy(key uint16) bool {
+	b := p.bins[p.holder(key)]
+	return b != nil && p.in.Loads[key] > b.capacity()
+}
+
+// holder is who owns a key once the moves of this plan are completed.
+func (p *plan) holder(key uint16) keyrange.Owner {
+	if owner, moved := p.placed[key]; moved {
+		return owner
+	}
+	return target(p.in.Space.Find(key))
+}
+
+// heavyOn returns the keys of owner that are each heavier than it.
+func (p *plan) heavyOn(owner keyrange.Owner) []uint16 {
+	var out []uint16
 	for _, key := range p.keys {
-		if p.in.Loads[key] > p.bins[owner].capacity() && target(p.in.Space.Find(key)) == owner {
-			return true
+		if p.holder(key) == owner && p.heavy(key) {
+			out = append(out, key)
 		}
 	}
-	return slices.ContainsFunc(p.changes, func(c Change) bool { return c.To == owner && c.From != c.To && c.Span.Keys() == 1 })
+	return out
+}
+
+// roomForHeavy returns the member with the greatest capacity among those without a heavy
+// key; nil if there is none.
+func (p *plan) roomForHeavy() *bin {
+	var best *bin
+	for _, b := range p.ready {
+		if !b.Cold && (best == nil || b.capacity() > best.capacity()) && len(p.heavyOn(b.Owner)) == 0 {
+			best = b
+		}
+	}
+	return best
 }
 
 // balance moves spans from the busiest member to the least busy one until the busiest is
-// near the mean.
+// near the mean. A member that has nothing to give is passed over: one key alone may keep it
+// busy.
 func (p *plan) balance(trigger, settle float64) {
 	mean := p.mean()
 	maxMoves := max(p.config.MaxMoves, int(p.config.MovesPerMember*float64(len(p.ready))))
 	maxOpen := max(p.config.MaxOpen, int(p.config.OpenPerMember*float64(len(p.ready))))
-	for moves := 0; moves < maxMoves && p.open < maxOpen; moves++ {
-		from := slices.MaxFunc(p.ready, byUtilization)
+	givers := slices.Clone(p.ready)
+	for moves := 0; moves < maxMoves && p.open < maxOpen && len(givers) > 0; {
+		from := slices.MaxFunc(givers, byUtilization)
 		to := p.coldest()
 		if moves > 0 {
 			trigger = settle
 		}
-		if to == nil || from == to || from.utilization() < max(p.config.Busy, mean+trigger) {
+		// Under overload the noise of the loads grows with them.
+		limit := max(p.config.Busy, mean+trigger*max(mean, 1))
+		if to == nil || from == to || from.utilization() < limit || to.utilization() >= p.config.Full {
 			return
 		}
-		want := min(from.load-mean*from.capacity(), mean*to.capacity()-to.load)
+		want := min(from.load-mean*from.capacity(), min(mean, p.config.Full)*to.capacity()-to.load)
 		span, load := p.pick(from.Owner, want)
-		if load < p.config.MinGain || to.load+load > from.load {
-			return
+		if load < p.config.MinGain || (to.load+load)/to.capacity() > from.utilization() {
+			givers = slices.DeleteFunc(givers, func(b *bin) bool { return b == from })
+			continue
 		}
 		p.add(Change{Span: span, From: from.Owner, To: to.Owner})
 		p.open++
+		moves++
 		from.load -= load
 		to.load += load
 	}
@@ -271,13 +314,18 @@
 	return best, load
 }
 
-// window returns the run of keys with the highest load up to limit.
+// window returns the run of keys with the highest load up to limit. Heavy keys stay where
+// placeHeavy puts them.
 func (p *plan) window(keys []uint16, limit float64) (best keyrange.Span, load float64) {
 	sum, start := 0.0, 0
 	for end, key := range keys {
-		sum += p.in.Loads[key]
+		if p.heavy(key) {
+			sum, start = 0, end+1
+			continue
+		}
+		sum += p.loads[key]
 		for sum > limit && start <= end {
-			sum -= p.in.Loads[keys[start]]
+			sum -= p.loads[keys[start]]
 			start++
 		}
 		if start <= end && sum > load {
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -150,6 +150,81 @@
 	g.Expect(others).To(BeNumerically("<", 0.2), "slots of work of other keys beside the heavy one")
 }
 
+// Guards against one key with many times the load that a member can run stopping the balance
+// of all others: its member has nothing else to give. With the policy before, no key was
+// moved at all, and a fourth of the slots stood idle beside overloaded members.
+func TestHeavyKeyDoesNotStopTheBalance(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(12, 4, 0.6, 1, 1.4)
+	in := Input{Space: keyrange.NewSpace(), Members: ms, Loads: map[uint16]float64{}, Balance: true}
+	in.Space = settle(t, in, 1)
+	heavy := uint16(30000)
+	// Loads that grow over the key space, beside the heavy key.
+	rest := map[uint16]float64{}
+	for key := 0; key < 65536; key += 64 {
+		rest[uint16(key)] = 0.06 * float64(key) / 65536
+		in.Loads[uint16(key)] = rest[uint16(key)]
+	}
+	in.Loads[heavy] = 60
+	in.Space = settle(t, in, 3)
+	owner := in.Space.Find(heavy).Owner
+	var others []Member
+	for _, m := range ms {
+		if m.Owner != owner {
+			others = append(others, m)
+		}
+	}
+	delete(rest, heavy)
+	g.Expect(highest(utilizations(in.Space, others, rest))).To(BeNumerically("<", 1.3*mean(rest, others)))
+	for _, m := range ms {
+		if m.Owner == owner {
+			g.Expect(highest(utilizations(in.Space, []Member{m}, rest))).To(BeNumerically("<", 0.2), "the member with the heavy key has little else")
+		}
+	}
+}
+
+// Guards against a slow member that stays overloaded because a fast one, which has room,
+// already has more load in slots. The policy before compared the loads as they were.
+func TestSlowMembersGiveToFastOnes(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(6, 4, 0.6, 1.4)
+	in := Input{Space: keyrange.NewSpace(), Members: ms, Loads: map[uint16]float64{}, Balance: true}
+	in.Space = settle(t, in, 1)
+	for key := 0; key < 65536; key += 64 {
+		in.Loads[uint16(key)] = 0.016
+		if in.Space.Find(uint16(key)).Owner == ms[0].Owner {
+			in.Loads[uint16(key)] = 0.04
+		}
+	}
+	in.Space = settle(t, in, 4)
+	got := utilizations(in.Space, ms, in.Loads)
+	g.Expect(highest(got)).To(BeNumerically("<", mean(in.Loads, ms)+DefaultConfig().Trigger), "%v", got)
+}
+
+// Guards against keys that move to and fro between members that are all overloaded, which
+// serves nobody and costs every node the changes of the key table.
+func TestNothingMovesBetweenFullMembers(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(8, 4)
+	in := Input{Space: keyrange.NewSpace(), Members: ms, Loads: map[uint16]float64{}, Balance: true}
+	in.Space = settle(t, in, 1)
+	for key := 0; key < 65536; key += 64 {
+		in.Loads[uint16(key)] = 0.04 + 0.03*float64(key)/65536
+	}
+	g.Expect(Plan(in, DefaultConfig())).To(BeEmpty())
+}
+
+// Guards against two keys that each fill a member sharing one.
+func TestHeavyKeysDoNotShareAMember(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(6, 4)
+	in := Input{Space: keyrange.NewSpace(), Members: ms, Loads: map[uint16]float64{}, Balance: true}
+	in.Space = settle(t, in, 1)
+	in.Loads[100], in.Loads[101] = 30, 20
+	in.Space = settle(t, in, 4)
+	g.Expect(in.Space.Find(100).Owner).NotTo(Equal(in.Space.Find(101).Owner))
+}
+
 // Guards against a plan that moves keys to and fro while the load only fluctuates.
 func TestNoiseMovesNothing(t *testing.T) {
 	g := NewWithT(t)
