--- a/internal/node/lane.go
+++ b/internal/node/lane.go
@@ -22,8 +22,8 @@
 }
 
 // enter returns when the request may be sent, with a function that ends it, or with why
-// it was not sent. ran says whether the request took its time on the backend server.
-func (l *lane) enter(ctx context.Context, it waitqueue.Item) (done func(ran bool), refused *verdict.Error) {
+// it was not sent.
+func (l *lane) enter(ctx context.Context, it waitqueue.Item) (done func(waitqueue.Result), refused *verdict.Error) {
 	l.mu.Lock()
 	l.nextID++
 	it.ID = l.nextID
@@ -45,7 +45,7 @@
 		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "expected wait %v", decision.Expected)
 		return nil, err.WithRetryAfter(decision.RetryAfter)
 	}
-	return func(ran bool) { l.leave(it.ID, ran) }, nil
+	return func(result waitqueue.Result) { l.leave(it.ID, result) }, nil
 }
 
 func (l *lane) await(ctx context.Context, it waitqueue.Item, ch chan waitqueue.Decision) (waitqueue.Decision, *verdict.Error) {
@@ -68,17 +68,17 @@
 			l.mu.Unlock()
 			if !waited {
 				// It was started meanwhile, or refused.
-				l.leave(it.ID, false)
+				l.leave(it.ID, waitqueue.Failed)
 			}
 			return waitqueue.Decision{}, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "caller gave up while the request waited")
 		}
 	}
 }
 
-func (l *lane) leave(id waitqueue.ID, ran bool) {
+func (l *lane) leave(id waitqueue.ID, result waitqueue.Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tell(l.queue.Done(id, ran, time.Now()))
+	l.tell(l.queue.Done(id, result, time.Now()))
 }
 
 // tell passes decisions on to the requests that wait for them.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -106,19 +106,31 @@
 	}
 	end, refused := b.beginRun(ctx, t)
 	if refused != nil {
-		done(false)
+		done(waitqueue.Failed)
 		return outcome{err: refused}
 	}
 	started := time.Now()
 	out := b.send(ctx, t, e)
 	end()
-	done(out.resp != nil && out.resp.StatusCode < http.StatusInternalServerError)
+	done(resultOf(out))
 	if out.resp != nil {
 		out.load.work = time.Since(started)
 	}
 	return out
 }
 
+// resultOf tells the line what became of a request that was sent.
+func resultOf(out outcome) waitqueue.Result {
+	switch {
+	case out.resp != nil && out.resp.StatusCode < http.StatusInternalServerError:
+		return waitqueue.Completed
+	case out.err != nil && out.arrived && out.err.Verdict == verdict.NotRun:
+		return waitqueue.Declined
+	default:
+		return waitqueue.Failed
+	}
+}
+
 // gate says why a request must not be sent to the backend server now, or nil. It is
 // asked again just before the first byte is sent.
 func (b *backend) gate(t ticket) *verdict.Error {
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -36,6 +36,9 @@
 	waiting []waiting
 	work    map[string]time.Duration
 	rates   map[group]*rate
+	// declined is the share of requests that the backend server refuses at once. They take
+	// no time of those behind them.
+	declined float64
 	// reviewed is when the line was last checked for requests that wait in vain.
 	reviewed time.Time
 }
@@ -146,7 +149,7 @@
 	ahead := q.runningWork(now)
 	for _, o := range q.waiting {
 		if o.before(w, now) {
-			ahead += o.work
+			ahead += q.share(o.work)
 		}
 	}
 	return time.Duration(float64(ahead) / q.freeSlots(w, ahead, now))
@@ -162,10 +165,15 @@
 }
 
 // Done ends a running request. Its time counts for estimates if it ran to its end.
-func (q *Queue) Done(id ID, ran bool, now time.Time) []Decision {
+func (q *Queue) Done(id ID, result Result, now time.Time) []Decision {
 	if r, ok := q.running[id]; ok {
 		delete(q.running, id)
-		if ran {
+		declined := 0.0
+		if result == Declined {
+			declined = 1
+		}
+		q.declined += q.config.Smoothing * (declined - q.declined)
+		if result == Completed {
 			took := now.Sub(r.started)
 			if old, known := q.work[r.route]; known {
 				took = old + time.Duration(float64(took-old)*q.config.Smoothing)
@@ -213,13 +221,19 @@
 			out = append(out, q.refuse(w.ID, wait))
 			continue
 		}
-		ahead += w.work
+		ahead += q.share(w.work)
 		kept = append(kept, w)
 	}
 	q.waiting = kept
 	return out
 }
 
+// share returns the part of an expected time that a request takes on average, counting
+// those that are declined.
+func (q *Queue) share(work time.Duration) time.Duration {
+	return time.Duration(float64(work) * (1 - q.declined))
+}
+
 // runningWork returns the work that is left of the running requests.
 func (q *Queue) runningWork(now time.Time) time.Duration {
 	var left time.Duration
@@ -236,7 +250,7 @@
 	coming := 0.0
 	for g, r := range q.rates {
 		if g.better(w.group()) || late && g == w.group() {
-			coming += r.value(now)
+			coming += r.value(now) * (1 - q.declined)
 		}
 	}
 	return float64(q.slots) * (1 - min(coming/float64(q.slots), maxUtilization))
--- a/waitqueue/replay_test.go
+++ b/waitqueue/replay_test.go
@@ -29,7 +29,7 @@
 // line is what a replay drives.
 type line interface {
 	Offer(it Item, now time.Time) (Decision, []Decision)
-	Done(id ID, ran bool, now time.Time) []Decision
+	Done(id ID, result Result, now time.Time) []Decision
 	Advance(now time.Time) []Decision
 }
 
@@ -49,7 +49,7 @@
 	return Decision{ID: it.ID, Verb: Wait}, others
 }
 
-func (f *fifo) Done(_ ID, _ bool, now time.Time) []Decision {
+func (f *fifo) Done(_ ID, _ Result, now time.Time) []Decision {
 	f.running--
 	return f.Advance(now)
 }
@@ -116,6 +116,8 @@
 	arrivals      map[ID]time.Time
 	slowFrom      time.Time // when the server turns slow, by a factor
 	slow          time.Duration
+	declines      float64 // share of requests that the server refuses at once
+	blind         bool    // the line does not learn of that
 }
 
 func newReplay(l line, seed uint64) *replay {
@@ -170,6 +172,10 @@
 			if r.slow > 0 && !r.now.Before(r.slowFrom) {
 				work *= r.slow
 			}
+			if r.declines > 0 && r.rng.Float64() < r.declines {
+				r.at(r.now.Add(time.Millisecond), func() { r.decline(d.ID, c) })
+				continue
+			}
 			r.at(r.now.Add(work), func() { r.finish(d.ID, c) })
 		case Refuse:
 			delete(r.clients, d.ID)
@@ -202,7 +208,17 @@
 	pair := r.byKind[c.kind.route]
 	r.byKind[c.kind.route] = [2]float64{pair[0] + worth, pair[1]}
 	delete(r.clients, id)
-	r.apply(r.line.Done(id, true, r.now))
+	r.apply(r.line.Done(id, Completed, r.now))
+}
+
+// decline ends a request that the server refused; its client comes back once.
+func (r *replay) decline(id ID, c *client) {
+	result := Declined
+	if r.blind {
+		result = Failed
+	}
+	others := r.line.Done(id, result, r.now)
+	r.apply(append(others, Decision{ID: id, Verb: Refuse, RetryAfter: 50 * time.Millisecond}))
 }
 
 func (r *replay) run() {
@@ -319,3 +335,28 @@
 	g.Expect(got.served).To(BeNumerically(">", 0.995))
 	g.Expect(got.payoff).To(BeNumerically(">", 0.95))
 }
+
+// Guards against slots that stand idle while requests are refused: the server refuses a
+// part of its requests at once, so that the line is shorter than it looks. The policy before
+// counted each waiting request with its whole work.
+func TestDeclinedRequestsLeaveNoSlotIdle(t *testing.T) {
+	g := NewWithT(t)
+	var got, before result
+	for seed := range uint64(6) {
+		load := func(r *replay) {
+			r.declines = 0.4
+			r.load(0, 20*time.Second, 2.2*replaySlots)
+		}
+		blind := func(r *replay) {
+			load(r)
+			r.blind = true
+		}
+		a, b := play(policy(), seed, load), play(policy(), seed, blind)
+		t.Logf("seed %d: payoff %.3f work %.1f, before %.3f and %.1f", seed, a.payoff, a.work, b.payoff, b.work)
+		got.payoff, before.payoff = got.payoff+a.payoff, before.payoff+b.payoff
+		got.work, before.work = got.work+a.work, before.work+b.work
+	}
+	g.Expect(got.work).To(BeNumerically(">", before.work))
+	g.Expect(got.payoff).To(BeNumerically(">=", before.payoff))
+	g.Expect(got.work).To(BeNumerically(">", 0.9*6*20*replaySlots), "the target is 90 % of capacity at twice the load")
+}
