--- a/cmd/gatecheck/main.go
+++ b/cmd/gatecheck/main.go
@@ -86,6 +86,9 @@
 	return nil
 }
 
+// testTimeout bounds the tests of one gate; they take half a minute on a busy machine.
+const testTimeout = "180s"
+
 var failedTest = regexp.MustCompile(`(?m)^\s*--- FAIL: (\S+)`)
 
 // check runs the tests with the gate open and returns those that fail.
@@ -99,7 +102,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		return nil, errors.Join(fmt.Errorf("does not build when open:\n%s", out), restore())
 	}
-	test := exec.CommandContext(ctx, "go", append([]string{"test", "-count=1"}, g.packages...)...)
+	test := exec.CommandContext(ctx, "go", append([]string{"test", "-count=1", "-timeout", testTimeout}, g.packages...)...)
 	test.Dir = dir
 	out, err := test.CombinedOutput()
 	if restoreErr := restore(); restoreErr != nil {
--- a/internal/node/gates_test.go
+++ b/internal/node/gates_test.go
@@ -91,7 +91,9 @@
 		b.strikes.Crashed([]quarantine.Fingerprint{f}, time.Now())
 		b.strikes.Crashed([]quarantine.Fingerprint{f}, time.Now())
 	})
-	out := n.Node.backend.serve(t.Context(), booking, httpclient.Exchange{
+	ctx, cancel := context.WithDeadline(t.Context(), booking.deadline)
+	defer cancel()
+	out := n.Node.backend.serve(ctx, booking, httpclient.Exchange{
 		Method: http.MethodPost, URI: "/book/x", Host: "shop.example", Header: http.Header{simID: {"crash"}, simKey: {"7"}}, IDHeader: simID, ID: "crash",
 	})
 	g.Expect(out.err).To(HaveField("Reason", verdict.ReasonQuarantined))
