--- a/httproute/kind.go
+++ b/httproute/kind.go
@@ -2,6 +2,8 @@
 // treated. A Table is immutable and safe for concurrent use.
 package httproute
 
+import "fmt"
+
 // Kind says what may be repeated.
 type Kind uint8
 
@@ -29,3 +31,13 @@
 		return "non_idempotent"
 	}
 }
+
+// ParseKind reads what String returns.
+func ParseKind(name string) (Kind, error) {
+	for _, k := range []Kind{NonIdempotent, Idempotent, Download} {
+		if k.String() == name {
+			return k, nil
+		}
+	}
+	return NonIdempotent, fmt.Errorf("kind %q; idempotent, non_idempotent or download is expected", name)
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -19,6 +19,9 @@
 // defaultDaemon is where a daemon listens by default.
 const defaultDaemon = "http://127.0.0.1:7400"
 
+// defaultPlatform is where the platform's table is by default.
+const defaultPlatform = "http://127.0.0.1:7399"
+
 // options are the settings of all commands.
 type options struct {
 	settings *viper.Viper
@@ -42,6 +45,7 @@
 	}
 	flags := root.PersistentFlags()
 	flags.String("daemon", defaultDaemon, "base URL of a daemon (BASILWAY_DAEMON)")
+	flags.String("platform-url", defaultPlatform, "base URL of the platform's table, for routes (BASILWAY_PLATFORM_URL)")
 	flags.String("key", "", "operator key (BASILWAY_KEY)")
 	flags.Duration("timeout", 10*time.Second, "time limit of the command (BASILWAY_TIMEOUT)")
 	flags.StringP("output", "o", "text", `output format, "text" or "json" (BASILWAY_OUTPUT)`)
@@ -49,7 +53,7 @@
 		panic(err) // only for a nil flag set
 	}
 	root.AddCommand(newCatalogueCommand(o), newStatusCommand(o), newOwnersCommand(o),
-		newDrainCommand(o), newFenceCommand(o), newCallCommand(o), newExplainCommand())
+		newDrainCommand(o), newFenceCommand(o), newCallCommand(o), newRoutesCommand(o), newExplainCommand())
 	return root
 }
 
--- a/internal/daemoncli/command.go
+++ b/internal/daemoncli/command.go
@@ -47,7 +47,7 @@
 		},
 	}
 	config.AddFlags(cmd)
-	cmd.AddCommand(nodeCommand())
+	cmd.AddCommand(nodeCommand(), routerCommand())
 	err := cmd.Execute()
 	if err == nil {
 		return code
--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -37,17 +37,12 @@
 	if err != nil {
 		return err
 	}
-	atomic, err := zap.ParseAtomicLevel(level)
+	log, dropped, err := nodeLogger(settings.Node.Instance, level)
 	if err != nil {
-		return fmt.Errorf("log level: %w", err)
+		return err
 	}
-	out := logsink.New(os.Stdout)
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapTime
-	encoder.EncodeDuration = zapcore.StringDurationEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, atomic)).With(zap.String("instance", settings.Node.Instance))
 	defer func() { _ = log.Sync() }()
-	settings.Node.DroppedLines = out.Dropped
+	settings.Node.DroppedLines = dropped
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -59,6 +54,21 @@
 	return err
 }
 
+// nodeLogger returns a logger that never waits for the output, and the count of lines that
+// it dropped for that.
+func nodeLogger(instance, level string) (*zap.Logger, func() uint64, error) {
+	atomic, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, nil, fmt.Errorf("log level: %w", err)
+	}
+	out := logsink.New(os.Stdout)
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapTime
+	encoder.EncodeDuration = zapcore.StringDurationEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, atomic)).With(zap.String("instance", instance))
+	return log, out.Dropped, nil
+}
+
 // reload checks the settings file on SIGHUP. The addresses of a running process stay as
 // they are.
 func reload(ctx context.Context, log *zap.Logger, path string) {
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -231,6 +231,7 @@
 	case simPart:
 		w.Header().Set("Content-Length", "1000")
 		_, _ = w.Write([]byte("part of an answer"))
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
--- /dev/null
+++ b/internal/ownprotocol/announcement.go
@@ -0,0 +1,82 @@
+package ownprotocol
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/keyrange"
+)
+
+// Announcement is what a backend server says of itself, about once a second.
+type Announcement struct {
+	ID string `json:"id"`
+	// BornMS is the Unix time in milliseconds at which it started.
+	BornMS   int64  `json:"born_ms"`
+	Address  string `json:"address"`
+	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
+	Draining bool   `json:"draining,omitempty"`
+	// Sequence grows with each announcement since the start.
+	Sequence uint64 `json:"sequence"`
+	// ColdMS is how much longer it is slow after its start, in milliseconds.
+	ColdMS int64 `json:"cold_ms,omitempty"`
+	// Holds are the keys that it holds or still works on, Released those that it no longer
+	// holds since the last announcement.
+	Holds    []Span `json:"holds,omitempty"`
+	Released []Span `json:"released,omitempty"`
+}
+
+// Span is a run of keys.
+type Span struct {
+	From  uint16 `json:"from"`
+	To    uint16 `json:"to"`
+	Fence uint64 `json:"fence,omitempty"`
+	// Handover passes what the last holder knew of the keys on to the next one.
+	Handover string `json:"handover,omitempty"`
+}
+
+// Reply says what a backend server may hold.
+type Reply struct {
+	// Renew is false if the reply says nothing about keys.
+	Renew bool `json:"renew"`
+	// HoldMS is how long the grants last, in milliseconds from when the announcement was
+	// sent.
+	HoldMS int64  `json:"hold_ms,omitempty"`
+	Grants []Span `json:"grants,omitempty"`
+}
+
+func (a Announcement) heartbeat() (grant.Heartbeat, error) {
+	if a.ID == "" || a.Service == "" || a.Address == "" || a.Slots < 1 {
+		return grant.Heartbeat{}, fmt.Errorf("announcement: id %q, service %q, address %q, slots %d; all are needed, slots at least 1", a.ID, a.Service, a.Address, a.Slots)
+	}
+	hb := grant.Heartbeat{
+		ID: a.ID, Born: a.BornMS, Address: a.Address, Service: a.Service, Slots: a.Slots, Sequence: a.Sequence,
+		Cold: time.Duration(a.ColdMS) * time.Millisecond,
+	}
+	if a.Draining {
+		hb.State = grant.Draining
+	}
+	for _, s := range a.Holds {
+		hb.Holds = append(hb.Holds, grant.Hold{Span: s.keys(), Fence: s.Fence})
+	}
+	for _, s := range a.Released {
+		hb.Released = append(hb.Released, grant.Release{Span: s.keys(), Handover: s.Handover})
+	}
+	for _, s := range append(a.Holds, a.Released...) {
+		if s.From > s.To {
+			return grant.Heartbeat{}, fmt.Errorf("announcement: keys %d to %d", s.From, s.To)
+		}
+	}
+	return hb, nil
+}
+
+func (s Span) keys() keyrange.Span { return keyrange.Span{From: s.From, To: s.To} }
+
+func replyOf(r grant.Reply) Reply {
+	out := Reply{Renew: r.Renew, HoldMS: r.Hold.Milliseconds()}
+	for _, g := range r.Grants {
+		out.Grants = append(out.Grants, Span{From: g.From, To: g.To, Fence: g.Fence, Handover: g.Handover})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ownprotocol/protocol.go
@@ -0,0 +1,84 @@
+// Package ownprotocol is what backend servers, clients and operators speak with a node
+// outside the users' platform: HTTP headers, JSON announcements, and the routes of the
+// catalogue.
+package ownprotocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/internal/node"
+	"github.com/basilway/basilway/internal/routebook"
+)
+
+// The headers of requests and answers.
+const (
+	RequestIDHeader     = "Basilway-Request-Id"
+	DeadlineHeader      = "Basilway-Deadline-Ms"
+	ExpectBackendHeader = "Basilway-Expect-Backend"
+	NotRunHeader        = "Basilway-Not-Run"
+	CallerHeader        = "Basilway-Caller"
+	BackendHeader       = "Basilway-Backend"
+	KeyHeader           = "Basilway-Key"
+)
+
+// The paths at the node's address for announcements. A backend server posts an Announcement
+// to either, to LeavePath when it ends its membership.
+const (
+	AnnouncePath = "/v1/announce"
+	LeavePath    = "/v1/leave"
+)
+
+// maxAnnouncement bounds an announcement in bytes; one with 65,536 spans fits.
+const maxAnnouncement = 8 << 20
+
+// Protocol implements node.Protocol.
+type Protocol struct{}
+
+var _ node.Protocol = Protocol{}
+
+// Headers implements node.Protocol.
+func (Protocol) Headers() node.Headers {
+	return node.Headers{
+		RequestID: RequestIDHeader, DeadlineMS: DeadlineHeader, ExpectBackend: ExpectBackendHeader, NotRun: NotRunHeader,
+		Caller: CallerHeader, Backend: BackendHeader, Key: KeyHeader,
+	}
+}
+
+// DesiredStateRow implements node.Protocol.
+func (Protocol) DesiredStateRow() string { return routebook.Row }
+
+// DesiredState implements node.Protocol.
+func (Protocol) DesiredState(data []byte) (httproute.Snapshot, error) {
+	document, err := httproute.ParseDocument(data)
+	if err != nil {
+		return httproute.Snapshot{}, err
+	}
+	return document.Snapshot()
+}
+
+// ReadyPath implements node.Protocol.
+func (Protocol) ReadyPath() string { return "GET /readyz" }
+
+// Announcement implements node.Protocol.
+func (Protocol) Announcement(r *http.Request) (grant.Heartbeat, bool, error) {
+	if r.Method != http.MethodPost || r.URL.Path != AnnouncePath && r.URL.Path != LeavePath {
+		return grant.Heartbeat{}, false, fmt.Errorf("%s %s; POST %s or %s is expected", r.Method, r.URL.Path, AnnouncePath, LeavePath)
+	}
+	var a Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxAnnouncement)).Decode(&a); err != nil {
+		return grant.Heartbeat{}, false, fmt.Errorf("announcement: %w", err)
+	}
+	hb, err := a.heartbeat()
+	return hb, r.URL.Path == LeavePath, err
+}
+
+// WriteReply implements node.Protocol.
+func (Protocol) WriteReply(w http.ResponseWriter, reply grant.Reply) {
+	w.Header().Set("Content-Type", "application/json")
+	// A backend server that is gone does not need the answer; it announces itself again.
+	_ = json.NewEncoder(w).Encode(replyOf(reply))
+}
--- a/internal/standin/root.go
+++ b/internal/standin/root.go
@@ -26,7 +26,7 @@
 		Short:        "Runs stand-ins of the platform and of backend servers",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newPlatformCommand(), newBackendCommand(), newCallerCommand())
+	root.AddCommand(newPlatformCommand(), newBackendCommand(), newHTTPBackendCommand(), newCallerCommand())
 	return root
 }
 
