--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # GO_TEST_FLAGS are added to every go test command.
 GO_TEST_FLAGS ?=
 
-.PHONY: build test lint fmt demo bench bench-policy bench-state prove generate
+.PHONY: build test lint fmt demo bench bench-policy bench-state prove gates generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -42,6 +42,11 @@
 	BASILWAY_SCHEDULES=10000 go test -count=1 -timeout 60m ./lease ./ownership ./dedupe ./quarantine ./admission
 	BASILWAY_PROVE=1 BASILWAY_PROVE_OUT=$(CURDIR)/prove-out go test -count=1 -timeout 60m -v ./internal/prove
 
+# gates forces each safety gate open in a copy of the sources and prints which tests fail.
+# It takes about 15 minutes.
+gates:
+	go run ./cmd/gatecheck
+
 # bench-state measures what the cluster state costs a daemon at up to 1,900 members.
 bench-state: build
 	scripts/bench-state.sh
