--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -78,7 +78,7 @@
 		"if now.Sub(c.idleSince) < c.idleFor && c.clean() {", "if now.Sub(c.idleSince) < c.idleFor {", clientTests,
 	}, {
 		"connection that is used after the server's idle time", "internal/httpclient/pool.go",
-		"if now.Sub(c.idleSince) < c.idleFor && c.clean() {", "if c.clean() {", clientTests,
+		"if now.Sub(c.idleSince) < c.idleFor && c.clean() {", "if now.Sub(c.idleSince) >= 0 && c.clean() {", clientTests,
 	}, {
 		"connection whose request was not read", "internal/httpclient/pool.go",
 		"|| !c.written()", "", clientTests,
