--- a/httproute/document.go
+++ b/httproute/document.go
@@ -35,7 +35,7 @@
 	// Kind is idempotent, non_idempotent or download.
 	Kind            string         `json:"kind"`
 	TimeoutMS       int64          `json:"timeout_ms"`
-	TargetLatencyMS int64          `json:"target_latency_ms,omitempty"`
+	TargetLatencyMS int64          `json:"target_ms,omitempty"`
 	Priority        int            `json:"priority,omitempty"`
 	MaxAttempts     int            `json:"max_attempts,omitempty"`
 	Parts           []PartDocument `json:"parts"`
--- a/httproute/document_test.go
+++ b/httproute/document_test.go
@@ -10,7 +10,7 @@
 const document = `{
   "services": [{"name": "booking", "sharded": true, "health_path": "/health", "warm_up_ms": 5000}],
   "routes": [{"name": "lookup", "host": "shop.example", "prefix": "/lookup/", "kind": "idempotent",
-    "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1, "max_attempts": 2,
+    "timeout_ms": 2000, "target_ms": 500, "priority": 1, "max_attempts": 2,
     "parts": [{"service": "booking", "weight": 1}]}],
   "limits": {"header_bytes": 8192}
 }`
--- a/internal/backendsim/httpbackend.go
+++ b/internal/backendsim/httpbackend.go
@@ -105,7 +105,7 @@
 			b.released = append(b.released, ownprotocol.Span{From: old.From, To: old.To, Handover: fmt.Sprintf("%s-%d", b.config.ID, b.sequence)})
 		}
 	}
-	b.granted, b.until = reply.Grants, sent.Add(time.Duration(reply.HoldMS)*time.Millisecond)
+	b.granted, b.until = reply.Grants, sent.Add(time.Duration(reply.LastsMS)*time.Millisecond)
 	return len(b.granted)
 }
 
--- a/internal/ownprotocol/announcement.go
+++ b/internal/ownprotocol/announcement.go
@@ -40,10 +40,10 @@
 type Reply struct {
 	// Renew is false if the reply says nothing about keys.
 	Renew bool `json:"renew"`
-	// HoldMS is how long the grants last, in milliseconds from when the announcement was
+	// LastsMS is how long the grants last, in milliseconds from when the announcement was
 	// sent.
-	HoldMS int64  `json:"hold_ms,omitempty"`
-	Grants []Span `json:"grants,omitempty"`
+	LastsMS int64  `json:"lasts_ms,omitempty"`
+	Grants  []Span `json:"grants,omitempty"`
 }
 
 func (a Announcement) heartbeat() (grant.Heartbeat, error) {
@@ -74,7 +74,7 @@
 func (s Span) keys() keyrange.Span { return keyrange.Span{From: s.From, To: s.To} }
 
 func replyOf(r grant.Reply) Reply {
-	out := Reply{Renew: r.Renew, HoldMS: r.Hold.Milliseconds()}
+	out := Reply{Renew: r.Renew, LastsMS: r.Hold.Milliseconds()}
 	for _, g := range r.Grants {
 		out.Grants = append(out.Grants, Span{From: g.From, To: g.To, Fence: g.Fence, Handover: g.Handover})
 	}
--- a/internal/ownprotocol/protocol.go
+++ b/internal/ownprotocol/protocol.go
@@ -17,7 +17,7 @@
 // The headers of requests and answers.
 const (
 	RequestIDHeader     = "Basilway-Request-Id"
-	DeadlineHeader      = "Basilway-Deadline-Ms"
+	TimeoutHeader       = "Basilway-Timeout-Ms"
 	ExpectBackendHeader = "Basilway-Expect-Backend"
 	NotRunHeader        = "Basilway-Not-Run"
 	CallerHeader        = "Basilway-Caller"
@@ -43,7 +43,7 @@
 // Headers implements node.Protocol.
 func (Protocol) Headers() node.Headers {
 	return node.Headers{
-		RequestID: RequestIDHeader, DeadlineMS: DeadlineHeader, ExpectBackend: ExpectBackendHeader, NotRun: NotRunHeader,
+		RequestID: RequestIDHeader, DeadlineMS: TimeoutHeader, ExpectBackend: ExpectBackendHeader, NotRun: NotRunHeader,
 		Caller: CallerHeader, Backend: BackendHeader, Key: KeyHeader,
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -54,7 +54,7 @@
 {
   "services": [{"name": "shop", "sharded": true, "health_path": "/health"}],
   "routes": [{"name": "orders", "host": "shop.example", "prefix": "/orders/", "kind": "non_idempotent",
-    "timeout_ms": 2000, "target_latency_ms": 500, "max_attempts": 2, "parts": [{"service": "shop", "weight": 1}]}],
+    "timeout_ms": 2000, "target_ms": 500, "max_attempts": 2, "parts": [{"service": "shop", "weight": 1}]}],
   "limits": {"header_bytes": 16384}
 }
 END
