Show new instances of the proof to callers once they run

The list was also changed while other goroutines read it. It is guarded now, and an instance is added after its processes have started.

--- a/internal/prove/caller_test.go
+++ b/internal/prove/caller_test.go
@@ -109,7 +109,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for {
-		n := l.cluster.nodes[rng.IntN(len(l.cluster.nodes))]
+		nodes := l.cluster.allNodes()
+		n := nodes[rng.IntN(len(nodes))]
 		if !probe || !l.avoid[n.name] {
 			return n
 		}
--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -59,6 +60,7 @@
 	platform string
 	store    *connectplatform.Client
 	client   *http.Client
+	nodesMu  sync.Mutex // guards changes of nodes
 	nodes    []*node
 }
 
@@ -129,12 +131,22 @@
 	n.router = basilwayv1connect.NewRouterServiceClient(c.client, url)
 	n.admin = basilwayv1connect.NewAdminServiceClient(c.client, url)
 	n.catalogue = basilwayv1connect.NewCatalogueServiceClient(c.client, url)
-	c.nodes = append(c.nodes, n)
 	n.startDaemon()
 	n.startBackend()
+	// Callers and samplers run already; they must not see an instance without processes.
+	c.nodesMu.Lock()
+	defer c.nodesMu.Unlock()
+	c.nodes = append(c.nodes, n)
 	return n
 }
 
+// allNodes returns the instances, for goroutines beside the scenario.
+func (c *testCluster) allNodes() []*node {
+	c.nodesMu.Lock()
+	defer c.nodesMu.Unlock()
+	return slices.Clone(c.nodes)
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/prove/run_test.go
+++ b/internal/prove/run_test.go
@@ -116,7 +116,7 @@
 func (r *run) nodesNow() (out []*node) {
 	r.callers.mu.Lock()
 	defer r.callers.mu.Unlock()
-	for _, n := range r.nodes {
+	for _, n := range r.allNodes() {
 		if !r.callers.avoid[n.name] {
 			out = append(out, n)
 		}
