--- a/internal/node/idleconns.go
+++ b/internal/node/clientconns.go
@@ -9,36 +9,61 @@
 	"time"
 )
 
-// idleConns closes connections of clients that were idle for as long as the operator allows.
-// http.Server has one limit for its whole life, and the operator's can change.
-type idleConns struct {
+// clientConns closes connections of clients that were idle for as long as the operator allows,
+// and knows when there are too many. http.Server has one limit for its whole life, and the
+// operator's can change.
+type clientConns struct {
 	// limit returns the limit in force; 0 for none.
 	limit func() time.Duration
 
+	// most is the number of connections from which there are too many; 0 is no bound.
+	most int
+
 	mu     sync.Mutex
+	open   map[net.Conn]bool
 	timers map[net.Conn]*time.Timer
 }
 
-func newIdleConns(limit func() time.Duration) *idleConns {
-	return &idleConns{limit: limit, timers: map[net.Conn]*time.Timer{}}
+func newClientConns(limit func() time.Duration, most int) *clientConns {
+	return &clientConns{limit: limit, most: most, open: map[net.Conn]bool{}, timers: map[net.Conn]*time.Timer{}}
 }
 
 // state is the http.Server's ConnState.
-func (i *idleConns) state(c net.Conn, state http.ConnState) {
+func (i *clientConns) state(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if timer := i.timers[c]; timer != nil {
 		timer.Stop()
 		delete(i.timers, c)
 	}
+	switch state {
+	case http.StateNew:
+		i.open[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(i.open, c)
+	}
 	if limit := i.limit(); state == http.StateIdle && limit > 0 {
 		i.timers[c] = time.AfterFunc(limit, func() { i.end(c) })
 	}
 }
 
+// crowded reports whether there are too many connections, so that each answer should end
+// its own.
+func (i *clientConns) crowded() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.most > 0 && len(i.open) >= i.most
+}
+
+func (i *clientConns) count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.open)
+}
+
 // end closes a connection on which nothing has arrived. After a pause of the machine a
 // request may have, although the timer ran out.
-func (i *idleConns) end(c net.Conn) {
+func (i *clientConns) end(c net.Conn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if _, idle := i.timers[c]; idle && !hasUnread(c) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,6 +27,9 @@
 	// LinkBitsPerSecond is the rate of the instance's link; 0 if it is not known, and then
 	// large answers are not paced.
 	LinkBitsPerSecond float64
+	// MaxDescriptors is the number of files and connections that the process may have open; 0
+	// if it is not known.
+	MaxDescriptors int
 	// MetricsAddress serves metrics at /metrics; empty turns them off.
 	MetricsAddress string
 	// Store keeps what must outlast the process.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -48,7 +48,7 @@
 // serveClient takes a request of a client of the instance.
 func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	if n.stopping.Load() {
+	if n.stopping.Load() || n.clients.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	id := r.Header.Get(n.headers.RequestID)
--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -66,3 +66,25 @@
 	_, err = reader.ReadByte()
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+// Guards against a node that runs out of file descriptors, because clients keep the
+// connections on which they were refused and come back on others.
+func TestAnswersCloseConnectionsWhenThereAreTooMany(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.clients.mu.Lock()
+	n.clients.most = 5
+	n.clients.mu.Unlock()
+	for i := range 30 {
+		conn, err := net.Dial("tcp", n.config.ClientAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: shop.example\r\n%s: many-%d\r\n%s: 7\r\nContent-Length: 0\r\n\r\n", simID, i, simKey)
+		g.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		g.Expect(resp.Close).To(Equal(i >= 4), "answer %d", i)
+	}
+	g.Eventually(n.clients.count, 5*time.Second).Should(BeNumerically("<=", 5))
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,6 +34,7 @@
 		return until.Sub(boottimeNow()).Seconds()
 	})
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
+	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
 	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
 	m.set.NewGauge("basilway_node_desired_state_version", func() float64 {
 		if routes := n.views.current().Routes; routes != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	works   workMeter
 	sizes   answerSizes
 	pacer   *pacer
+	clients *clientConns
 	returns returns
 
 	sequence atomic.Uint64
@@ -56,6 +57,7 @@
 		sizes: answerSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, returns: returns{first: map[uint64]time.Time{}},
 	}
+	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnShare/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
 	n.store = &relayStore{WatchedTable: config.Store, node: n, log: log.Named("relay")}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
@@ -215,7 +217,6 @@
 	peers.HandleFunc("POST "+digestPath, n.spread.serveDigest)
 	peers.HandleFunc("POST "+storePath, n.store.serveStore)
 	peers.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	idle := newIdleConns(n.clientIdleLimit)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
 	var out []boundServer
@@ -249,13 +250,18 @@
 			ErrorLog: zap.NewStdLog(n.log.Named(s.name)),
 		}
 		if s.name == "clients" {
-			server.ConnState = idle.state
+			server.ConnState = n.clients.state
 		}
 		out = append(out, boundServer{s.name, server, l})
 	}
 	return out, nil
 }
 
+// clientConnShare is the part of the file descriptors, in percent, from which connections
+// of clients are closed with each answer; refused clients come back on new connections. The
+// rest is for other nodes, the backend server and clients with requests that run.
+const clientConnShare = 40
+
 // clientIdleLimit returns how long the operator lets a client's connection be idle; 0 if
 // that is not known, and then clientIdle holds.
 func (n *Node) clientIdleLimit() time.Duration {
