--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -133,7 +133,6 @@
 // Guards against a request that does not reach the one owner of its key, or reaches it
 // changed, whichever node takes it.
 func TestEveryNodeReachesTheOwner(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 3)
 	c.settled()
@@ -207,7 +206,6 @@
 // Guards against keys that are lost or held twice while a backend server leaves: its keys
 // move by hand-over, and requests for them are served all the while.
 func TestDrainMovesKeysWithoutFailures(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 3)
 	c.settled()
@@ -248,7 +246,6 @@
 // Guards against a request that is cut by a planned stop of the node that took it, and
 // against a restart that takes the keys away from a backend server that went on.
 func TestStopAndRestartOfANode(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
 	c := newTestCluster(t, 3)
 	c.settled()
