--- a/internal/node/clientconns.go
+++ b/internal/node/clientconns.go
@@ -29,47 +29,48 @@
 }
 
 // state is the http.Server's ConnState.
-func (i *clientConns) state(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if timer := i.timers[c]; timer != nil {
+func (cc *clientConns) state(c net.Conn, state http.ConnState) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if timer := cc.timers[c]; timer != nil {
 		timer.Stop()
-		delete(i.timers, c)
+		delete(cc.timers, c)
 	}
 	switch state {
 	case http.StateNew:
-		i.open[c] = true
+		cc.open[c] = true
 	case http.StateClosed, http.StateHijacked:
-		delete(i.open, c)
+		delete(cc.open, c)
 	}
-	if limit := i.limit(); state == http.StateIdle && limit > 0 {
-		i.timers[c] = time.AfterFunc(limit, func() { i.end(c) })
+	if limit := cc.limit(); state == http.StateIdle && limit > 0 {
+		cc.timers[c] = time.AfterFunc(limit, func() { cc.end(c) })
 	}
 }
 
 // crowded reports whether there are too many connections, so that each answer should end
 // its own.
-func (i *clientConns) crowded() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.most > 0 && len(i.open) >= i.most
+func (cc *clientConns) crowded() bool {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.most > 0 && len(cc.open) >= cc.most
 }
 
-func (i *clientConns) count() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return len(i.open)
+// count returns the number of open connections.
+func (cc *clientConns) count() int {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return len(cc.open)
 }
 
 // end closes a connection on which nothing has arrived. After a pause of the machine a
 // request may have, although the timer ran out.
-func (i *clientConns) end(c net.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if _, idle := i.timers[c]; idle && !hasUnread(c) {
+func (cc *clientConns) end(c net.Conn) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if _, idle := cc.timers[c]; idle && !hasUnread(c) {
 		c.Close()
 	}
-	delete(i.timers, c)
+	delete(cc.timers, c)
 }
 
 // hasUnread reports whether bytes have arrived that nobody has read.
