--- /dev/null
+++ b/internal/node/adoption_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore"
+)
+
+// Guards against the health check of another backend server, or of one that is not well,
+// taken for that of the one that the store names.
+func TestOnlyTheNamedBackendServerIsTakenOver(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	b := n.Node.backend
+	g.Expect(b.healthy(t.Context(), "/health", n.backend.id)).To(BeTrue())
+	g.Expect(b.healthy(t.Context(), "/health", "another")).To(BeFalse())
+	n.backend.mu.Lock()
+	n.backend.state = grant.Draining
+	n.backend.mu.Unlock()
+	g.Expect(b.healthy(t.Context(), "/health", n.backend.id)).To(BeFalse())
+}
+
+// Guards against a take-over that goes on without heartbeats, or that covers keys which
+// another backend server is about to get.
+func TestTakeOverIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.quiet()
+	n.with(func(b *backend) { b.holder, b.adoptable, b.started = nil, true, boottimeNow() })
+	g.Expect(n.Node.backend.gate(bookingKey)).To(BeNil())
+
+	space := n.views.current().Keys["booking"]
+	r := space.Find(7)
+	moving, err := space.BeginMove(keyrange.Span{From: r.From, To: r.From}, r.Owner, keyrange.Owner{Instance: "instance-9", Incarnation: "b-1"})
+	g.Expect(err).NotTo(HaveOccurred())
+	value, err := moving.Table(0).Encode()
+	g.Expect(err).NotTo(HaveOccurred())
+	n.views.apply(metastore.Row{Key: keysKey("booking", 0), Value: value, Version: space.Versions[0] + 1})
+	first := bookingKey
+	first.key = r.From
+	g.Expect(n.Node.backend.gate(first)).NotTo(BeNil(), "the key moves")
+	g.Expect(n.Node.backend.gate(bookingKey)).To(BeNil(), "the others do not")
+
+	n.with(func(b *backend) { b.started = boottimeNow().Add(-adoptFor - time.Second) })
+	g.Expect(n.Node.backend.gate(bookingKey)).NotTo(BeNil())
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -272,38 +272,33 @@
 // Guards against requests that are sent to a backend server that must not get them: each
 // gate is looked at just before the first byte is sent.
 func TestGatesOfTheBackendServer(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
-	c := newTestCluster(t, 1)
-	c.settled()
-	b := c.nodes[0].Node.backend
-	keyed := ticket{service: "booking", sharded: true, key: 7}
-	g.Expect(b.gate(keyed)).To(BeNil())
+	n := single(t)
+	b := n.Node.backend
+	g.Expect(b.gate(bookingKey)).To(BeNil())
 
 	b.mu.Lock()
 	until, active := b.holder, b.state
 	b.holder = grant.NewHolder(grant.DefaultConfig(), until.Owner(), time.Time{})
 	b.mu.Unlock()
-	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("not_owner"), "no grant")
+	g.Expect(b.gate(bookingKey).Reason).To(BeEquivalentTo("not_owner"), "no grant")
 	b.mu.Lock()
 	b.holder, b.state = until, BackendDown
 	b.mu.Unlock()
-	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("backend_unavailable"))
+	g.Expect(b.gate(bookingKey).Reason).To(BeEquivalentTo("backend_unavailable"))
 	b.mu.Lock()
-	b.state, b.leaveAcked = active, boottimeNow().Add(-c.nodes[0].config.Bounds.DrainTimeout)
+	b.state, b.leaveAcked = active, boottimeNow().Add(-n.config.Bounds.DrainTimeout)
 	b.mu.Unlock()
-	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+	g.Expect(b.gate(bookingKey).Reason).To(BeEquivalentTo("draining"))
 }
 
 // Guards against two owners: a backend server that leaves closes its port before it has
 // finished its last requests, and holds their keys until then.
 func TestClosedPortEndsNoBackendServerThatIsAtWork(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
-	c := newTestCluster(t, 1)
-	c.settled()
-	b := c.nodes[0].Node.backend
-	sim := c.nodes[0].backend
+	n := single(t)
+	b := n.Node.backend
+	sim := n.backend
 	sim.mu.Lock()
 	sim.quiet = true
 	sim.mu.Unlock()
@@ -314,24 +309,16 @@
 	b.running[42] = 1
 	b.mu.Unlock()
 	b.portClosed()
-	state := func() BackendState {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return b.state
-	}
-	g.Consistently(state, 3*memberTick).ShouldNot(Equal(BackendDown))
+	g.Consistently(n.tracked, 3*memberTick).ShouldNot(Equal(BackendDown))
 	b.endRun(42, quarantine.Ticket{})
-	g.Eventually(state, 10*memberTick).Should(Equal(BackendDown))
+	g.Eventually(n.tracked, 10*memberTick).Should(Equal(BackendDown))
 }
 
 // Guards against requests to a backend server whose leave was acknowledged before this
 // process had its first heartbeat: the node has just been restarted.
 func TestLeaveRightAfterARestartBinds(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
-	c := newTestCluster(t, 1)
-	c.settled()
-	n := c.nodes[0]
+	n := single(t)
 	n.backend.mu.Lock()
 	n.backend.quiet = true
 	n.backend.mu.Unlock()
@@ -339,27 +326,23 @@
 	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
 	n.start()
 	b := n.Node.backend
-	keyed := ticket{service: "booking", sharded: true, key: 7}
-	g.Eventually(func() any { return b.gate(keyed) }, 3*time.Second).Should(BeNil(), "taken over from the store")
+	g.Eventually(func() any { return b.gate(bookingKey) }, 3*time.Second).Should(BeNil(), "taken over from the store")
 	b.leave(n.backend.id)
 	b.mu.Lock()
 	b.leaveAcked = b.leaveAcked.Add(-n.config.Bounds.DrainTimeout)
 	b.mu.Unlock()
-	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+	g.Expect(b.gate(bookingKey).Reason).To(BeEquivalentTo("draining"))
 	g.Eventually(func() BackendState { return n.views.current().Members[n.config.Instance].State }, 5*time.Second).Should(Equal(BackendDraining))
 	// A heartbeat that was sent before the leave changes nothing.
 	b.note(grant.Heartbeat{ID: n.backend.id, Born: 1, Address: n.backend.address(), Service: "booking", Slots: 4, Sequence: 9999})
-	g.Expect(b.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+	g.Expect(b.gate(bookingKey).Reason).To(BeEquivalentTo("draining"))
 }
 
 // Guards against a node that takes a leaving backend server over from the store: the
 // earlier process may have acknowledged the leave while the store was away.
 func TestLeavingBackendServerIsNotTakenOver(t *testing.T) {
-	t.Parallel()
 	g := NewWithT(t)
-	c := newTestCluster(t, 1)
-	c.settled()
-	n := c.nodes[0]
+	n := single(t)
 	n.backend.mu.Lock()
 	n.backend.quiet, n.backend.state = true, grant.Draining
 	n.backend.mu.Unlock()
@@ -367,8 +350,7 @@
 	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
 	n.start()
 	g.Eventually(func() bool { return n.views.current().Listed }, 10*time.Second).Should(BeTrue())
-	keyed := ticket{service: "booking", sharded: true, key: 7}
-	g.Consistently(func() any { return n.Node.backend.gate(keyed) }, time.Second).ShouldNot(BeNil())
+	g.Consistently(func() any { return n.Node.backend.gate(bookingKey) }, time.Second).ShouldNot(BeNil())
 	n.Node.backend.note(grant.Heartbeat{ID: n.backend.id, Born: 1, Address: n.backend.address(), Service: "booking", Slots: 4, Sequence: 9999, State: grant.Draining})
-	g.Expect(n.Node.backend.gate(keyed).Reason).To(BeEquivalentTo("draining"))
+	g.Expect(n.Node.backend.gate(bookingKey).Reason).To(BeEquivalentTo("draining"))
 }
