Read requests ahead on client connections and answer them in order

Cause: clients send further idempotent requests before the first is answered, and http.Server reads the next one only after the handler has returned.

Change: pipeline decides what is read, what runs at the same time, whose response is written next and when the connection closes; internal/readahead splits each client connection into streams for an unchanged http.Server. Deadline and target count from the first byte. The operator's header time limit holds.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/quarantine"
 	"github.com/basilway/basilway/verdict"
 )
@@ -47,7 +48,7 @@
 
 // serveClient handles a request from a client of the instance.
 func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
+	started := readahead.Arrived(r.Context(), time.Now())
 	if n.stopping.Load() || n.clients.atLimit() {
 		w.Header().Set("Connection", "close")
 	}
@@ -154,10 +155,14 @@
 		}
 		defer n.pacer.remove(out.transfer)
 		n.metrics.countServed(req.route.Name, n.config.Service, out.resp.StatusCode, took)
-		if req.sends > 1 || took > req.route.TargetLatency {
-			n.events.request("request served late or retried", id, zap.String("route", req.route.Name), zap.Int("status", out.resp.StatusCode),
-				zap.Duration("took", took), zap.Int("sends", req.sends), zap.Int("tries", req.tries))
-		}
+		status := out.resp.StatusCode
+		readahead.OnWritten(ctx, func(wait readahead.Wait) {
+			if req.sends > 1 || took+wait.Held > req.route.TargetLatency {
+				n.events.request("request served late or retried", id, zap.String("route", req.route.Name), zap.Int("status", status),
+					zap.Duration("took", took), zap.Duration("unread", wait.Unread), zap.Duration("queued", out.load.queued), zap.Duration("at work", out.load.work),
+					zap.Duration("behind earlier responses", wait.Held), zap.Int("sends", req.sends), zap.Int("tries", req.tries))
+			}
+		})
 		writeHeader(w, out.resp)
 		if !copyBody(n.pacer.writer(w, out.transfer), out.resp.Body) {
 			n.events.request("response truncated", id, zap.String("route", req.route.Name))
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/basilway/basilway/internal/readahead"
 )
 
 // maxRouteLabels bounds the number of distinct route labels.
@@ -16,6 +18,9 @@
 // nodeMetrics holds the node's metrics.
 type nodeMetrics struct {
 	set *metrics.Set
+	// unread is the time that requests waited on their connection before they ran, held the
+	// time that responses waited for earlier ones.
+	unread, held *metrics.Histogram
 
 	mu     sync.Mutex
 	routes map[string]bool
@@ -23,6 +28,8 @@
 
 func newMetrics(n *Node) *nodeMetrics {
 	m := &nodeMetrics{set: metrics.NewSet(), routes: map[string]bool{}}
+	m.unread = m.set.NewHistogram("basilway_node_unread_seconds")
+	m.held = m.set.NewHistogram("basilway_node_response_held_seconds")
 	m.set.NewGauge("basilway_node_running", func() float64 { return float64(n.backend.queue.load().running) })
 	m.set.NewGauge("basilway_node_waiting", func() float64 { return float64(n.backend.queue.load().waiting) })
 	m.set.NewGauge("basilway_node_slots", func() float64 { return float64(n.backend.queue.load().slots) })
@@ -68,6 +75,14 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`basilway_node_request_seconds{route=%q,caller=%q}`, route, caller)).Update(took.Seconds())
 }
 
+// observeConnWait records how long a request waited on its client connection.
+func (m *nodeMetrics) observeConnWait(wait readahead.Wait) {
+	m.unread.Update(wait.Unread.Seconds())
+	if wait.Held > 0 {
+		m.held.Update(wait.Held.Seconds())
+	}
+}
+
 // countUnanswered counts a request that got no response of a backend server.
 func (m *nodeMetrics) countUnanswered(route, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_requests_total{route=%q,outcome=%q}`, m.label(route), reason)).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/internal/readahead"
+	"github.com/basilway/basilway/pipeline"
 	"github.com/basilway/basilway/retry"
 )
 
@@ -191,16 +193,23 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// boundServer is an HTTP server with its listener.
+// server is an http.Server or the server of client connections.
+type server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
+}
+
+// boundServer is a server with its listener.
 type boundServer struct {
 	name     string
-	server   *http.Server
+	server   server
 	listener net.Listener
 }
 
 const (
-	// headerTimeout bounds how long a client may take to send the header of a request. It
-	// applies whatever limit the operator sets.
+	// headerTimeout bounds how long a client may take to send the header of a request if the
+	// operator's limit is not known or longer.
 	headerTimeout = 10 * time.Second
 	// defaultClientIdle is how long an idle client connection is kept if the operator's
 	// limit is not known. A longer limit of the operator has no effect.
@@ -226,7 +235,7 @@
 		handler       http.Handler
 		optional      bool
 	}{
-		{"clients", n.config.ClientAddress, http.HandlerFunc(n.serveClient), false},
+		{clientServer, n.config.ClientAddress, http.HandlerFunc(n.serveClient), false},
 		{"ready", n.config.ReadyAddress, ready, false},
 		{"heartbeats", n.config.HeartbeatAddress, http.HandlerFunc(n.backend.serveAnnouncement), false},
 		{"peers", n.config.PeerAddress, n.peerHandler(peers), false},
@@ -246,24 +255,63 @@
 			}
 			return nil, fmt.Errorf("listen for %s: %w", s.name, err)
 		}
-		server := &http.Server{
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultClientIdle, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: zap.NewStdLog(n.log.Named(s.name)),
-		}
-		if s.name == "clients" {
-			server.ConnState = n.clients.connState
+		errorLog := zap.NewStdLog(n.log.Named(s.name))
+		if s.name == clientServer {
+			out = append(out, boundServer{s.name, readahead.NewServer(n.clientServerConfig(s.handler), errorLog), l})
+			continue
 		}
-		out = append(out, boundServer{s.name, server, l})
+		out = append(out, boundServer{s.name, &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultClientIdle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
+		}, l})
 	}
 	return out, nil
 }
 
+// clientServer is the name of the server of client connections in logs.
+const clientServer = "clients"
+
 // clientConnPercent is the percentage of the file descriptors that client connections may
 // use. Beyond it, each response closes its connection, because refused clients come back on
 // new connections. The rest is for other nodes, the backend server and clients with running
 // requests.
 const clientConnPercent = 40
 
+const (
+	// maxHeldResponse is the size in bytes of a response that waits in memory for earlier
+	// responses of its connection. A longer one waits in its handler.
+	maxHeldResponse = 64 << 10
+	// maxReadAhead bounds the bytes of requests read ahead and of responses held back over all
+	// client connections.
+	maxReadAhead = 8 << 20
+)
+
+func (n *Node) clientServerConfig(handler http.Handler) readahead.Config {
+	return readahead.Config{
+		Handler: handler, Idempotent: n.isIdempotent, Bounds: pipeline.DefaultConfig(),
+		MaxHeldBytes: maxHeldResponse, MaxInstanceBytes: maxReadAhead, MaxHeaderBytes: maxHeaderBytes,
+		HeaderTimeout: n.clientHeaderLimit, IdleTimeout: defaultClientIdle,
+		ConnState: n.clients.connState, ObserveWait: n.metrics.observeConnWait,
+	}
+}
+
+// isIdempotent reports whether a client's request may run beside others of its connection.
+func (n *Node) isIdempotent(r *http.Request) bool {
+	routes := n.views.current().Routes
+	if routes == nil {
+		return false
+	}
+	route, ok := routes.Match(r.Host, r.URL.Path)
+	return ok && route.Kind.Repeatable()
+}
+
+// clientHeaderLimit returns how long a client may take to send a header.
+func (n *Node) clientHeaderLimit() time.Duration {
+	if routes := n.views.current().Routes; routes != nil && routes.Limits.HeaderTimeout > 0 {
+		return min(routes.Limits.HeaderTimeout, headerTimeout)
+	}
+	return headerTimeout
+}
+
 // clientIdleLimit returns how long the operator allows a client connection to be idle, or 0
 // if that is not known; then defaultClientIdle applies.
 func (n *Node) clientIdleLimit() time.Duration {
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -31,19 +31,22 @@
 	running, waiting, slots int
 	// work is the time that the request took on the backend server; 0 if it did not run.
 	work time.Duration
+	// queued is the time that the request waited in the backend server's queue.
+	queued time.Duration
 }
 
 func (l peerLoad) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d", l.running, l.waiting, l.slots, l.work.Microseconds())
+	return fmt.Sprintf("%d,%d,%d,%d,%d", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds())
 }
 
 func decodePeerLoad(s string) peerLoad {
 	var l peerLoad
-	var work int64
-	if _, err := fmt.Sscanf(s, "%d,%d,%d,%d", &l.running, &l.waiting, &l.slots, &work); err != nil {
+	var work, queued int64
+	// Nodes of earlier versions do not send the last field.
+	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d", &l.running, &l.waiting, &l.slots, &work, &queued); err != nil && n < 4 {
 		return peerLoad{}
 	}
-	l.known, l.work = true, time.Duration(work)*time.Microsecond
+	l.known, l.work, l.queued = true, time.Duration(work)*time.Microsecond, time.Duration(queued)*time.Microsecond
 	return l
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -100,6 +100,7 @@
 
 // run sends the request once it has a slot of the backend server.
 func (b *backend) run(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
+	offered := time.Now()
 	done, refused := b.queue.acquire(ctx, waitqueue.Item{
 		Route: t.route, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
 	})
@@ -116,7 +117,7 @@
 	end()
 	done(queueResult(out))
 	if out.resp != nil {
-		out.load.work = time.Since(started)
+		out.load.work, out.load.queued = time.Since(started), started.Sub(offered)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/readahead/capture.go
@@ -0,0 +1,86 @@
+package readahead
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+)
+
+// capture reads requests from a connection and keeps their bytes as received.
+type capture struct {
+	raw    net.Conn
+	reader *bufio.Reader
+	// received are the bytes read from the connection that belong to no finished request.
+	received []byte
+}
+
+func newCapture(raw net.Conn) *capture {
+	c := &capture{raw: raw}
+	c.reader = bufio.NewReaderSize(captureReader{c}, readBuffer)
+	return c
+}
+
+// captureReader is the source of a capture's bufio.Reader.
+type captureReader struct{ *capture }
+
+// Read implements io.Reader.
+func (r captureReader) Read(p []byte) (int, error) {
+	if len(r.received) > maxBufferedRequest {
+		return 0, errTooLarge
+	}
+	n, err := r.raw.Read(p)
+	r.received = append(r.received, p[:n]...)
+	return n, err
+}
+
+// awaitRequest waits for the first byte of a request.
+func (c *capture) awaitRequest() error {
+	_, err := c.reader.Peek(1)
+	return err
+}
+
+// buffered reports whether bytes of the next request have been read.
+func (c *capture) buffered() bool { return c.reader.Buffered() > 0 }
+
+// next reads a request with its body and returns its bytes; headerRead is called between the
+// header and the body. On errors of the connection, err is set. If the request is not one that
+// can be read ahead, delimited is false and rest returns its bytes.
+func (c *capture) next(headerRead func()) (request []byte, delimited bool, err error) {
+	r, err := http.ReadRequest(c.reader)
+	headerRead()
+	if err == nil && !c.mayDelimit(r) {
+		return nil, false, nil
+	}
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+	}
+	if err != nil {
+		return nil, false, connectionError(err)
+	}
+	size := len(c.received) - c.reader.Buffered()
+	request = c.received[:size:size]
+	c.received = append([]byte(nil), c.received[size:]...)
+	return request, true, nil
+}
+
+// mayDelimit reports whether the request ends where http.ReadRequest says, whatever the
+// handler does: no protocol switch, no interim response that the client waits for.
+func (c *capture) mayDelimit(r *http.Request) bool {
+	return r.ProtoMajor == 1 && r.ProtoMinor == 1 && r.Method != http.MethodConnect &&
+		r.Header.Get("Expect") == "" && r.Header.Get("Upgrade") == "" && r.ContentLength <= maxBufferedRequest
+}
+
+// connectionError returns err if the connection failed, and nil if what was received is not a
+// request that can be read ahead.
+func connectionError(err error) error {
+	var netErr net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
+		return err
+	}
+	return nil
+}
+
+// rest returns the bytes that were received and belong to no request returned by next.
+func (c *capture) rest() []byte { return c.received }
--- /dev/null
+++ b/internal/readahead/server_test.go
@@ -0,0 +1,448 @@
+package readahead
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/basilway/basilway/pipeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 10 * time.Second
+
+// testServer is a Server whose requests wait on gates, by path.
+type testServer struct {
+	*Server
+	t       testing.TB
+	address string
+	gates   sync.Map // path to chan struct{}
+	ran     sync.Map // path to true
+	running atomic.Int64
+	ended   atomic.Int64
+	states  atomic.Int64 // open connections by ConnState
+}
+
+func newTestServer(t testing.TB, change func(*Config)) *testServer {
+	s := &testServer{t: t}
+	config := Config{
+		Handler: s, Idempotent: func(r *http.Request) bool { return r.Method == http.MethodGet || r.Method == http.MethodHead },
+		Bounds: pipeline.DefaultConfig(), MaxHeldBytes: 8 << 10, MaxInstanceBytes: 64 << 10, MaxHeaderBytes: 8 << 10,
+		HeaderTimeout: func() time.Duration { return waitLimit }, IdleTimeout: waitLimit,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				s.states.Add(1)
+			case http.StateClosed:
+				s.states.Add(-1)
+			}
+		},
+	}
+	if change != nil {
+		change(&config)
+	}
+	s.Server = NewServer(config, log.New(io.Discard, "", 0))
+	s.address = serve(t, s.Server)
+	return s
+}
+
+// serve starts a server and returns its address.
+func serve(t testing.TB, s interface {
+	Serve(net.Listener) error
+	Close() error
+}) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		s.Close()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+// gate makes requests for path wait until the returned function is called.
+func (s *testServer) gate(path string) (open func()) {
+	ch := make(chan struct{})
+	s.gates.Store(path, ch)
+	return sync.OnceFunc(func() { close(ch) })
+}
+
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.ran.Store(r.URL.Path, true)
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, "body cannot be read", http.StatusBadRequest)
+		return
+	}
+	if ch, ok := s.gates.Load(r.URL.Path); ok {
+		select {
+		case <-ch.(chan struct{}):
+		case <-r.Context().Done():
+			s.ended.Add(1)
+			return
+		}
+	}
+	if r.URL.Path == "/close" && s.Server != nil {
+		w.Header().Set("Connection", "close")
+	}
+	if size, ok := strings.CutPrefix(r.URL.Path, "/large/"); ok {
+		var n int
+		fmt.Sscan(size, &n)
+		_, _ = w.Write(bytes.Repeat([]byte("x"), n))
+		return
+	}
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+func (s *testServer) hasRun(path string) bool { _, ok := s.ran.Load(path); return ok }
+
+// client is a raw connection to a server.
+type client struct {
+	*net.TCPConn
+	reader *bufio.Reader
+	g      *WithT
+}
+
+func dial(t testing.TB, address string) *client {
+	g := NewWithT(t)
+	raw, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { raw.Close() })
+	g.Expect(raw.SetDeadline(time.Now().Add(waitLimit))).To(Succeed())
+	return &client{raw.(*net.TCPConn), bufio.NewReader(raw), g}
+}
+
+func (c *client) send(requests ...string) {
+	_, err := io.WriteString(c, strings.Join(requests, ""))
+	c.g.Expect(err).NotTo(HaveOccurred())
+}
+
+// receive reads a response and returns its body and whether it closes the connection.
+func (c *client) receive() (string, bool) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(resp.Body)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	return string(body), resp.Close
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func post(path, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+// Guards against requests that wait for the work of those before them, and against responses
+// in another order than the requests.
+func TestIdempotentRequestsRunAtTheSameTime(t *testing.T) {
+	g := NewWithT(t)
+	var held atomic.Int64
+	s := newTestServer(t, func(c *Config) {
+		c.ObserveWait = func(w Wait) {
+			if w.Held > 0 {
+				held.Add(1)
+			}
+		}
+	})
+	open := s.gate("/slow")
+	c := dial(t, s.address)
+	c.send(get("/slow"), get("/b"), get("/c"))
+	g.Eventually(func() bool { return s.hasRun("/b") && s.hasRun("/c") }, waitLimit).Should(BeTrue())
+	open()
+	for _, path := range []string{"/slow", "/b", "/c"} {
+		body, closes := c.receive()
+		g.Expect(body).To(Equal("GET " + path + " "))
+		g.Expect(closes).To(BeFalse())
+	}
+	g.Eventually(held.Load, waitLimit).Should(BeEquivalentTo(2))
+}
+
+// Guards against a request that is not idempotent and runs beside others.
+func TestOtherRequestsRunAlone(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	openFirst, openPost := s.gate("/first"), s.gate("/post")
+	c := dial(t, s.address)
+	c.send(get("/first"), post("/post", "order"), get("/behind"))
+	g.Eventually(func() bool { return s.hasRun("/first") }, waitLimit).Should(BeTrue())
+	g.Consistently(func() bool { return s.hasRun("/post") }, 100*time.Millisecond).Should(BeFalse())
+	openFirst()
+	g.Eventually(func() bool { return s.hasRun("/post") }, waitLimit).Should(BeTrue())
+	g.Consistently(func() bool { return s.hasRun("/behind") }, 100*time.Millisecond).Should(BeFalse())
+	openPost()
+	for _, want := range []string{"GET /first ", "POST /post order", "GET /behind "} {
+		body, _ := c.receive()
+		g.Expect(body).To(Equal(want))
+	}
+}
+
+// Guards against a shutdown that aborts requests which run, or runs requests behind a
+// response that closes the connection.
+func TestShutdownAnswersWhatRuns(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, func(c *Config) { c.Bounds.MaxRunning = 2 })
+	open, openB := s.gate("/slow"), s.gate("/b")
+	c := dial(t, s.address)
+	idle := dial(t, s.address)
+	c.send(get("/slow"), get("/b"), get("/unread"))
+	g.Eventually(func() bool { return s.hasRun("/b") }, waitLimit).Should(BeTrue())
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	_, err := idle.reader.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+	g.Consistently(done, 50*time.Millisecond).ShouldNot(Receive())
+	open()
+	openB()
+	body, closes := c.receive()
+	g.Expect(body).To(Equal("GET /slow "))
+	g.Expect(closes).To(BeFalse(), "a later response follows")
+	body, closes = c.receive()
+	g.Expect(body).To(Equal("GET /b "))
+	g.Expect(closes).To(BeTrue())
+	_, err = c.reader.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+	g.Eventually(done, waitLimit).Should(Receive(BeNil()))
+	g.Expect(s.hasRun("/unread")).To(BeFalse())
+	g.Expect(s.states.Load()).To(BeZero())
+}
+
+// Guards against a handler that closes the connection in the middle of what runs.
+func TestClosingResponseIsTheLastOne(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	open := s.gate("/slow")
+	c := dial(t, s.address)
+	c.send(get("/slow"), get("/close"), get("/c"))
+	g.Eventually(func() bool { return s.hasRun("/close") }, waitLimit).Should(BeTrue())
+	open()
+	answered, ended := 0, false
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			g.Expect(err).To(MatchError(io.EOF))
+			break
+		}
+		g.Expect(ended).To(BeFalse(), "a response behind one that closes")
+		_, ended = c.receive()
+		answered++
+	}
+	g.Expect(answered).To(BeNumerically(">=", 2))
+	g.Expect(s.hasRun("/c")).To(Equal(answered == 3), "what has run is answered, and nothing else")
+}
+
+// Guards against work for a client that has left.
+func TestRequestsEndWhenTheClientLeaves(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	for _, path := range []string{"/a", "/b", "/c"} {
+		defer s.gate(path)()
+	}
+	c := dial(t, s.address)
+	c.send(get("/a"), get("/b"), get("/c"))
+	g.Eventually(s.running.Load, waitLimit).Should(BeEquivalentTo(3))
+	c.Close()
+	g.Eventually(s.ended.Load, waitLimit).Should(BeEquivalentTo(3))
+	g.Eventually(s.states.Load, waitLimit).Should(BeZero())
+}
+
+// Guards against memory that grows with a client that sends and does not read.
+func TestSlowReaderIsHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	open := s.gate("/slow")
+	defer open()
+	c := dial(t, s.address)
+	c.send(get("/slow"))
+	go func() { // blocks once the server stops reading
+		for i := range 20000 {
+			if _, err := io.WriteString(c, get(fmt.Sprintf("/large/%d", 3000+i%10))); err != nil {
+				return
+			}
+		}
+	}()
+	g.Eventually(s.heldBytes.Load, waitLimit).Should(BeNumerically(">", 8<<10))
+	g.Consistently(s.heldBytes.Load, 200*time.Millisecond).Should(BeNumerically("<=", 64<<10+maxBufferedRequest))
+	g.Expect(s.running.Load()).To(BeNumerically("<=", 16))
+	open()
+	body, _ := c.receive()
+	g.Expect(body).To(Equal("GET /slow "))
+	for i := range 200 {
+		body, _ := c.receive()
+		g.Expect(body).To(HaveLen(3000 + i%10))
+	}
+	c.Close()
+	g.Eventually(s.heldBytes.Load, waitLimit).Should(BeZero())
+}
+
+// Guards against clients that send a header slowly, and against idle connections.
+func TestTimeLimitsOfConnections(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, func(c *Config) {
+		c.HeaderTimeout = func() time.Duration { return 100 * time.Millisecond }
+		c.IdleTimeout = 300 * time.Millisecond
+	})
+	slow := dial(t, s.address)
+	slow.send(get("/first"), "GET /second HTTP/1.1\r\nHost: h\r\n")
+	body, _ := slow.receive()
+	g.Expect(body).To(Equal("GET /first "), "what was read whole is answered")
+	_, err := slow.reader.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+	idle := dial(t, s.address)
+	_, err = idle.reader.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+	// A body may take longer than the header.
+	c := dial(t, s.address)
+	c.send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+	time.Sleep(200 * time.Millisecond)
+	c.send("b")
+	body, _ = c.receive()
+	g.Expect(body).To(Equal("POST /p ab"))
+}
+
+// Guards against a client that waits for an interim response, or sends a body beyond what is
+// read ahead: the http.Server reads such requests itself.
+func TestUnusualRequestsAreServedInOrder(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	c := dial(t, s.address)
+	c.send(get("/first"), "POST /wait HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	body, _ := c.receive()
+	g.Expect(body).To(Equal("GET /first "))
+	line, err := c.reader.ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(line).To(Equal("HTTP/1.1 100 Continue\r\n"))
+	_, err = c.reader.ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	c.send("body", get("/behind"))
+	body, _ = c.receive()
+	g.Expect(body).To(Equal("POST /wait body"))
+	body, _ = c.receive()
+	g.Expect(body).To(Equal("GET /behind "))
+
+	large := strings.Repeat("y", 2*maxBufferedRequest)
+	c = dial(t, s.address)
+	c.send(get("/first"), post("/large-body", large), get("/behind"))
+	for _, want := range []string{"GET /first ", "POST /large-body " + large, "GET /behind "} {
+		body, _ := c.receive()
+		g.Expect(body).To(Equal(want))
+	}
+}
+
+// transcript sends bytes and returns what a server answers until it closes the connection or
+// is silent.
+func transcript(address string, sent []byte) (string, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	go func() { _, _ = c.Write(sent) }()
+	var out bytes.Buffer
+	reader := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(silence))
+		line, err := reader.ReadString('\n')
+		if !strings.HasPrefix(line, "Date: ") {
+			out.WriteString(line)
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return out.String() + "<end>", nil
+		default: // silent, or reset because of bytes that were not read
+			return out.String(), nil
+		}
+	}
+}
+
+// silence is the time without bytes after which a transcript ends.
+const silence = 120 * time.Millisecond
+
+// differenceSeeds are requests at the borders of what can be read ahead.
+var differenceSeeds = []string{
+	get("/a") + get("/b"), post("/a", "body") + get("/b"),
+	"HEAD /h HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b"),
+	"GET /old HTTP/1.0\r\n\r\n" + get("/b"), "GET /old HTTP/1.0\r\nConnection: keep-alive\r\n\r\n" + get("/b"),
+	"GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/b"),
+	"\r\n" + get("/a"), "GET / HTTP/1.1\r\n\r\n" + get("/b"), "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n" + get("/b"),
+	"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n" + get("/b"),
+	"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc" + get("/b"),
+	"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get("/b"),
+	"POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd" + get("/b"),
+	"POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc" + get("/b"),
+	post("/hidden", get("/inside")) + get("/b"), "GET /g HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde" + get("/b"),
+	"GET /up HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + get("/b"),
+	"POST /e HTTP/1.1\r\nHost: h\r\nExpect: other\r\nContent-Length: 1\r\n\r\na" + get("/b"),
+	"GET /long HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n" + get("/b"),
+	"GET /x HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n" + get("/b"), "GET /x HTTP/1.1\r\nHost: h\r\n X: folded\r\n\r\n" + get("/b"),
+	"GET /x HTTP/1.1\nHost: h\n\n" + get("/b"), "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b"), "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b"),
+	"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "GET /x HTTP/1.1\r\nHost: h\x00\r\n\r\n" + get("/b"), "nonsense\r\n\r\n" + get("/b"), "GET /part HTTP/1.1\r\nHost:",
+}
+
+// FuzzSameAsHTTPServer sends the same bytes to a Server and to an http.Server. The answers
+// must be the same, and no request may run that the http.Server does not run.
+func FuzzSameAsHTTPServer(f *testing.F) {
+	ours := newTestServer(f, nil)
+	plain := &testServer{t: f}
+	plain.address = serve(f, &http.Server{
+		Handler: plain, MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: waitLimit, IdleTimeout: waitLimit, ErrorLog: log.New(io.Discard, "", 0),
+	})
+	for _, seed := range differenceSeeds {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		want, err := transcript(plain.address, sent)
+		if err != nil {
+			t.Skip(err)
+		}
+		got, err := transcript(ours.address, sent)
+		if err != nil {
+			t.Skip(err)
+		}
+		if strings.TrimSuffix(got, "<end>") != strings.TrimSuffix(want, "<end>") {
+			if bytes.Contains(sent, []byte("/close")) {
+				t.Skip("the handler of /close behaves differently")
+			}
+			t.Fatalf("sent %q\nhttp.Server: %q\nhere:        %q", sent, want, got)
+		}
+		ours.ran.Range(func(path, _ any) bool {
+			if !plain.hasRun(path.(string)) {
+				t.Fatalf("%q ran only here; sent %q", path, sent)
+			}
+			return true
+		})
+	})
+}
+
+// Guards against a stop that waits for clients that keep their connection open.
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	defer s.gate("/slow")()
+	c := dial(t, s.address)
+	c.send(get("/slow"))
+	g.Eventually(func() bool { return s.hasRun("/slow") }, waitLimit).Should(BeTrue())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	g.Expect(s.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+}
