Compare servers by the times of each route, and refuse with the earliest room

Cause: a server's mean time mixed all routes, so a fast server that got more of the long requests looked slow (dispatch servers of speed 0.5 to 1.5). A request refused by all servers got the Retry-After of the last one; after a refused connection it got none, and the client came back at once to be refused again. Refusals without a time passed all tests.

Ruled out: giving calls precedence and a larger retry budget (docs/LOAD.md).

Change: slowness is relative to the mean of the route. Package attempt decides what follows a failed try (it was spread over tryOnce and shouldRetry) and keeps the earliest time of all refusals. Every refusal carries Retry-After; whole seconds on the product's own protocol. Idle streams of a connection are bounded.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -1,16 +1,39 @@
 package main
 
 var (
-	nodeTests   = []string{"./internal/node"}
-	grantTests  = []string{"./grant", "./internal/node"}
-	clientTests = []string{"./internal/httpclient", "./internal/node"}
-	daemonTests = []string{"./internal/daemon"}
+	nodeTests    = []string{"./internal/node"}
+	grantTests   = []string{"./grant", "./internal/node"}
+	clientTests  = []string{"./internal/httpclient", "./internal/node"}
+	attemptTests = []string{"./attempt", "./internal/node"}
+	aheadTests   = []string{"./pipeline", "./internal/readahead"}
+	daemonTests  = []string{"./internal/daemon"}
 )
 
 // gates are the checks between a request and a backend server that must not run it, and
 // those on the right to grant keys.
 var gates = []gate{
 	{
+		"request that is not idempotent run beside others", "pipeline/conn.go",
+		"if r.mode == Alone && i > 0 || busy >= c.config.MaxRunning {", "if busy >= c.config.MaxRunning {", aheadTests,
+	}, {
+		"request run behind one that is not idempotent", "pipeline/conn.go",
+		"|| r.mode == Alone && r.state == running {", "{", aheadTests,
+	}, {
+		"request run behind one whose headers are not checked", "pipeline/conn.go",
+		"return out // whether", "continue // whether", aheadTests,
+	}, {
+		"connection closed before a later running request is answered", "pipeline/conn.go",
+		"if later.state == running || later.state == answered {", "if false {", aheadTests,
+	}, {
+		"request run after the connection was told to close", "pipeline/conn.go",
+		"return c.advance(c.dropBehind(last))", "return c.advance(nil)", aheadTests,
+	}, {
+		"request running for a client that left", "internal/readahead/conn.go",
+		"c.apply(func() []pipeline.Action { return c.state.Abort() })", "", aheadTests,
+	}, {
+		"requests read ahead without a bound", "pipeline/conn.go",
+		"len(c.requests) < c.config.MaxRequests &&", "", aheadTests,
+	}, {
 		"request sent to a backend server that is down", "internal/node/serve.go",
 		"case b.state == BackendDown || !b.portClosedAt.IsZero():", "case false:", nodeTests,
 	}, {
@@ -50,20 +73,20 @@
 		"adoption that never times out", "internal/node/adoption.go",
 		"m.State != BackendReady || boottimeNow().Sub(b.started) > adoptionTimeout", "m.State != BackendReady", nodeTests,
 	}, {
-		"request retried that may have run and must not run twice", "internal/node/routing.go",
-		"case e.Verdict != verdict.NotRun && !req.route.Kind.Repeatable():", "case false:", nodeTests,
+		"request retried that may have run and must not run twice", "attempt/attempt.go",
+		"case r.Err.Verdict != verdict.NotRun && !s.request.Repeatable, ", "case ", attemptTests,
 	}, {
-		"request sent more often than its route allows", "internal/node/routing.go",
-		"case req.sends >= max(req.route.MaxAttempts, 1):", "case false:", nodeTests,
+		"request sent more often than its route allows", "attempt/attempt.go",
+		"!s.request.Repeatable, s.Sends >= max(s.request.MaxSends, 1):", "!s.request.Repeatable:", attemptTests,
 	}, {
 		"request retried beyond the retry budget", "internal/node/routing.go",
-		"|| !budget.TryRetry(time.Now())", "", nodeTests,
+		"if budget.TryRetry(time.Now()) {", "if true {", nodeTests,
 	}, {
 		"503 for a request that may have run", "internal/node/entry.go",
-		"if out.err.Verdict == verdict.NotRun && !req.mayHaveRun {", "if true {", nodeTests,
+		"if out.err.Verdict == verdict.NotRun && !req.attempts.MayHaveRun {", "if true {", nodeTests,
 	}, {
 		"503 for a request with an earlier try that may have run", "internal/node/entry.go",
-		"if out.err.Verdict == verdict.NotRun && !req.mayHaveRun {", "if out.err.Verdict == verdict.NotRun {", nodeTests,
+		"if out.err.Verdict == verdict.NotRun && !req.attempts.MayHaveRun {", "if out.err.Verdict == verdict.NotRun {", nodeTests,
 	}, {
 		"request reported as not run after its node was lost", "internal/node/forward.go",
 		"v, reason := verdict.MayHaveRun, verdict.ReasonPeerLost", "v, reason := verdict.NotRun, verdict.ReasonPeerLost", nodeTests,
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -36,7 +36,7 @@
 type simProtocol struct{}
 
 func (simProtocol) Headers() Headers {
-	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Backend: "X-Backend"}
+	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Backend: "X-Backend", FractionalRetryAfter: true}
 }
 
 func (simProtocol) DesiredState(data []byte) (httproute.Snapshot, error) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/attempt"
 	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/internal/readahead"
@@ -39,11 +40,8 @@
 	// firstArrival is when the request first arrived; earlier than started if it was refused
 	// before.
 	firstArrival time.Time
-	sends        int      // tries that reached a backend server
-	tries        int      // all tries, including those that nodes refused
 	visited      []string // instances tried
-	// mayHaveRun is set once one of the tries may have run.
-	mayHaveRun bool
+	attempts     *attempt.State
 }
 
 // serveClient handles a request from a client of the instance.
@@ -138,12 +136,24 @@
 func (n *Node) reject(w http.ResponseWriter, id string, err *verdict.Error) {
 	h := w.Header()
 	h.Set(n.headers.RequestID, id)
-	if err.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
-	}
+	h.Set("Retry-After", n.headers.formatRetryAfter(err.RetryAfter))
 	http.Error(w, err.Error(), http.StatusServiceUnavailable)
 }
 
+// defaultRetryAfter is the Retry-After of refusals that know no better time.
+const defaultRetryAfter = 400 * time.Millisecond
+
+// formatRetryAfter returns the value of Retry-After in seconds.
+func (h Headers) formatRetryAfter(after time.Duration) string {
+	if after <= 0 {
+		after = defaultRetryAfter
+	}
+	if h.FractionalRetryAfter {
+		return strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10)
+}
+
 // respond sends the client the backend server's response, or the error.
 func (n *Node) respond(ctx context.Context, w http.ResponseWriter, req *request, out outcome) {
 	took := time.Since(req.started)
@@ -157,10 +167,10 @@
 		n.metrics.countServed(req.route.Name, n.config.Service, out.resp.StatusCode, took)
 		status := out.resp.StatusCode
 		readahead.OnWritten(ctx, func(wait readahead.Wait) {
-			if req.sends > 1 || took+wait.Held > req.route.TargetLatency {
+			if req.attempts.Sends > 1 || took+wait.Held > req.route.TargetLatency {
 				n.events.request("request served late or retried", id, zap.String("route", req.route.Name), zap.Int("status", status),
 					zap.Duration("took", took), zap.Duration("unread", wait.Unread), zap.Duration("queued", out.load.queued), zap.Duration("at work", out.load.work),
-					zap.Duration("behind earlier responses", wait.Held), zap.Int("sends", req.sends), zap.Int("tries", req.tries))
+					zap.Duration("behind earlier responses", wait.Held), zap.Int("sends", req.attempts.Sends), zap.Int("tries", req.attempts.Tries))
 			}
 		})
 		writeHeader(w, out.resp)
@@ -173,13 +183,13 @@
 	n.metrics.countUnanswered(req.route.Name, string(out.err.Reason))
 	n.events.request("request failed", id, zap.String("route", req.route.Name), zap.String("service", req.ticket.service),
 		zap.Uint16("key", req.ticket.key), zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)),
-		zap.Duration("took", took), zap.Int("sends", req.sends), zap.Int("tries", req.tries), zap.Strings("instances", req.visited),
+		zap.Duration("took", took), zap.Int("sends", req.attempts.Sends), zap.Int("tries", req.attempts.Tries), zap.Strings("instances", req.visited),
 		zap.Duration("retry after", out.err.RetryAfter), zap.String("cause", out.err.Message))
 	if errors.Is(ctx.Err(), context.Canceled) {
 		// The client is gone; nobody reads a response.
 		panic(http.ErrAbortHandler)
 	}
-	if out.err.Verdict == verdict.NotRun && !req.mayHaveRun {
+	if out.err.Verdict == verdict.NotRun && !req.attempts.MayHaveRun {
 		n.refusals.recordRefusal(req.ticket.fingerprint, req.firstArrival)
 		n.reject(w, id, out.err)
 		return
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -85,7 +85,7 @@
 	case cause != nil:
 		reason = verdict.ReasonCancelled
 	}
-	return outcome{err: verdict.New(v, reason, "%v", err), arrived: v != verdict.NotRun}
+	return outcome{err: verdict.New(v, reason, "%v", err).WithRetryAfter(lostRetryAfter), arrived: v != verdict.NotRun}
 }
 
 // maxDiscard bounds the bytes of an unused body that are read to reuse its connection.
@@ -109,7 +109,7 @@
 	if t.instance != n.config.Instance {
 		// The address belonged to t.instance before.
 		w.Header().Set(n.headers.RequestID, r.Header.Get(n.headers.RequestID))
-		w.Header().Set(outcomeHeader, encodeFailure(outcome{err: verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "this is %s, not %s", n.config.Instance, t.instance)}))
+		w.Header().Set(outcomeHeader, encodeFailure(outcome{err: verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "this is %s, not %s", n.config.Instance, t.instance).WithRetryAfter(lostRetryAfter)}))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -47,7 +47,9 @@
 	loadAt      time.Time
 	outstanding int
 	failureRate float64
-	work        time.Duration
+	// slowness is the time of requests on the backend server relative to the mean of their
+	// route over all backend servers; 0 if it is not known.
+	slowness float64
 	// throttles, by priority, hold back requests to an overloaded backend server.
 	throttles map[int]*throttle.Throttle
 	// overheads are the response times beyond the work of the backend server (queueing,
@@ -117,7 +119,7 @@
 		probeTimer.Stop()
 		p.mu.Lock()
 		delete(s.cancels, &cancel)
-		p.recordResultLocked(s, o)
+		p.recordResultLocked(s, o, expectedWork)
 		if err != nil && ctx.Err() == nil {
 			p.markLostLocked(address, s, err)
 		}
@@ -126,13 +128,13 @@
 }
 
 // recordResultLocked records the result of a request that beginRequest counted.
-func (p *peers) recordResultLocked(s *peerState, o outcome) {
+func (p *peers) recordResultLocked(s *peerState, o outcome, expectedWork time.Duration) {
 	s.outstanding--
 	now := time.Now()
 	if o.load.known {
 		s.load, s.loadAt, s.lastSeen = o.load, now, now
 		if o.load.work > 0 {
-			s.work = smooth(s.work, o.load.work)
+			s.observeSlowness(o.load.work, expectedWork)
 		}
 	}
 	if o.arrived {
@@ -270,6 +272,19 @@
 	}
 }
 
+// maxSlowness bounds the effect of one slow request.
+const maxSlowness = 5
+
+// observeSlowness adds a measurement to the slowness. A server that gets more of the slow
+// routes than others is not slower for that, so times are compared with those of their route.
+func (s *peerState) observeSlowness(work, expectedWork time.Duration) {
+	if s.slowness == 0 {
+		s.slowness = 1
+	}
+	ratio := float64(work) / float64(max(expectedWork, time.Millisecond))
+	s.slowness += workWeight * (min(ratio, maxSlowness) - s.slowness)
+}
+
 // smooth returns the moving average after a measurement. A mean of 0 has no measurements yet.
 func smooth(mean, measured time.Duration) time.Duration {
 	if mean == 0 {
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -24,6 +24,9 @@
 	Backend string
 	// Key is the request's key, a number.
 	Key string
+	// FractionalRetryAfter is set if clients read fractions of a second in Retry-After.
+	// RFC 9110 knows whole seconds only.
+	FractionalRetryAfter bool
 }
 
 // Protocol translates between the platform's messages and this module's types.
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/attempt"
 	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/placement"
-	"github.com/basilway/basilway/retry"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -35,25 +35,42 @@
 	budget := n.budget(req.ticket.service)
 	budget.FirstTry()
 	n.demand.add(req.ticket, n.expectedWork(req.route.Name))
-	var last outcome
+	req.attempts = attempt.New(attempt.Request{
+		Sharded: req.ticket.sharded, Repeatable: req.route.Kind.Repeatable(), Streamed: req.exchange.Stream != nil,
+		MaxSends: req.route.MaxAttempts, MaxTries: maxTries,
+		Target: req.ticket.target, Deadline: req.ticket.deadline, Work: n.expectedWork(req.route.Name),
+	})
 	for {
 		out, m := n.tryOnce(ctx, req)
 		if out.err == nil {
 			return out
 		}
-		if out.err.Reason == verdict.ReasonNoOwner && last.err != nil && !req.ticket.sharded {
-			return last // all candidates have refused
+		result := attempt.Result{Err: out.err, Arrived: out.arrived}
+		if !req.ticket.sharded {
+			result.Candidates = len(n.candidates(req))
 		}
-		last = out
-		req.tries++
-		if out.arrived {
-			req.sends++
-			req.ticket.retry = true
-			req.mayHaveRun = req.mayHaveRun || out.err.Verdict != verdict.NotRun
-		}
-		if !n.shouldRetry(ctx, req, out, m, budget) {
+		action := req.attempts.Failed(result, time.Now())
+		req.ticket.retry = req.attempts.Sends > 0
+		if ctx.Err() != nil {
 			return out
 		}
+		switch action {
+		case attempt.Retry:
+			continue
+		case attempt.AwaitOwner:
+			n.awaitView(ctx, ownerChangeWait)
+			if ctx.Err() == nil {
+				continue
+			}
+		case attempt.RetryWithinBudget:
+			if budget.TryRetry(time.Now()) {
+				n.events.request("request retried", req.exchange.ID, zap.String("instance", m.Owner.Instance),
+					zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)), zap.String("cause", out.err.Message))
+				continue
+			}
+		}
+		out.err = req.attempts.Refusal(time.Now())
+		return out
 	}
 }
 
@@ -79,49 +96,6 @@
 	return out, m
 }
 
-// shouldRetry reports whether to try the request again. If a pause is needed before the next
-// try, it waits.
-func (n *Node) shouldRetry(ctx context.Context, req *request, out outcome, m Member, budget *retry.SharedBudget) bool {
-	e := out.err
-	switch {
-	case ctx.Err() != nil || req.exchange.Stream != nil && out.arrived:
-		return false
-	case e.Verdict == verdict.NotRun && !out.arrived:
-		return n.shouldRetryUnsent(ctx, req, e)
-	case e.Verdict != verdict.NotRun && !req.route.Kind.Repeatable():
-		return false
-	case req.sends >= max(req.route.MaxAttempts, 1):
-		return false
-	}
-	// A retry needs time on the backend server.
-	if time.Until(req.ticket.deadline) < n.expectedWork(req.route.Name)/2 || !budget.TryRetry(time.Now()) {
-		return false
-	}
-	n.events.request("request retried", req.exchange.ID, zap.String("instance", m.Owner.Instance),
-		zap.Stringer("verdict", e.Verdict), zap.String("reason", string(e.Reason)), zap.String("cause", e.Message))
-	return true
-}
-
-// shouldRetryUnsent is shouldRetry for a try that did not reach a backend server.
-func (n *Node) shouldRetryUnsent(ctx context.Context, req *request, e *verdict.Error) bool {
-	if req.tries >= maxTries || time.Until(req.ticket.target) <= 0 {
-		return false
-	}
-	if !req.ticket.sharded {
-		switch e.Reason {
-		case verdict.ReasonOverloaded, verdict.ReasonBackendDown, verdict.ReasonDraining, verdict.ReasonPeerLost, verdict.ReasonStarting:
-			return len(n.candidates(req)) > 0
-		}
-		return false
-	}
-	switch e.Reason {
-	case verdict.ReasonNotOwner, verdict.ReasonBackendDown, verdict.ReasonDraining:
-		n.awaitView(ctx, ownerChangeWait)
-		return ctx.Err() == nil
-	}
-	return false
-}
-
 // awaitView waits up to d for a change of the view.
 func (n *Node) awaitView(ctx context.Context, d time.Duration) {
 	_, changed := n.views.get()
@@ -235,8 +209,8 @@
 	if s.load.known {
 		c.Reported, c.Age = s.load.running+s.load.waiting, now.Sub(s.loadAt)
 	}
-	if s.work > 0 {
-		c.Work = s.work
+	if s.slowness > 0 {
+		c.Work = time.Duration(s.slowness * float64(work))
 	}
 	return c
 }
--- a/internal/readahead/conn.go
+++ b/internal/readahead/conn.go
@@ -69,6 +69,10 @@
 	c.drain()
 }
 
+// maxFreeStreams bounds the streams that a connection keeps for later requests. Each costs the
+// buffers and the goroutine of an http.Server connection.
+const maxFreeStreams = 2
+
 // awaitRead waits until the next request may be read. It returns false when none will be.
 func (c *conn) awaitRead() bool {
 	c.mu.Lock()
@@ -291,8 +295,10 @@
 		wait.Held = time.Since(st.heldSince)
 	}
 	onWritten := st.onWritten
-	if !st.closed && !c.state.Ended() {
+	if len(c.free) < maxFreeStreams && !c.state.Ended() && !st.closed {
 		c.free = append(c.free, st)
+	} else {
+		st.left = true
 	}
 	if c.state.Outstanding() == 0 && !c.receiving {
 		c.report(http.StateIdle)
