Recognise a backend server that returns under a new id without a start time

Cause: none of the users' deployments states the start of a backend server. A heartbeat with a new id and no start time was taken for one of an earlier incarnation, so a server that crashed and came back under a new id got no reply with grants and no requests until its node restarted.

Change: grant.Succession decides which heartbeats belong to the present incarnation. Stated start times decide as before; without them an id not seen before is later, and ids that were superseded, or that the store recorded before this process started, stay earlier.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -127,8 +127,11 @@
 		"key treated as granted after its hold expired", "grant/tracker.go",
 		"if !now.Before(t.until) {", "if false {", grantTests,
 	}, {
-		"heartbeat accepted from an earlier incarnation or out of order", "internal/node/backend.go",
-		"if known && !same && hb.StartedMS <= b.lastHeartbeat.StartedMS || same && hb.Sequence <= b.lastHeartbeat.Sequence {", "if false {", nodeTests,
+		"heartbeat accepted from an earlier incarnation or out of order", "grant/succession.go",
+		"return hb.Sequence > last.Sequence, false", "return true, false", grantTests,
+	}, {
+		"late heartbeat of an earlier backend server used", "grant/succession.go",
+		"return !slices.Contains(s.retired, hb.ID)", "return slices.Contains(s.retired, \"\") || hb.ID != \"\"", grantTests,
 	}, {
 		"backend server marked as down while it runs requests", "internal/node/backenddown.go",
 		"|| len(b.running) > 0 {", "{", nodeTests,
--- /dev/null
+++ b/grant/succession_test.go
@@ -0,0 +1,65 @@
+package grant
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Load pattern: a backend server crashes under load and comes back under a new ID, without
+// stating when it started. Guards against a server that never gets a request again, and
+// against late heartbeats of the one that crashed.
+func TestServerWithoutStartTimeComesBackUnderANewID(t *testing.T) {
+	g := NewWithT(t)
+	var s Succession
+	var last *Heartbeat
+	accept := func(id string, sequence uint64) (bool, bool) {
+		hb := Heartbeat{ID: id, Sequence: sequence}
+		ok, first := s.Accept(last, hb)
+		if ok {
+			last = &hb
+		}
+		return ok, first
+	}
+	for i, step := range []struct {
+		id        string
+		sequence  uint64
+		ok, first bool
+	}{
+		{"a", 1, true, true}, {"a", 2, true, false}, {"a", 2, false, false},
+		{"b", 1, true, true}, {"a", 3, false, false}, {"b", 2, true, false},
+		{"c", 1, true, true}, {"b", 3, false, false}, {"a", 9, false, false}, {"c", 2, true, false},
+	} {
+		ok, first := accept(step.id, step.sequence)
+		g.Expect(ok).To(Equal(step.ok), "step %d", i)
+		g.Expect(first).To(Equal(step.first), "step %d", i)
+	}
+	s.Retire("old")
+	ok, _ := accept("old", 1)
+	g.Expect(ok).To(BeFalse(), "the store recorded it before")
+}
+
+// Guards against an earlier start that replaces a later one, and against a heartbeat that
+// leaves the start out where others state it.
+func TestStatedStartTimesDecide(t *testing.T) {
+	g := NewWithT(t)
+	var s Succession
+	var last *Heartbeat
+	for i, step := range []struct {
+		hb Heartbeat
+		ok bool
+	}{
+		{Heartbeat{ID: "a", StartedMS: 100, Sequence: 7}, true},
+		{Heartbeat{ID: "a", StartedMS: 200, Sequence: 1}, true},
+		{Heartbeat{ID: "a", StartedMS: 100, Sequence: 8}, false},
+		{Heartbeat{ID: "b", StartedMS: 150, Sequence: 1}, false},
+		{Heartbeat{ID: "b", Sequence: 1}, false},
+		{Heartbeat{ID: "b", StartedMS: 300, Sequence: 1}, true},
+	} {
+		ok, _ := s.Accept(last, step.hb)
+		g.Expect(ok).To(Equal(step.ok), "step %d", i)
+		if ok {
+			last = &step.hb
+		}
+	}
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -47,6 +47,7 @@
 	wakeup chan struct{}
 
 	mu              sync.Mutex
+	succession      grant.Succession
 	lastHeartbeat   grant.Heartbeat
 	lastHeartbeatAt time.Time // by boottimeNow; zero before the first heartbeat
 	state           BackendState
@@ -112,11 +113,15 @@
 	defer b.mu.Unlock()
 	now := boottimeNow()
 	known := b.tracker != nil
-	same := known && hb.Incarnation() == b.lastHeartbeat.Incarnation()
-	if known && !same && hb.StartedMS <= b.lastHeartbeat.StartedMS || same && hb.Sequence <= b.lastHeartbeat.Sequence {
+	var last *grant.Heartbeat
+	if known {
+		last = &b.lastHeartbeat
+	}
+	ok, first := b.succession.Accept(last, hb)
+	if !ok {
 		return false
 	}
-	if !same {
+	if first {
 		b.trackIncarnation(hb, known)
 	}
 	b.lastHeartbeat, b.lastHeartbeatAt, b.portClosedAt = hb, now, time.Time{}
@@ -147,6 +152,9 @@
 	until := b.node.lease.earlierGrantsUntil()
 	if known {
 		until = b.tracker.Until()
+	} else if recorded := grant.IncarnationID(b.node.views.current().Members[b.node.config.Instance].Owner.Incarnation); recorded != hb.ID {
+		// An earlier process tracked this one, whose heartbeats may still arrive.
+		b.succession.Retire(recorded)
 	}
 	config := grant.DefaultConfig()
 	if limit := b.node.config.Bounds.MaxHold; limit > 0 {
