Judge malformed first lines and stray line ends as http.Server does

Cause: the differential fuzz test found two inputs with other answers than http.Server's. An invalid request target gives a *url.Error, which implements net.Error and was taken for a broken connection: the client got no 400. A lone line end behind a request was judged at once, while http.Server waits for four bytes.

Change: only *net.OpError counts as the connection's error; after the first request, four bytes are awaited.

--- a/internal/readahead/capture.go
+++ b/internal/readahead/capture.go
@@ -12,6 +12,8 @@
 type capture struct {
 	raw    net.Conn
 	reader *bufio.Reader
+	// later is set once a request has been read.
+	later bool
 	// received are the bytes read from the connection that belong to no finished request.
 	received []byte
 }
@@ -35,9 +37,17 @@
 	return n, err
 }
 
-// awaitRequest waits for the first byte of a request.
+// minRequestBytes is what is awaited before a further request is parsed, as in http.Server, so
+// that a stray line end behind a body is judged together with what follows it.
+const minRequestBytes = 4
+
+// awaitRequest waits for the first bytes of a request.
 func (c *capture) awaitRequest() error {
-	_, err := c.reader.Peek(1)
+	n := 1
+	if c.later {
+		n = minRequestBytes
+	}
+	_, err := c.reader.Peek(n)
 	return err
 }
 
@@ -59,6 +69,7 @@
 	if err != nil {
 		return nil, false, connectionError(err)
 	}
+	c.later = true
 	size := len(c.received) - c.reader.Buffered()
 	request = c.received[:size:size]
 	c.received = append([]byte(nil), c.received[size:]...)
@@ -75,8 +86,9 @@
 // connectionError returns err if the connection failed, and nil if what was received is not a
 // request that can be read ahead.
 func connectionError(err error) error {
-	var netErr net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) {
+	// Not net.Error: a malformed URL gives an error that implements it.
+	var opErr *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &opErr) {
 		return err
 	}
 	return nil
