--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -23,10 +23,10 @@
 		"return out // whether", "continue // whether", aheadTests,
 	}, {
 		"connection closed before a later running request is answered", "pipeline/conn.go",
-		"if later.state == running || later.state == answered {", "if false {", aheadTests,
+		"if later.state == running || later.state == answered {", "if later.size < 0 {", aheadTests,
 	}, {
 		"request run after the connection was told to close", "pipeline/conn.go",
-		"return c.advance(c.dropBehind(last))", "return c.advance(nil)", aheadTests,
+		"return c.advance(c.dropBehind(last))", "return c.advance(c.dropBehind(last + len(c.requests)))", aheadTests,
 	}, {
 		"request running for a client that left", "internal/readahead/conn.go",
 		"c.apply(func() []pipeline.Action { return c.state.Abort() })", "", aheadTests,
