Release the accounting of held bytes when a client connection breaks

Cause: found on reading. If writing a held response failed, what the handler had added meanwhile stayed in the instance's total for good; in the long run the node would have read one request at a time. Change: it is released.

--- a/internal/readahead/actions.go
+++ b/internal/readahead/actions.go
@@ -42,6 +42,7 @@
 			st.permission, st.left = dropped, true
 			delete(c.streams, a.ID)
 			c.release(st)
+			c.updateReserved()
 		}
 	case pipeline.Write:
 		c.flush(st)
@@ -67,6 +68,7 @@
 		c.server.heldBytes.Add(-int64(len(held)))
 		c.mu.Lock()
 		if err != nil {
+			c.release(st)
 			break // the reader of the connection notices that the client has left
 		}
 	}
@@ -104,11 +106,10 @@
 	c.mu.Lock()
 }
 
-// release gives back the memory that a dropped stream holds.
+// release drops the held part of a response.
 func (c *conn) release(st *stream) {
 	c.server.heldBytes.Add(-int64(len(st.held)))
 	st.held = nil
-	c.updateReserved()
 }
 
 // updateReserved counts the requests read ahead in the server's total.
