--- a/internal/readahead/capture.go
+++ b/internal/readahead/capture.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -12,8 +13,8 @@
 type capture struct {
 	raw    net.Conn
 	reader *bufio.Reader
-	// later is set once a request has been read.
-	later bool
+	// lastMethod is the method of the last request; empty before the first.
+	lastMethod string
 	// received are the bytes read from the connection that belong to no finished request.
 	received []byte
 }
@@ -41,13 +42,20 @@
 // that a stray line end behind a body is judged together with what follows it.
 const minRequestBytes = 4
 
-// awaitRequest waits for the first bytes of a request.
+// awaitRequest waits for the first bytes of a request. Like http.Server, it skips line ends
+// behind a POST request, which old clients send (RFC 9112, section 2.2).
 func (c *capture) awaitRequest() error {
-	n := 1
-	if c.later {
-		n = minRequestBytes
+	if c.lastMethod == "" {
+		_, err := c.reader.Peek(1)
+		return err
+	}
+	first, err := c.reader.Peek(minRequestBytes)
+	if err != nil || c.lastMethod != http.MethodPost {
+		return err
 	}
-	_, err := c.reader.Peek(n)
+	skipped := len(first) - len(bytes.TrimLeft(first, "\r\n"))
+	c.received = c.received[skipped:]
+	_, err = c.reader.Discard(skipped)
 	return err
 }
 
@@ -69,7 +77,7 @@
 	if err != nil {
 		return nil, false, connectionError(err)
 	}
-	c.later = true
+	c.lastMethod = r.Method
 	size := len(c.received) - c.reader.Buffered()
 	request = c.received[:size:size]
 	c.received = append([]byte(nil), c.received[size:]...)
