--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -84,3 +84,27 @@
 	responds <- true
 	g.Eventually(func() bool { return p.isLost(address) }, 5*time.Second).Should(BeFalse())
 }
+
+// Load pattern: a fast backend server runs mostly long requests and a slow one mostly short
+// calls. By the mean of all its requests the fast one would look slower, and the calls would
+// go to the slow one.
+func TestFastServerOfLongRequestsIsFoundForShortOnes(t *testing.T) {
+	g := NewWithT(t)
+	const long, short = 160 * time.Millisecond, 30 * time.Millisecond
+	p := newPeers(zap.NewNop(), func() bool { return false })
+	p.mu.Lock()
+	fast, slow := p.getLocked("fast"), p.getLocked("slow")
+	for range 100 {
+		fast.observeSlowness(long*2/3, long)
+		slow.observeSlowness(short*2, short)
+	}
+	p.mu.Unlock()
+	now := time.Now()
+	g.Expect(p.candidate("fast", short, false, now).Completion()).To(BeNumerically("<", p.candidate("slow", short, false, now).Completion()))
+	g.Expect(p.candidate("fast", long, false, now).Work).To(BeNumerically("~", long*2/3, long/20))
+	// One request that takes very long does not make a server look useless.
+	p.mu.Lock()
+	fast.observeSlowness(100*long, long)
+	p.mu.Unlock()
+	g.Expect(p.candidate("fast", short, false, now).Work).To(BeNumerically("<", short))
+}
