Let http.Server judge a bad header before the body behind it has arrived

Change: a body is awaited only behind a header that http.Server accepts (one valid Host, valid names and values, checked with golang.org/x/net/http/httpguts, which was an indirect dependency); any other request is handed over at once.

--- a/internal/readahead/capture.go
+++ b/internal/readahead/capture.go
@@ -7,6 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
+	"slices"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // capture reads requests from a connection and keeps their bytes as received.
@@ -85,12 +89,34 @@
 }
 
 // mayDelimit reports whether the request ends where http.ReadRequest says, whatever the
-// handler does: no protocol switch, no interim response that the client waits for.
+// handler does: no protocol switch, no interim response that the client waits for. A body is
+// awaited only behind a header that http.Server does not reject at once.
 func (c *capture) mayDelimit(r *http.Request) bool {
+	if r.ContentLength != 0 && !validHeader(c.received) {
+		return false
+	}
 	return r.ProtoMajor == 1 && r.ProtoMinor == 1 && r.Method != http.MethodConnect &&
 		r.Header.Get("Expect") == "" && r.Header.Get("Upgrade") == "" && r.ContentLength <= maxBufferedRequest
 }
 
+// validHeader reports whether a header is one that http.Server accepts.
+func validHeader(received []byte) bool {
+	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(received)))
+	if _, err := reader.ReadLine(); err != nil {
+		return false
+	}
+	h, err := reader.ReadMIMEHeader()
+	if err != nil || len(h["Host"]) != 1 || !httpguts.ValidHostHeader(h["Host"][0]) {
+		return false
+	}
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, func(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // connectionError returns err if the connection failed, and nil if what was received is not a
 // request that can be read ahead.
 func connectionError(err error) error {
--- a/internal/readahead/difference_test.go
+++ b/internal/readahead/difference_test.go
@@ -62,6 +62,8 @@
 	"GET /x HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n" + get("/b"), "GET /x HTTP/1.1\r\nHost: h\r\n X: folded\r\n\r\n" + get("/b"),
 	"GET /x HTTP/1.1\nHost: h\n\n" + get("/b"), "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b"), "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b"),
 	"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "GET /x HTTP/1.1\r\nHost: h\x00\r\n\r\n" + get("/b"), "nonsense\r\n\r\n" + get("/b"), "0  HTTP/0.0\n0", get("/a") + "\n",
+	"POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "POST /p HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 5\r\n\r\n",
+	"POST /p HTTP/1.1\r\nHost: a b\r\nContent-Length: 5\r\n\r\n", "POST /p HTTP/1.1\r\nHost: a\r\nX: \x01\r\nContent-Length: 5\r\n\r\n",
 	post("/a", "") + "\r\n\r0", post("/a", "b") + "\r\n" + get("/b"), post("/a", "b") + "\r\n\r\n" + get("/b"), get("/a") + "\r\n" + get("/b"), "GET /part HTTP/1.1\r\nHost:",
 }
 
