Give no request to a stream that the http.Server has closed

The http.Server closes idle streams when it is closed itself; a free stream that was closed so could still be given the next request, which then never ended. Change: closed streams are skipped. TestClosedStreamGetsNoRequest failed before (no answer in 10 s) and passes.

--- a/internal/readahead/requests.go
+++ b/internal/readahead/requests.go
@@ -16,11 +16,7 @@
 		if !ok {
 			return actions
 		}
-		if n := len(c.free); n > 0 {
-			st, c.free = c.free[n-1], c.free[:n-1]
-		} else {
-			st, isNew = &stream{conn: c}, true
-		}
+		st, isNew = c.takeStream()
 		st.exchange = exchange{id: id, busy: true, unread: request, arrived: arrived}
 		c.streams[id] = st
 		c.updateReserved()
@@ -32,6 +28,18 @@
 	}
 }
 
+// takeStream returns a free stream or a new one. The http.Server closes streams when it is
+// closed itself. c.mu must be held.
+func (c *conn) takeStream() (st *stream, isNew bool) {
+	for n := len(c.free); n > 0; n = len(c.free) {
+		st, c.free = c.free[n-1], c.free[:n-1]
+		if !st.closed {
+			return st, false
+		}
+	}
+	return &stream{conn: c}, true
+}
+
 // offer asks to run the request of a stream and waits for the decision.
 func (c *conn) offer(st *stream, mode pipeline.Mode, last bool) bool {
 	c.apply(func() []pipeline.Action { return c.state.Offer(st.id, mode, last) })
--- a/internal/readahead/server_test.go
+++ b/internal/readahead/server_test.go
@@ -359,3 +359,30 @@
 	defer cancel()
 	g.Expect(s.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
 }
+
+// Guards against a request that is given to a stream which the http.Server has closed, and is
+// never answered.
+func TestClosedStreamGetsNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, nil)
+	c := dial(t, s.address)
+	c.send(get("/a"))
+	_, _ = c.receive()
+	g.Eventually(func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for conn := range s.conns {
+			conn.mu.Lock()
+			free := conn.free
+			conn.mu.Unlock()
+			if len(free) == 1 {
+				free[0].Close()
+				return true
+			}
+		}
+		return false
+	}, waitLimit).Should(BeTrue())
+	c.send(get("/b"))
+	body, _ := c.receive()
+	g.Expect(body).To(Equal("GET /b "))
+}
