Renew the idle limit of a connection with a few bytes of the next request

Cause: found on reading. With one to three bytes of the next request received, a reader whose request outlasted the idle limit of 90 s did not renew it and tried again at once until the answer. Change: the limit is renewed at each try.

--- a/internal/readahead/capture.go
+++ b/internal/readahead/capture.go
@@ -63,9 +63,6 @@
 	return err
 }
 
-// buffered reports whether bytes of the next request have been read.
-func (c *capture) buffered() bool { return c.reader.Buffered() > 0 }
-
 // next reads a request with its body and returns its bytes; headerRead is called between the
 // header and the body. On errors of the connection, err is set. If the request is not one that
 // can be read ahead, delimited is false and rest returns its bytes.
--- a/internal/readahead/conn.go
+++ b/internal/readahead/conn.go
@@ -87,9 +87,7 @@
 // awaitFirstByte waits for the first byte of the next request.
 func (c *conn) awaitFirstByte() error {
 	for {
-		if !c.capture.buffered() {
-			c.setReadDeadline(time.Now().Add(c.server.config.IdleTimeout))
-		}
+		c.setReadDeadline(time.Now().Add(c.server.config.IdleTimeout))
 		err := c.capture.awaitRequest()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
--- a/internal/readahead/server_test.go
+++ b/internal/readahead/server_test.go
@@ -386,3 +386,20 @@
 	body, _ := c.receive()
 	g.Expect(body).To(Equal("GET /b "))
 }
+
+// Guards against an idle limit that ends a request which outlasts it, or is not applied after
+// the answer because the client has sent too few bytes of the next request.
+func TestStrayBytesBehindASlowRequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, func(c *Config) { c.IdleTimeout = 50 * time.Millisecond })
+	open := s.gate("/slow")
+	c := dial(t, s.address)
+	c.send(get("/slow"), "GE")
+	g.Eventually(func() bool { return s.hasRun("/slow") }, waitLimit).Should(BeTrue())
+	time.Sleep(200 * time.Millisecond)
+	open()
+	body, _ := c.receive()
+	g.Expect(body).To(Equal("GET /slow "))
+	_, err := c.reader.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF))
+}
