Log and count what a backend server states about its limit and leave

The node beside a server now logs each change of what its responses state, and counts the requests that it sends by where they come from and whether they are retries. No decision changes.

The stand-in of the node tests names limits and leaves in all its responses.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -55,6 +55,8 @@
 	// leaveAcked is when the backend server's leave was acknowledged, by boottimeNow; zero if
 	// it is not leaving.
 	leaveAcked time.Time
+	// stated is what the backend server stated in its last response.
+	stated signals
 	// leavingID is the id of the backend server that last announced its leave.
 	leavingID string
 	// adoptable is set if the backend server recorded in the store passed a health check by
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -30,13 +30,15 @@
 	simCaller   = "X-Caller"
 	simKey      = "X-Key"
 	simSeal     = "X-Seal"
+	simLimit    = "X-Limit"
+	simLeaving  = "X-Leaving"
 )
 
 // simProtocol is a Protocol with announcements, replies and desired state in JSON.
 type simProtocol struct{}
 
 func (simProtocol) Headers() Headers {
-	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Backend: "X-Backend", FractionalRetryAfter: true}
+	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Backend: "X-Backend", Limit: simLimit, Leaving: simLeaving, FractionalRetryAfter: true}
 }
 
 func (simProtocol) DesiredState(data []byte) (httproute.Snapshot, error) {
@@ -92,6 +94,12 @@
 	runs      map[string]int // by request id
 	running   int
 	quiet     bool // sends no heartbeats
+	// limit, if not empty, is the limit that its responses name.
+	limit string
+	// leaving is set if its responses say that it is leaving.
+	leaving bool
+	// arrivals are the times at which requests arrived.
+	arrivals []time.Time
 	// faults are injected into the next requests, one each.
 	faults []simFault
 	stop   chan struct{}
@@ -187,6 +195,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		w.Header().Set("X-Backend", s.id)
+		s.writeSignals(w.Header())
 		if s.state == grant.Draining {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -197,6 +206,7 @@
 	w.Header().Set(simID, id)
 	key, hasKey := parseKey(r.Header.Get(simKey))
 	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
 	refusalStatus, fault := 0, simNone
 	if len(s.faults) > 0 {
 		fault, s.faults = s.faults[0], s.faults[1:]
@@ -210,6 +220,7 @@
 		refusalStatus = http.StatusServiceUnavailable
 	}
 	if refusalStatus != 0 {
+		s.writeSignals(w.Header())
 		s.mu.Unlock()
 		w.Header().Set(simNotRun, "1")
 		w.WriteHeader(refusalStatus)
@@ -225,6 +236,7 @@
 	}
 	s.mu.Lock()
 	s.running--
+	s.writeSignals(w.Header())
 	s.mu.Unlock()
 	w.Header().Set(simSeal, s.id)
 	switch fault {
@@ -239,6 +251,36 @@
 	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
 }
 
+// writeSignals sets the headers that state a limit or a leave. s.mu must be held.
+func (s *backendSim) writeSignals(h http.Header) {
+	if s.limit != "" {
+		h.Set(simLimit, s.limit)
+	}
+	if s.leaving {
+		h.Set(simLeaving, "1")
+	}
+}
+
+// nameLimit sets the limit that the responses name; an empty one ends it.
+func (s *backendSim) nameLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// arrivedSince returns the number of requests that arrived since from.
+func (s *backendSim) arrivedSince(from time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.arrivals {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
 // holds reports whether key is granted to the backend server now.
 func (s *backendSim) holds(key uint16) bool {
 	s.mu.Lock()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,11 @@
 		}
 		return until.Sub(boottimeNow()).Seconds()
 	})
+	m.set.NewGauge("basilway_node_backend_limit", func() float64 {
+		n.backend.mu.Lock()
+		defer n.backend.mu.Unlock()
+		return n.backend.stated.limit
+	})
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
 	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
@@ -88,6 +93,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_requests_total{route=%q,outcome=%q}`, m.label(route), reason)).Inc()
 }
 
+// countSent counts a request that is sent to the local backend server.
+func (m *nodeMetrics) countSent(t ticket) {
+	from := "client"
+	switch {
+	case t.instance != "":
+		from = "node"
+	case t.nested:
+		from = "backend"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_backend_sent_total{from=%q,retry="%t"}`, from, t.retry)).Inc()
+}
+
 // countDroppedLine counts a log line that sampling dropped.
 func (m *nodeMetrics) countDroppedLine() {
 	m.set.GetOrCreateCounter("basilway_node_log_lines_dropped_total").Inc()
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -24,6 +24,11 @@
 	Backend string
 	// Key is the request's key, a number.
 	Key string
+	// Limit is how many requests a second a backend server takes from all nodes together, a
+	// decimal number. It holds until a response without it.
+	Limit string
+	// Leaving is 1 in the responses of a backend server that is leaving.
+	Leaving string
 	// FractionalRetryAfter is set if clients read fractions of a second in Retry-After.
 	// RFC 9110 knows whole seconds only.
 	FractionalRetryAfter bool
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -265,6 +265,7 @@
 		if refused = b.gate(t); refused != nil {
 			return refused
 		}
+		b.node.metrics.countSent(t)
 		return nil
 	})
 	if refused != nil {
@@ -273,6 +274,9 @@
 	if err != nil {
 		return b.failedOutcome(ctx, t, err)
 	}
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		b.observeSignals(owner.Incarnation, e.ID, resp.Header)
+	}
 	if resp.Header.Get(headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return b.declinedOutcome(resp)
 	}
