Send a backend server no more requests a second than the limit it names

Cause: no node read the header; what a backend server states about itself in a response was passed on to the client and nothing else, and the request queue knew slots only.

All requests to a backend server, whatever node or call they come from and whether they are retries, pass the request queue of the node beside it. That queue now keeps the limit, so it holds for the sum without the nodes having to agree. What exceeds it is refused at once, each with a turn of its own as Retry-After; higher priorities go first. The limit holds until a response to a request sent after the last naming has none.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -112,7 +112,7 @@
 			return AwaitOwner
 		}
 		return s.next(r)
-	case verdict.ReasonOverloaded, verdict.ReasonPeerLost, verdict.ReasonStarting:
+	case verdict.ReasonOverloaded, verdict.ReasonRateLimited, verdict.ReasonPeerLost, verdict.ReasonStarting:
 		if !s.request.Sharded {
 			return s.next(r)
 		}
--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -6,6 +6,8 @@
 	clientTests  = []string{"./internal/httpclient", "./internal/node"}
 	attemptTests = []string{"./attempt", "./internal/node"}
 	aheadTests   = []string{"./pipeline", "./internal/readahead"}
+	limitTests   = []string{"./waitqueue", "./internal/node"}
+	statusTests  = []string{"./backendstatus", "./internal/node"}
 	daemonTests  = []string{"./internal/daemon"}
 )
 
@@ -33,6 +35,15 @@
 	}, {
 		"requests read ahead without a bound", "pipeline/conn.go",
 		"len(c.requests) < c.config.MaxRequests &&", "", aheadTests,
+	}, {
+		"request sent beyond the limit that its backend server named", "waitqueue/queue.go",
+		"q.rate.available(now) < 1+ahead", "ahead < 0", limitTests,
+	}, {
+		"limit of a backend server not known after a restart of its node", "internal/node/forward.go",
+		"n.applyLimitHint(r.Header)", "r.Header.Del(limitHintHeader)", nodeTests,
+	}, {
+		"limit ended by a response that was overtaken", "backendstatus/table.go",
+		"case s.report.Limited && !sentAt.Before(s.limitNamedAt):", "case s.report.Limited:", statusTests,
 	}, {
 		"request sent to a backend server that is down", "internal/node/serve.go",
 		"case b.state == BackendDown || !b.portClosedAt.IsZero():", "case false:", nodeTests,
--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -45,7 +45,7 @@
 		return
 	}
 	service, _ := view.Routes.Service(m.Service)
-	healthy := b.checkHealth(ctx, service.HealthPath, grant.IncarnationID(m.Owner.Incarnation))
+	healthy := b.checkHealth(ctx, service.HealthPath, m.Owner.Incarnation)
 	b.log.Info("recorded backend server checked for adoption", zap.String("backend", m.Owner.Incarnation), zap.Bool("taken over", healthy))
 	b.mu.Lock()
 	b.adoptable = healthy
@@ -56,8 +56,9 @@
 	}
 }
 
-// checkHealth reports whether the backend server with the given id passes its health check.
-func (b *backend) checkHealth(ctx context.Context, path, id string) bool {
+// checkHealth reports whether an incarnation of the backend server passes its health check. The
+// response may name a limit, but does not end one.
+func (b *backend) checkHealth(ctx context.Context, path, incarnation string) bool {
 	if path == "" {
 		return false
 	}
@@ -70,5 +71,11 @@
 	}
 	defer resp.Body.Close()
 	discardBody(resp.Body)
-	return resp.StatusCode == http.StatusOK && resp.Header.Get(b.node.headers.Backend) == id
+	if resp.Header.Get(b.node.headers.Backend) != grant.IncarnationID(incarnation) {
+		return false
+	}
+	if report, err := b.node.headers.backendReport(resp.Header); err == nil && (report.Limited || report.Leaving) {
+		b.node.observeResponse(incarnation, "health check", resp.Header, time.Time{})
+	}
+	return resp.StatusCode == http.StatusOK
 }
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -55,8 +55,6 @@
 	// leaveAcked is when the backend server's leave was acknowledged, by boottimeNow; zero if
 	// it is not leaving.
 	leaveAcked time.Time
-	// stated is what the backend server stated in its last response.
-	stated signals
 	// leavingID is the id of the backend server that last announced its leave.
 	leavingID string
 	// adoptable is set if the backend server recorded in the store passed a health check by
@@ -171,6 +169,7 @@
 	b.log.Info("new backend server incarnation", zap.String("backend", hb.Incarnation()), zap.Int("slots", hb.Slots),
 		zap.Duration("cold", hb.WarmUpLeft), zap.String("software", hb.Software))
 	b.queue.setSlots(hb.Slots)
+	b.applyLimit(owner.Incarnation)
 	b.wake()
 }
 
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -96,6 +96,8 @@
 	quiet     bool // sends no heartbeats
 	// limit, if not empty, is the limit that its responses name.
 	limit string
+	// silentHealth is set if its health check states neither a limit nor a leave.
+	silentHealth bool
 	// leaving is set if its responses say that it is leaving.
 	leaving bool
 	// arrivals are the times at which requests arrived.
@@ -195,7 +197,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		w.Header().Set("X-Backend", s.id)
-		s.writeSignals(w.Header())
+		if !s.silentHealth {
+			s.writeSignals(w.Header())
+		}
 		if s.state == grant.Draining {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -105,6 +105,7 @@
 	}
 	e.Header.Set(n.headers.Caller, n.config.Service)
 	e.Header.Del(ticketHeader)
+	e.Header.Del(limitHintHeader)
 	service := route.Pick(n.sequence.Add(1))
 	info, _ := routes.Service(service)
 	target := route.TargetLatency
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -44,8 +44,13 @@
 	ctx, end := n.peers.beginRequest(ctx, m.Address, n.expectedWork(t.route), cancellable)
 	e.Header = e.Header.Clone()
 	e.Header.Set(ticketHeader, t.encode(time.Now()))
+	n.setLimitHint(e.Header, m.Owner.Incarnation)
+	sentAt := boottimeNow()
 	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
 	out := n.forwardOutcome(ctx, resp, err)
+	if out.resp != nil && out.load.incarnation != "" {
+		n.observeResponse(out.load.incarnation, e.ID, out.resp.Header, sentAt)
+	}
 	end(out, err)
 	if out.err == nil || out.err.Reason != verdict.ReasonOverloaded {
 		n.peers.recordAccepted(m.Address, t.priority, senders)
@@ -106,6 +111,7 @@
 		return
 	}
 	r.Header.Del(ticketHeader)
+	n.applyLimitHint(r.Header)
 	if t.instance != n.config.Instance {
 		// The address belonged to t.instance before.
 		w.Header().Set(n.headers.RequestID, r.Header.Get(n.headers.RequestID))
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -1,10 +1,18 @@
 package node
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/verdict"
+	"github.com/basilway/basilway/waitqueue"
 )
 
 const (
@@ -36,3 +44,87 @@
 	g.Expect(limited.arrivedSince(from)).To(BeNumerically(">", 0))
 	g.Expect(l.unexpected()).To(BeEmpty())
 }
+
+// burst sends requests for one key through a node at the same time.
+func burst(n *testNode, key, count int) {
+	var wg sync.WaitGroup
+	for i := range count {
+		wg.Go(func() {
+			_, _, _, _ = send(context.Background(), http.MethodPost, n.config.ClientAddress, "/book/x", fmt.Sprint("burst", i), key, "")
+		})
+	}
+	wg.Wait()
+}
+
+// ownedKey returns a key that the node's backend server owns.
+func (n *testNode) ownedKey() int {
+	return int(n.views.current().Keys["booking"].OwnedBy(n.Node.backend.owner())[0].From)
+}
+
+// Guards against a limit that is forgotten when the node beside the backend server restarts,
+// while the other nodes have passed it on.
+func TestLimitHoldsThroughARestartOfTheNode(t *testing.T) {
+	t.Parallel()
+	for _, silentHealth := range []bool{true, false} {
+		t.Run(fmt.Sprint("silent_health_check_", silentHealth), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			c := newTestCluster(t, 2)
+			c.waitSettled()
+			n, other := c.nodes[0], c.nodes[1]
+			key := n.ownedKey()
+			bookingTicket := bookingTicket
+			bookingTicket.key = uint16(key)
+			n.sim.mu.Lock()
+			n.sim.limit, n.sim.slots, n.sim.silentHealth = "1", 40, silentHealth
+			n.sim.mu.Unlock()
+			burst(other, key, 1)
+			n.cancel()
+			g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+			n.sim.mu.Lock()
+			n.sim.work = 500 * time.Millisecond
+			n.sim.mu.Unlock()
+			n.start()
+			g.Eventually(func() any { return n.Node.backend.gate(bookingTicket) }, 10*time.Second).Should(BeNil())
+			from := time.Now()
+			burst(other, key, 40)
+			g.Expect(n.sim.arrivedSince(from)).To(BeNumerically("<=", allowedInWindow(1)))
+			g.Expect(n.sim.arrivedSince(from)).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// Guards against a limit that outlasts the responses that name it, and against one of the
+// incarnation before.
+func TestLimitEndsWithTheResponsesThatNameIt(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	b := n.Node.backend
+	owner := b.owner().Incarnation
+	limited := func() bool {
+		_, limited := n.statuses.limit(b.owner().Incarnation)
+		return limited
+	}
+	header := func(limit string) http.Header { return http.Header{simLimit: {limit}} }
+	n.observeResponse(owner, "r1", header("0.5"), boottimeNow())
+	g.Expect(limited()).To(BeTrue())
+	n.observeResponse(owner, "r2", header("many"), boottimeNow())
+	g.Expect(limited()).To(BeTrue(), "an invalid header changes nothing")
+	_, err := b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
+	g.Expect(err).To(BeNil())
+	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
+	g.Expect(err).To(HaveField("Reason", verdict.ReasonRateLimited))
+	g.Expect(err.RetryAfter).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+	n.observeResponse(owner, "r3", http.Header{}, boottimeNow())
+	g.Expect(limited()).To(BeFalse())
+	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
+	g.Expect(err).To(BeNil())
+
+	n.observeResponse(owner, "r4", header("0.5"), boottimeNow())
+	n.stopHeartbeats()
+	g.Expect(b.processHeartbeat(grant.Heartbeat{ID: "b-next", StartedMS: 2, Address: n.sim.address(), Service: "booking", Slots: 4, Sequence: 1})).To(BeTrue())
+	g.Expect(limited()).To(BeFalse())
+	n.observeResponse(owner, "r5", header("0.5"), boottimeNow())
+	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
+	g.Expect(err).To(BeNil())
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -41,9 +41,8 @@
 		return until.Sub(boottimeNow()).Seconds()
 	})
 	m.set.NewGauge("basilway_node_backend_limit", func() float64 {
-		n.backend.mu.Lock()
-		defer n.backend.mu.Unlock()
-		return n.backend.stated.limit
+		limit, _ := n.statuses.limit(n.backend.owner().Incarnation)
+		return limit
 	})
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	pacer    *pacer
 	clients  *clientConns
 	refusals refusals
+	statuses *statuses
 
 	sequence atomic.Uint64
 	stopping atomic.Bool
@@ -58,6 +59,7 @@
 		demand:  newDemandMeter(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}},
+		statuses: newStatuses(),
 	}
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -33,17 +33,19 @@
 	work time.Duration
 	// queued is the time that the request waited in the backend server's queue.
 	queued time.Duration
+	// incarnation is that of the backend server that responded; empty if none did.
+	incarnation string
 }
 
 func (l peerLoad) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%d", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds())
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation)
 }
 
 func decodePeerLoad(s string) peerLoad {
 	var l peerLoad
 	var work, queued int64
-	// Nodes of earlier versions do not send the last field.
-	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d", &l.running, &l.waiting, &l.slots, &work, &queued); err != nil && n < 4 {
+	// Nodes of earlier versions do not send the last fields.
+	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d,%s", &l.running, &l.waiting, &l.slots, &work, &queued, &l.incarnation); err != nil && n < 4 {
 		return peerLoad{}
 	}
 	l.known, l.work, l.queued = true, time.Duration(work)*time.Microsecond, time.Duration(queued)*time.Microsecond
--- a/internal/node/requestqueue.go
+++ b/internal/node/requestqueue.go
@@ -44,6 +44,9 @@
 	}
 	if decision.Action == waitqueue.Refuse {
 		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "expected wait %v", decision.Expected)
+		if decision.RateLimited {
+			err = verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "the limit that the backend server named is used up")
+		}
 		return nil, err.WithRetryAfter(decision.RetryAfter)
 	}
 	return func(result waitqueue.Result) { q.release(it.ID, result) }, nil
@@ -100,6 +103,19 @@
 	}
 }
 
+// setRateLimit limits the requests that are sent to the backend server per second.
+func (q *requestQueue) setRateLimit(perSecond float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.queue.SetRateLimit(perSecond, time.Now()))
+}
+
+func (q *requestQueue) removeRateLimit() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.RemoveRateLimit()
+}
+
 // queueLoad is the number of running and queued requests and of slots.
 type queueLoad struct{ running, waiting, slots int }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -260,6 +260,7 @@
 	e.Header = e.Header.Clone()
 	e.Header.Set(headers.DeadlineMS, strconv.FormatInt(left, 10))
 	e.Header.Set(headers.ExpectBackend, grant.IncarnationID(owner.Incarnation))
+	sentAt := boottimeNow()
 	var refused *verdict.Error
 	resp, err := b.pool.Do(ctx, e, func() error {
 		if refused = b.gate(t); refused != nil {
@@ -275,12 +276,12 @@
 		return b.failedOutcome(ctx, t, err)
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
-		b.observeSignals(owner.Incarnation, e.ID, resp.Header)
+		b.node.observeResponse(owner.Incarnation, e.ID, resp.Header, sentAt)
 	}
 	if resp.Header.Get(headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return b.declinedOutcome(resp)
 	}
-	return outcome{resp: resp, arrived: true}
+	return outcome{resp: resp, arrived: true, load: peerLoad{incarnation: owner.Incarnation}}
 }
 
 // declinedOutcome returns the outcome of a response that says that the backend server did not
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -5,49 +5,115 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/backendstatus"
 )
 
-// signals is what a backend server states about itself in the headers of a response.
-type signals struct {
-	// limited is set if the backend server names a limit: it takes limit requests a second
-	// from all nodes together.
-	limited bool
-	limit   float64
-	// leaving is set if the backend server is about to end.
-	leaving bool
-}
+// limitHintHeader carries the limit that the sender of a forwarded request knows for the
+// backend server, so that it holds after a restart of the node beside that server.
+const limitHintHeader = "Basilway-Limit-Hint"
 
-// signals decodes the headers of a backend server's response.
-func (h Headers) signals(header http.Header) (signals, error) {
-	s := signals{leaving: h.Leaving != "" && header.Get(h.Leaving) == "1"}
+// backendReport decodes what a backend server states in the headers of a response.
+func (h Headers) backendReport(header http.Header) (backendstatus.Report, error) {
+	r := backendstatus.Report{Leaving: h.Leaving != "" && header.Get(h.Leaving) == "1"}
 	value := header.Get(h.Limit)
 	if h.Limit == "" || value == "" {
-		return s, nil
+		return r, nil
 	}
 	limit, err := strconv.ParseFloat(value, 64)
-	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
-		return s, fmt.Errorf("header %s is %q; requests a second are expected, a number of at least 0", h.Limit, value)
+	if err != nil || !validLimit(limit) {
+		return r, fmt.Errorf("header %s is %q; requests a second are expected, a number of at least 0", h.Limit, value)
 	}
-	s.limited, s.limit = true, limit
-	return s, nil
+	r.Limited, r.Limit = true, limit
+	return r, nil
 }
 
-// observeSignals records what the backend server states in a response to the request with the
-// given id.
-func (b *backend) observeSignals(incarnation, requestID string, header http.Header) {
-	s, err := b.node.headers.signals(header)
+func validLimit(limit float64) bool { return limit >= 0 && !math.IsInf(limit, 0) }
+
+// statuses is what the backend servers that this node uses have stated, by incarnation. It is
+// safe for concurrent use.
+type statuses struct {
+	mu    sync.Mutex
+	table *backendstatus.Table
+}
+
+func newStatuses() *statuses { return &statuses{table: backendstatus.NewTable()} }
+
+func (s *statuses) observe(incarnation string, r backendstatus.Report, sentAt time.Time) (limitChanged, leaves bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Observe(incarnation, r, sentAt, boottimeNow())
+}
+
+func (s *statuses) hint(incarnation string, limit float64) (limitChanged bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Hint(incarnation, limit, boottimeNow())
+}
+
+func (s *statuses) limit(incarnation string) (perSecond float64, limited bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Limit(incarnation)
+}
+
+// observeResponse records what a backend server states in its response to a request that was
+// sent at sentAt, by boottimeNow. The response may have come through another node.
+func (n *Node) observeResponse(incarnation, requestID string, header http.Header, sentAt time.Time) {
+	report, err := n.headers.backendReport(header)
 	if err != nil {
-		b.node.events.request("invalid header of backend server ignored", requestID, zap.String("backend", incarnation), zap.Error(err))
+		n.events.request("invalid header of backend server ignored", requestID, zap.String("backend", incarnation), zap.Error(err))
+		return
+	}
+	limitChanged, leaves := n.statuses.observe(incarnation, report, sentAt)
+	if !limitChanged && !leaves {
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.stated == s {
+	n.events.request("backend server states limit or leave", requestID, zap.String("backend", incarnation),
+		zap.Bool("limited", report.Limited), zap.Float64("requests a second", report.Limit), zap.Bool("leaving", report.Leaving))
+	if n.backend.owner().Incarnation == incarnation {
+		n.backend.applyLimit(incarnation)
+	}
+}
+
+// applyLimit makes the request queue keep the limit of the local backend server.
+func (b *backend) applyLimit(incarnation string) {
+	if limit, limited := b.node.statuses.limit(incarnation); limited {
+		b.queue.setRateLimit(limit)
+	} else {
+		b.queue.removeRateLimit()
+	}
+}
+
+// setLimitHint adds the limit of the backend server that a request is forwarded to, if one is
+// known.
+func (n *Node) setLimitHint(h http.Header, incarnation string) {
+	if limit, limited := n.statuses.limit(incarnation); limited {
+		h.Set(limitHintHeader, strconv.FormatFloat(limit, 'g', -1, 64)+","+incarnation)
+	}
+}
+
+// applyLimitHint removes the hint from a forwarded request and records it, unless the backend
+// server has responded to this process already.
+func (n *Node) applyLimitHint(h http.Header) {
+	value := h.Get(limitHintHeader)
+	if value == "" {
 		return
 	}
-	b.log.Info("backend server states limit or leave", zap.String("backend", incarnation), zap.String("request", requestID),
-		zap.Bool("limited", s.limited), zap.Float64("requests a second", s.limit), zap.Float64("before", b.stated.limit), zap.Bool("leaving", s.leaving))
-	b.stated = s
+	h.Del(limitHintHeader)
+	number, incarnation, _ := strings.Cut(value, ",")
+	limit, err := strconv.ParseFloat(number, 64)
+	if err != nil || !validLimit(limit) || incarnation == "" {
+		n.log.Warn("limit of another node ignored", zap.String("hint", value))
+		return
+	}
+	if n.backend.owner().Incarnation == incarnation && n.statuses.hint(incarnation, limit) {
+		n.log.Info("limit of backend server learned from another node", zap.String("backend", incarnation), zap.Float64("requests a second", limit))
+		n.backend.applyLimit(incarnation)
+	}
 }
--- a/waitqueue/config.go
+++ b/waitqueue/config.go
@@ -25,6 +25,13 @@
 	ReviewInterval time.Duration
 	// MaxWaiting limits the number of waiting requests.
 	MaxWaiting int
+	// RateBurst is the time whose share of a limit in requests per second may be sent at once.
+	// A longer one refuses fewer of the requests that happen to arrive together, but lets more
+	// of them reach an overloaded backend server together.
+	RateBurst time.Duration
+	// MinRate is the smallest limit that is applied, in requests per second. Responses to
+	// these requests tell when the backend server ends its limit.
+	MinRate float64
 }
 
 // DefaultConfig returns the configuration that the daemon uses.
@@ -32,6 +39,6 @@
 	return Config{
 		InitialWork: 60 * time.Millisecond, Smoothing: 0.05, WorkMargin: 0.3, DeadlineFraction: 0.8,
 		MinRetryAfter: 30 * time.Millisecond, MaxRetryAfter: time.Second, MaxWaiting: 512,
-		ReviewInterval: 10 * time.Millisecond,
+		ReviewInterval: 10 * time.Millisecond, RateBurst: 250 * time.Millisecond, MinRate: 0.25,
 	}
 }
--- a/waitqueue/decision.go
+++ b/waitqueue/decision.go
@@ -22,4 +22,7 @@
 	RetryAfter time.Duration
 	// Expected is the expected wait at the time of the refusal; set with Refuse.
 	Expected time.Duration
+	// RateLimited is set with Refuse if the backend server's limit in requests per second is
+	// used up.
+	RateLimited bool
 }
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -36,6 +36,7 @@
 	waiting  []waiting
 	work     map[string]time.Duration
 	arrivals map[priorityClass]*arrivalRate
+	rate     rateLimit
 	// declinedShare is the share of requests that the backend server refuses at once. They
 	// do not delay the requests behind them.
 	declinedShare float64
@@ -81,6 +82,9 @@
 func (q *Queue) Offer(it Item, now time.Time) (Decision, []Decision) {
 	others := q.Advance(now)
 	w := waiting{Item: it, work: q.Work(it.Route)}
+	if ahead := q.aheadInRate(w, now); q.rate.available(now) < 1+ahead {
+		return q.refuseForRate(it.ID, ahead, now), others
+	}
 	free := len(q.running) < q.slots && len(q.waiting) == 0
 	wait := time.Duration(0)
 	if !free {
@@ -96,7 +100,7 @@
 		q.arrivals[it.priorityClass()] = r
 	}
 	r.add(w.work, now)
-	if free {
+	if free && q.rate.take(now) {
 		q.start(w, now)
 		return Decision{ID: it.ID, Action: Run}, others
 	}
@@ -205,16 +209,7 @@
 		return nil
 	}
 	q.reviewedAt = now
-	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
-		switch {
-		case a.before(b, now):
-			return -1
-		case b.before(a, now):
-			return 1
-		default:
-			return 0
-		}
-	})
+	q.sortWaiting(now)
 	var out []Decision
 	ahead := q.remainingWork(now)
 	kept := q.waiting[:0]
@@ -231,6 +226,20 @@
 	return out
 }
 
+// sortWaiting sorts the waiting requests in the order in which they run.
+func (q *Queue) sortWaiting(now time.Time) {
+	slices.SortStableFunc(q.waiting, func(a, b waiting) int {
+		switch {
+		case a.before(b, now):
+			return -1
+		case b.before(a, now):
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
 // expectedWork returns the mean time that a request with the given work takes, counting
 // declined requests as taking no time.
 func (q *Queue) expectedWork(work time.Duration) time.Duration {
@@ -279,6 +288,9 @@
 				best = i
 			}
 		}
+		if !q.rate.take(now) {
+			return append(out, q.shedOverRate(now)...)
+		}
 		w := q.waiting[best]
 		q.waiting = slices.Delete(q.waiting, best, best+1)
 		q.start(w, now)
