Send nothing to a backend server that has stated its leave in a response

What callers and servers saw: a server that says in its responses that it leaves, and whose heartbeats don't say so yet (or never arrive), went on getting requests until it closed.

The node beside the server now takes a stated leave like an announced one, so its keys move. Each node also keeps, by incarnation, when it first passed on a leave, and sends nothing there from 60 % of the drain timeout on; so the rule holds whatever the node beside the server forgot in a restart, and while the store is away.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -38,6 +38,9 @@
 	}, {
 		"request sent beyond the limit that its backend server named", "waitqueue/queue.go",
 		"q.rate.available(now) < 1+ahead", "ahead < 0", limitTests,
+	}, {
+		"request sent to a backend server whose stated leave was passed on", "internal/node/forward.go",
+		"if !leaving || known <= n.config.Bounds.leaveGrace() {", "if true {", nodeTests,
 	}, {
 		"limit of a backend server not known after a restart of its node", "internal/node/forward.go",
 		"n.applyLimitHint(r.Header)", "r.Header.Del(limitHintHeader)", nodeTests,
@@ -52,7 +55,7 @@
 		"case b.state == BackendDown || !b.portClosedAt.IsZero():", "case b.state == BackendDown:", nodeTests,
 	}, {
 		"request sent to a leaving backend server late in its drain timeout", "internal/node/serve.go",
-		"case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.DrainTimeout*drainPercent/100:", "case false && now.IsZero():", nodeTests,
+		"case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.leaveGrace():", "case false && now.IsZero():", nodeTests,
 	}, {
 		"request sent before the first heartbeat, without adoption", "internal/node/serve.go",
 		"case b.tracker == nil && b.adoptionAllows(t):", "case b.tracker == nil:", nodeTests,
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -25,9 +25,6 @@
 	// heartbeatTimeout is the time without a heartbeat after which the backend server's port
 	// is probed: several heartbeat intervals plus the usual delay of a heartbeat.
 	heartbeatTimeout = 3500 * time.Millisecond
-	// drainPercent is the percentage of the drain timeout after which a leaving backend
-	// server gets no more requests. The rest is for requests in transit.
-	drainPercent = 60
 )
 
 // maxClockSkew is the largest difference between the wall clocks of two instances at which one
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -58,3 +58,10 @@
 	RetryWindow time.Duration
 	RetryExtra  int
 }
+
+// drainPercent is the percentage of the drain timeout after which a leaving backend server
+// gets no more requests. The rest is for requests in transit.
+const drainPercent = 60
+
+// leaveGrace is how long a backend server still gets requests after its leave became known.
+func (b Bounds) leaveGrace() time.Duration { return b.DrainTimeout * drainPercent / 100 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -29,6 +29,9 @@
 
 // forward sends a request to the node beside m's backend server, which may be this one.
 func (n *Node) forward(ctx context.Context, m Member, t ticket, e httpclient.Exchange) outcome {
+	if err := n.leavingGate(m); err != nil {
+		return outcome{err: err}
+	}
 	if m.Owner.Instance == n.config.Instance {
 		return n.backend.serve(ctx, t, e)
 	}
@@ -58,6 +61,16 @@
 	return out
 }
 
+// leavingGate returns why no request may be sent to m's backend server if this node has passed
+// on that it leaves, or nil. The node beside that server may not know of it after a restart.
+func (n *Node) leavingGate(m Member) *verdict.Error {
+	known, leaving := n.statuses.leavingFor(m.Owner.Incarnation)
+	if !leaving || known <= n.config.Bounds.leaveGrace() {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the backend server of %s leaves", m.Owner.Instance).WithRetryAfter(notReadyRetryAfter)
+}
+
 func (n *Node) forwardOutcome(ctx context.Context, resp *http.Response, err error) outcome {
 	if err != nil {
 		return forwardFailure(ctx, err)
--- a/internal/node/gates_test.go
+++ b/internal/node/gates_test.go
@@ -65,6 +65,13 @@
 	g.Expect(n.Node.backend.gate(bookingTicket)).To(HaveField("Reason", verdict.ReasonBackendDown))
 }
 
+// newTestExchange returns a request for key 7.
+func newTestExchange(id string) httpclient.Exchange {
+	return httpclient.Exchange{
+		Method: http.MethodPost, URI: "/book/x", Host: "shop.example", Header: http.Header{simID: {id}, simKey: {"7"}}, IDHeader: simID, ID: id,
+	}
+}
+
 // Guards against sending a request after the gate closed while it was queued: the gate must
 // be checked again once the connection is ready.
 func TestGateIsCheckedBeforeTheFirstByte(t *testing.T) {
@@ -74,9 +81,7 @@
 	n.withBackend(func(b *backend) { b.state = BackendDown })
 	booking := bookingTicket
 	booking.deadline = time.Now().Add(time.Second)
-	out := n.Node.backend.send(t.Context(), booking, httpclient.Exchange{
-		Method: http.MethodPost, URI: "/book/x", Host: "shop.example", Header: http.Header{simID: {"late"}, simKey: {"7"}}, IDHeader: simID, ID: "late",
-	})
+	out := n.Node.backend.send(t.Context(), booking, newTestExchange("late"))
 	g.Expect(out.err).To(HaveField("Verdict", verdict.NotRun))
 	g.Expect(out.arrived).To(BeFalse())
 	g.Expect(n.sim.ran("late")).To(BeZero())
@@ -96,9 +101,7 @@
 	})
 	ctx, cancel := context.WithDeadline(t.Context(), booking.deadline)
 	defer cancel()
-	out := n.Node.backend.serve(ctx, booking, httpclient.Exchange{
-		Method: http.MethodPost, URI: "/book/x", Host: "shop.example", Header: http.Header{simID: {"crash"}, simKey: {"7"}}, IDHeader: simID, ID: "crash",
-	})
+	out := n.Node.backend.serve(ctx, booking, newTestExchange("crash"))
 	g.Expect(out.err).To(HaveField("Reason", verdict.ReasonQuarantined))
 	g.Expect(n.sim.ran("crash")).To(BeZero())
 }
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -143,7 +143,8 @@
 func (n *Node) candidates(req *request) []Member {
 	var ready, lost []Member
 	for _, m := range n.views.current().ServiceMembers(req.ticket.service) {
-		if m.State != BackendReady || slices.Contains(req.visited, m.Owner.Instance) {
+		_, leaving := n.statuses.leavingFor(m.Owner.Incarnation)
+		if m.State != BackendReady || leaving || slices.Contains(req.visited, m.Owner.Instance) {
 			continue
 		}
 		if n.peers.isLost(m.Address) {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -143,7 +143,7 @@
 	switch {
 	case b.state == BackendDown || !b.portClosedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
-	case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.DrainTimeout*drainPercent/100:
+	case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.leaveGrace():
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the backend server leaves").WithRetryAfter(notReadyRetryAfter)
 	case b.tracker == nil && b.adoptionAllows(t):
 		return nil
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/backendstatus"
+	"github.com/basilway/basilway/grant"
 )
 
 // limitHintHeader carries the limit that the sender of a forwarded request knows for the
@@ -39,21 +40,24 @@
 // safe for concurrent use.
 type statuses struct {
 	mu    sync.Mutex
+	now   func() time.Time
 	table *backendstatus.Table
 }
 
-func newStatuses() *statuses { return &statuses{table: backendstatus.NewTable()} }
+func newStatuses() *statuses {
+	return &statuses{now: boottimeNow, table: backendstatus.NewTable()}
+}
 
 func (s *statuses) observe(incarnation string, r backendstatus.Report, sentAt time.Time) (limitChanged, leaves bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Observe(incarnation, r, sentAt, boottimeNow())
+	return s.table.Observe(incarnation, r, sentAt, s.now())
 }
 
 func (s *statuses) hint(incarnation string, limit float64) (limitChanged bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Hint(incarnation, limit, boottimeNow())
+	return s.table.Hint(incarnation, limit, s.now())
 }
 
 func (s *statuses) limit(incarnation string) (perSecond float64, limited bool) {
@@ -62,6 +66,14 @@
 	return s.table.Limit(incarnation)
 }
 
+// leavingFor returns how long it is known that an incarnation leaves, and false if it isn't
+// known to leave.
+func (s *statuses) leavingFor(incarnation string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.LeavingFor(incarnation, s.now())
+}
+
 // observeResponse records what a backend server states in its response to a request that was
 // sent at sentAt, by boottimeNow. The response may have come through another node.
 func (n *Node) observeResponse(incarnation, requestID string, header http.Header, sentAt time.Time) {
@@ -76,8 +88,12 @@
 	}
 	n.events.request("backend server states limit or leave", requestID, zap.String("backend", incarnation),
 		zap.Bool("limited", report.Limited), zap.Float64("requests a second", report.Limit), zap.Bool("leaving", report.Leaving))
-	if n.backend.owner().Incarnation == incarnation {
-		n.backend.applyLimit(incarnation)
+	if n.backend.owner().Incarnation != incarnation {
+		return
+	}
+	n.backend.applyLimit(incarnation)
+	if leaves {
+		n.backend.markLeaving(grant.IncarnationID(incarnation))
 	}
 }
 
