Move load away from a backend server that names a limit

What callers saw: with a limit of 3 requests a second on one of three servers, its keys stayed there and their requests were refused until the limit ended (TestKeysLeaveALimitedBackendServer timed out after 20 s before this change). Cause: the planner reckons capacity in slots, and a sender compares servers by their queues; a limited server looks idle to both.

Nodes report the limit to the planner, which takes the limit times the mean work of a request as the most that the server can bear. For services without key ownership, a sender prefers servers that have not refused for their limit until the time that they named.

--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -10,17 +10,25 @@
 	Key uint16 `cbor:"1,keyasint"`
 	// Micros is the work in microseconds on a backend server of mean speed.
 	Micros uint32 `cbor:"2,keyasint"`
+	// Requests is the number of requests.
+	Requests uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+// keyDemand is the work and the number of the requests for one key.
+type keyDemand struct {
+	work     time.Duration
+	requests uint32
 }
 
 // demandMeter sums the expected work of the requests that this node received, by service and
 // key, until it is reported to the planner.
 type demandMeter struct {
 	mu       sync.Mutex
-	services map[string]map[uint16]time.Duration
+	services map[string]map[uint16]keyDemand
 }
 
 func newDemandMeter() *demandMeter {
-	return &demandMeter{services: map[string]map[uint16]time.Duration{}}
+	return &demandMeter{services: map[string]map[uint16]keyDemand{}}
 }
 
 func (d *demandMeter) add(t ticket, work time.Duration) {
@@ -31,10 +39,11 @@
 	defer d.mu.Unlock()
 	keys := d.services[t.service]
 	if keys == nil {
-		keys = map[uint16]time.Duration{}
+		keys = map[uint16]keyDemand{}
 		d.services[t.service] = keys
 	}
-	keys[t.key] += work
+	have := keys[t.key]
+	keys[t.key] = keyDemand{have.work + work, have.requests + 1}
 }
 
 // take returns the work added since the last call.
@@ -43,11 +52,11 @@
 	defer d.mu.Unlock()
 	out := map[string][]keyWork{}
 	for service, keys := range d.services {
-		for key, work := range keys {
-			out[service] = append(out[service], keyWork{Key: key, Micros: uint32(work.Microseconds())})
+		for key, k := range keys {
+			out[service] = append(out[service], keyWork{Key: key, Micros: uint32(k.work.Microseconds()), Requests: k.requests})
 		}
 	}
-	d.services = map[string]map[uint16]time.Duration{}
+	d.services = map[string]map[uint16]keyDemand{}
 	return out
 }
 
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -33,7 +33,9 @@
 		return outcome{err: err}
 	}
 	if m.Owner.Instance == n.config.Instance {
-		return n.backend.serve(ctx, t, e)
+		out := n.backend.serve(ctx, t, e)
+		n.peers.recordLocalRoom(m.Address, out)
+		return out
 	}
 	senders := len(n.views.current().Members)
 	if !n.peers.allow(m.Address, t.priority, senders) {
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/verdict"
 	"github.com/basilway/basilway/waitqueue"
 )
@@ -128,3 +129,60 @@
 	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
 	g.Expect(err).To(BeNil())
 }
+
+// Guards against refusing a request that another backend server of its service has room for.
+func TestRequestsOverTheLimitGoWhereThereIsRoom(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	c := newTestCluster(t, 3)
+	c.waitSettled()
+	next := c.desired
+	next.Version++
+	next.Services = []httproute.Service{{Name: "booking", HealthPath: "/health"}}
+	c.setDesiredState(next)
+	for _, n := range c.nodes {
+		g.Eventually(func() uint64 { return n.views.current().Routes.Version }, 5*time.Second).Should(Equal(next.Version))
+	}
+	c.nodes[0].sim.nameLimit("0.5")
+	c.nodes[1].sim.nameLimit("0.5")
+	for i := range 300 {
+		// A request without a key.
+		status, body, _, err := send(t.Context(), http.MethodPost, c.nodes[i%3].config.ClientAddress, "/book/x", fmt.Sprint("r", i), -1, "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusOK), body)
+	}
+	for _, n := range c.nodes[:2] {
+		g.Expect(len(n.sim.runs)).To(BeNumerically("<=", allowedInWindow(0.5)))
+	}
+}
+
+// Guards against a planner that takes a limited backend server for one with all its capacity,
+// so that its keys stay there and are refused.
+func TestKeysLeaveALimitedBackendServer(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	c := newTestCluster(t, 3)
+	c.waitSettled()
+	limited := c.nodes[0]
+	limited.sim.nameLimit("3")
+	l := c.startLoad(c.nodes...)
+	defer l.stop()
+	share := func() float64 {
+		loads, total, own := map[uint16]int{}, 0, 0
+		space := c.nodes[1].views.current().Keys["booking"]
+		for worker := range 8 {
+			for i := range 200 {
+				loads[uint16((worker*8192+i*37)%65536)]++
+			}
+		}
+		for key := range loads {
+			total++
+			if space.Find(key).Owner.Instance == limited.config.Instance {
+				own++
+			}
+		}
+		return float64(own) / float64(total)
+	}
+	before := share()
+	g.Eventually(share, 20*time.Second, 200*time.Millisecond).Should(BeNumerically("<", before/2))
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/throttle"
+	"github.com/basilway/basilway/verdict"
 )
 
 const (
@@ -34,6 +35,9 @@
 	// maxUnansweredProbes is the number of probes without a response after which requests
 	// that could run elsewhere are cancelled. One may be late because the peer's CPU is busy.
 	maxUnansweredProbes = 2
+	// maxRoomWait bounds the time for which others are preferred to a backend server whose
+	// limit is used up; the limit may end before.
+	maxRoomWait = time.Second
 	// failureWeight is the weight of one result in the failure rate of a backend server.
 	failureWeight = 0.1
 	// workWeight is the weight of one measurement in the mean time on a backend server.
@@ -50,6 +54,9 @@
 	// slowness is the time of requests on the backend server relative to the mean of their
 	// route over all backend servers; 0 if it is not known.
 	slowness float64
+	// roomAt is when the backend server expects to be able to take a request within the limit
+	// that it named.
+	roomAt time.Time
 	// throttles, by priority, hold back requests to an overloaded backend server.
 	throttles map[int]*throttle.Throttle
 	// overheads are the response times beyond the work of the backend server (queueing,
@@ -131,6 +138,7 @@
 func (p *peers) recordResultLocked(s *peerState, o outcome, expectedWork time.Duration) {
 	s.outstanding--
 	now := time.Now()
+	s.recordRoom(o, now)
 	if o.load.known {
 		s.load, s.loadAt, s.lastSeen = o.load, now, now
 		if o.load.work > 0 {
@@ -146,6 +154,28 @@
 	}
 }
 
+// recordRoom records whether a request was refused because of the backend server's limit.
+func (s *peerState) recordRoom(o outcome, now time.Time) {
+	if o.err != nil && o.err.Reason == verdict.ReasonRateLimited {
+		s.roomAt = now.Add(min(o.err.RetryAfter, maxRoomWait))
+	}
+}
+
+// recordLocalRoom records the result of a request to the local backend server.
+func (p *peers) recordLocalRoom(address string, o outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.getLocked(address).recordRoom(o, time.Now())
+}
+
+// hasRoom reports whether a backend server is expected to take a request within its limit.
+func (p *peers) hasRoom(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[address]
+	return s == nil || !time.Now().Before(s.roomAt)
+}
+
 // allow reports whether to send a request to a peer. If the peer's backend server refuses most
 // requests of a priority, allow returns false for a share of them.
 func (p *peers) allow(address string, priority, senders int) bool {
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -51,6 +51,7 @@
 	demand, slowDemand map[string]*placement.Demand        // by service, over a short and a long window
 	workTimes          map[string]map[string]time.Duration // by instance and route
 	cold               map[string]bool                     // by instance
+	limits             map[string]*float64                 // in requests per second, by instance; nil without one
 	firstSeen          map[string]time.Time                // when a service first had members
 	renewals           map[string]*renewalState            // by instance
 	// lastSample is when this node last learned the store's version.
@@ -72,7 +73,7 @@
 	defer p.mu.Unlock()
 	p.demand, p.slowDemand = map[string]*placement.Demand{}, map[string]*placement.Demand{}
 	p.workTimes = map[string]map[string]time.Duration{}
-	p.cold = map[string]bool{}
+	p.cold, p.limits = map[string]bool{}, map[string]*float64{}
 	p.firstSeen = map[string]time.Time{}
 	p.renewals = map[string]*renewalState{}
 }
@@ -114,15 +115,15 @@
 		}
 		for _, k := range keys {
 			work := time.Duration(k.Micros) * time.Microsecond
-			d.Add(k.Key, work, now)
-			p.slowDemand[service].Add(k.Key, work, now)
+			d.Add(k.Key, work, int(k.Requests), now)
+			p.slowDemand[service].Add(k.Key, work, int(k.Requests), now)
 		}
 	}
 	routeWork := map[string]time.Duration{}
 	for route, micros := range r.Work {
 		routeWork[route] = time.Duration(micros) * time.Microsecond
 	}
-	p.workTimes[r.Instance], p.cold[r.Instance] = routeWork, r.Cold
+	p.workTimes[r.Instance], p.cold[r.Instance], p.limits[r.Instance] = routeWork, r.Cold, r.Limit
 	return p.recordRenewalRequest(r, now)
 }
 
@@ -364,13 +365,21 @@
 		in.Balance = d.WarmedUp(now) && now.Sub(p.lastBalance) >= balanceInterval
 	}
 	members := view.ServiceMembers(service)
+	var meanWork time.Duration
+	if d := p.demand[service]; d != nil {
+		meanWork = d.MeanWork(now)
+	}
 	for _, m := range members {
 		if m.State != BackendReady && m.State != BackendDraining {
 			continue
 		}
-		in.Members = append(in.Members, placement.Member{
+		member := placement.Member{
 			Owner: m.Owner, Slots: m.Slots, Speed: p.speed(members, m), Draining: m.State == BackendDraining, Cold: p.cold[m.Owner.Instance],
-		})
+		}
+		if limit := p.limits[m.Owner.Instance]; limit != nil {
+			member.Limited, member.MaxLoad = true, *limit*meanWork.Seconds()
+		}
+		in.Members = append(in.Members, member)
 	}
 	if len(in.Members) == 0 {
 		return nil
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -20,6 +20,9 @@
 	Work map[string]uint32 `cbor:"3,keyasint"`
 	// Cold is set while the backend server is slow after its start.
 	Cold bool `cbor:"4,keyasint"`
+	// Limit is the limit in requests per second that the backend server names; nil if it names
+	// none.
+	Limit *float64 `cbor:"6,keyasint,omitempty"`
 	// Lease asks the planner to renew the node's lease together with others.
 	Lease *renewalRequest `cbor:"5,keyasint,omitempty"`
 }
@@ -79,6 +82,9 @@
 	for route, work := range n.backend.queue.workByRoute() {
 		r.Work[route] = uint32(work.Microseconds())
 	}
+	if limit, limited := n.statuses.limit(n.backend.owner().Incarnation); limited {
+		r.Limit = &limit
+	}
 	n.backend.mu.Lock()
 	defer n.backend.mu.Unlock()
 	r.Cold = n.backend.tracker != nil && boottimeNow().Before(n.backend.lastHeartbeatAt.Add(n.backend.lastHeartbeat.WarmUpLeft))
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -139,24 +139,31 @@
 }
 
 // candidates returns the members that may run a request of a service without key ownership
-// and were not tried yet. Lost ones are returned only if there are no others.
+// and were not tried yet. Those whose limit is used up are returned only if there are no
+// others, and lost ones only if there are none of these either.
 func (n *Node) candidates(req *request) []Member {
-	var ready, lost []Member
+	var ready, full, lost []Member
 	for _, m := range n.views.current().ServiceMembers(req.ticket.service) {
 		_, leaving := n.statuses.leavingFor(m.Owner.Incarnation)
 		if m.State != BackendReady || leaving || slices.Contains(req.visited, m.Owner.Instance) {
 			continue
 		}
-		if n.peers.isLost(m.Address) {
+		switch {
+		case n.peers.isLost(m.Address):
 			lost = append(lost, m)
-		} else {
+		case !n.peers.hasRoom(m.Address):
+			full = append(full, m)
+		default:
 			ready = append(ready, m)
 		}
 	}
-	if len(ready) == 0 {
-		return lost
+	if len(ready) > 0 {
+		return ready
 	}
-	return ready
+	if len(full) > 0 {
+		return full
+	}
+	return lost
 }
 
 // chooseCandidate returns the member to send the request to. Downloads stay in the
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -14,6 +14,10 @@
 	decayedAt time.Time
 	startedAt time.Time
 	keys      map[uint16]float64
+	// requestRate is the number of requests per second.
+	requestRate float64
+	// total is the load of all keys, also of those that were dropped.
+	total float64
 }
 
 // NewDemand returns an estimate that starts at now without load.
@@ -21,12 +25,27 @@
 	return &Demand{window: window, decayedAt: now, startedAt: now, keys: map[uint16]float64{}}
 }
 
-// Add counts the work of a request for key: its time on a backend server of nominal speed.
-func (d *Demand) Add(key uint16, work time.Duration, now time.Time) {
+// Add counts requests for key and their work: their time on a backend server of nominal speed.
+func (d *Demand) Add(key uint16, work time.Duration, requests int, now time.Time) {
 	d.decay(now)
-	d.keys[key] += work.Seconds() / d.window.Seconds()
+	load := work.Seconds() / d.window.Seconds()
+	d.keys[key] += load
+	d.total += load
+	d.requestRate += float64(requests) / d.window.Seconds()
 }
 
+// MeanWork returns the mean work of a request, or 0 without requests.
+func (d *Demand) MeanWork(now time.Time) time.Duration {
+	d.decay(now)
+	if d.requestRate < minRequestRate {
+		return 0
+	}
+	return time.Duration(d.total / d.requestRate * float64(time.Second))
+}
+
+// minRequestRate is the rate in requests per second below which the mean work is not known.
+const minRequestRate = 1e-3
+
 // minLoad is the load in slots below which a key is dropped from the estimate.
 const minLoad = 1e-3
 
@@ -40,6 +59,7 @@
 	}
 	d.decayedAt = now
 	factor := math.Exp(-passed.Seconds() / d.window.Seconds())
+	d.total, d.requestRate = d.total*factor, d.requestRate*factor
 	for key, load := range d.keys {
 		if load *= factor; load < minLoad {
 			delete(d.keys, key)
--- a/placement/member.go
+++ b/placement/member.go
@@ -8,10 +8,23 @@
 	Slots int
 	// Speed is relative to the mean speed of the service; 1 if it is not known.
 	Speed float64
+	// MaxLoad is the load in slots of nominal speed to which the member limits itself if
+	// Limited is set.
+	MaxLoad float64
+	Limited bool
 	// Draining members give all their keys away and get none.
 	Draining bool
 	// Cold members are still warming up and get no keys for balance.
 	Cold bool
 }
 
-func (m Member) capacity() float64 { return max(0.1, float64(m.Slots)*m.Speed) }
+// minCapacity keeps utilizations finite.
+const minCapacity = 0.1
+
+func (m Member) capacity() float64 {
+	capacity := float64(m.Slots) * m.Speed
+	if m.Limited {
+		capacity = min(capacity, m.MaxLoad)
+	}
+	return max(minCapacity, capacity)
+}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -267,7 +267,7 @@
 	d := NewDemand(DefaultConfig().Window, now)
 	for range 400 {
 		now = now.Add(25 * time.Millisecond)
-		d.Add(7, 50*time.Millisecond, now)
+		d.Add(7, 50*time.Millisecond, 1, now)
 	}
 	g.Expect(d.Loads(now)[7]).To(BeNumerically("~", 2, 0.2))
 	g.Expect(d.Loads(now.Add(15 * time.Second))).To(BeEmpty())
@@ -285,3 +285,41 @@
 	g.Expect(Candidate{Slots: 6, Work: work, Reported: 12, Age: time.Second}.Completion()).
 		To(BeNumerically("<", Candidate{Slots: 6, Work: work, Reported: 12}.Completion()))
 }
+
+// Load pattern: a member limits itself to a third of its load while the others have room.
+// Guards against keys that stay there and are refused.
+func TestLimitedMemberKeepsOnlyWhatItTakes(t *testing.T) {
+	g := NewWithT(t)
+	ms := members(6, 6)
+	in := Input{Space: keyrange.NewSpace(), Members: ms, Loads: map[uint16]float64{}, Balance: true}
+	for i := range 120 {
+		in.Loads[uint16(i*546)] = 0.12
+	}
+	in.Space = applyPlans(t, in, 20)
+	ms[2].Limited, ms[2].MaxLoad = true, 0.8
+	in.Space = applyPlans(t, in, 20)
+	load := func(m Member) float64 {
+		sum := 0.0
+		for key, l := range in.Loads {
+			if in.Space.Find(key).Owner == m.Owner {
+				sum += l
+			}
+		}
+		return sum
+	}
+	g.Expect(load(ms[2])).To(BeNumerically("<=", 0.8))
+	g.Expect(load(ms[2])).To(BeNumerically(">", 0.1))
+}
+
+// Guards against a limit in requests that is compared with a wrong load.
+func TestMeanWorkOfTheDemand(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	d := NewDemand(DefaultConfig().Window, now)
+	g.Expect(d.MeanWork(now)).To(BeZero())
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		d.Add(uint16(i), 200*time.Millisecond, 4, now)
+	}
+	g.Expect(d.MeanWork(now)).To(BeNumerically("~", 50*time.Millisecond, time.Microsecond))
+}
