Name limit and leave in the product's own HTTP protocol too

Basilway-Limit and Basilway-Leaving, so that a router outside the users' platform keeps both as well. The HTTP backend server of the stand-ins speaks them (--limit; while it drains).

--- a/internal/backendsim/httpbackend.go
+++ b/internal/backendsim/httpbackend.go
@@ -38,7 +38,9 @@
 	// AnnounceInterval is the time between announcements. It must be at most a fourth of
 	// the shortest grant, or grants end between two announcements.
 	AnnounceInterval time.Duration
-	Logger           *zap.Logger
+	// Limit is the limit in requests a second that the responses name; 0 for none.
+	Limit  float64
+	Logger *zap.Logger
 }
 
 // HTTPBackend is a stand-in for an HTTP backend server. It serves requests for the keys that a
@@ -157,6 +159,14 @@
 	h := w.Header()
 	h.Set(httpprotocol.RequestIDHeader, r.Header.Get(httpprotocol.RequestIDHeader))
 	h.Set(httpprotocol.BackendHeader, b.config.ID)
+	if b.config.Limit > 0 {
+		h.Set(httpprotocol.LimitHeader, strconv.FormatFloat(b.config.Limit, 'f', -1, 64))
+	}
+	b.mu.Lock()
+	if b.draining {
+		h.Set(httpprotocol.LeavingHeader, "1")
+	}
+	b.mu.Unlock()
 	if r.URL.Path == "/health" {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/internal/httpprotocol/protocol.go
+++ b/internal/httpprotocol/protocol.go
@@ -23,6 +23,11 @@
 	CallerHeader        = "Basilway-Caller"
 	BackendHeader       = "Basilway-Backend"
 	KeyHeader           = "Basilway-Key"
+	// LimitHeader names how many requests a second a backend server takes from all routers
+	// together. It holds until a response without it.
+	LimitHeader = "Basilway-Limit"
+	// LeavingHeader is 1 in the responses of a backend server that is leaving.
+	LeavingHeader = "Basilway-Leaving"
 )
 
 // The paths at the node's address for announcements. A backend server posts an Announcement
@@ -44,7 +49,7 @@
 func (Protocol) Headers() node.Headers {
 	return node.Headers{
 		RequestID: RequestIDHeader, DeadlineMS: TimeoutHeader, ExpectBackend: ExpectBackendHeader, NotRun: NotRunHeader,
-		Caller: CallerHeader, Backend: BackendHeader, Key: KeyHeader,
+		Caller: CallerHeader, Backend: BackendHeader, Key: KeyHeader, Limit: LimitHeader, Leaving: LeavingHeader,
 	}
 }
 
--- a/internal/httpprotocol/protocol_test.go
+++ b/internal/httpprotocol/protocol_test.go
@@ -116,6 +116,14 @@
 	}, 5*time.Second, 50*time.Millisecond).Should(Equal(http.StatusOK))
 }
 
+// Guards against a limit that the router takes from the users' platform only.
+func TestHeadersOfLimitAndLeaveAreNamed(t *testing.T) {
+	g := NewWithT(t)
+	h := httpprotocol.Protocol{}.Headers()
+	g.Expect(h.Limit).To(Equal("Basilway-Limit"))
+	g.Expect(h.Leaving).To(Equal("Basilway-Leaving"))
+}
+
 // Guards against accepting invalid announcements.
 func TestInvalidAnnouncementsAreRejected(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/standin/httpbackend.go
+++ b/internal/standin/httpbackend.go
@@ -40,6 +40,7 @@
 	flags.StringVar(&cfg.Service, "service", "demo", "name of the service")
 	flags.IntVar(&cfg.Slots, "slots", 6, "number of requests that run at a time")
 	flags.DurationVar(&cfg.ServiceTime, "service-time", 0, "time that a request holds its slot")
+	flags.Float64Var(&cfg.Limit, "limit", 0, "limit in requests a second that responses name; 0 for none")
 	flags.DurationVar(&cfg.AnnounceInterval, "announce-interval", 400*time.Millisecond, "time between announcements")
 	return cmd
 }
