Survive SIGHUP while stopping and starting

What callers would see: connections reset in the middle of a planned stop. The handler of SIGHUP ended with the first SIGTERM, and a process without a handler is ended by SIGHUP. The handler is installed first and stays until the process ends.

--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -33,6 +33,9 @@
 }
 
 func runNode(path, level string) error {
+	// Without a handler, SIGHUP would end the process, also while it stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -46,7 +49,7 @@
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go checkSettingsOnHangup(ctx, log, path)
+	go checkSettingsOnHangup(hangups, log, path)
 	err = node.New(settings.Node, log).Run(ctx)
 	if err != nil {
 		log.Error("ended", zap.Error(err))
@@ -69,18 +72,10 @@
 	return log, out.Dropped, nil
 }
 
-// checkSettingsOnHangup validates the settings file on SIGHUP. It does not apply the file: a
-// running process keeps its settings.
-func checkSettingsOnHangup(ctx context.Context, log *zap.Logger, path string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-hangups:
-		case <-ctx.Done():
-			return
-		}
+// checkSettingsOnHangup validates the settings file on each signal until the process ends. It
+// does not apply the file: a running process keeps its settings.
+func checkSettingsOnHangup(hangups <-chan os.Signal, log *zap.Logger, path string) {
+	for range hangups {
 		if _, err := platform.ReadSettings(path); err != nil {
 			log.Error("settings file cannot be loaded; the node keeps its settings", zap.Error(err))
 			continue
