--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -32,10 +32,17 @@
 	return cmd
 }
 
+// hangups receives SIGHUP from the start of the process to its end. Without a handler, SIGHUP
+// ends a process.
+var hangups = notifyHangups()
+
+func notifyHangups() <-chan os.Signal {
+	out := make(chan os.Signal, 1)
+	signal.Notify(out, syscall.SIGHUP)
+	return out
+}
+
 func runNode(path, level string) error {
-	// Without a handler, SIGHUP would end the process, also while it stops.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -49,7 +56,7 @@
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go checkSettingsOnHangup(hangups, log, path)
+	go checkSettingsOnHangup(log, path)
 	err = node.New(settings.Node, log).Run(ctx)
 	if err != nil {
 		log.Error("ended", zap.Error(err))
@@ -74,7 +81,7 @@
 
 // checkSettingsOnHangup validates the settings file on each signal until the process ends. It
 // does not apply the file: a running process keeps its settings.
-func checkSettingsOnHangup(hangups <-chan os.Signal, log *zap.Logger, path string) {
+func checkSettingsOnHangup(log *zap.Logger, path string) {
 	for range hangups {
 		if _, err := platform.ReadSettings(path); err != nil {
 			log.Error("settings file cannot be loaded; the node keeps its settings", zap.Error(err))
