Keep one owner for each key when the store goes back to an older copy

Cause: every decision took an acknowledged write for lasting, and compared versions of before and after.

The planner writes again the tables that no owner can. Members that the store lost stay in effect until they have written themselves again.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -6,6 +6,7 @@
 	clientTests  = []string{"./internal/httpclient", "./internal/node"}
 	attemptTests = []string{"./attempt", "./internal/node"}
 	aheadTests   = []string{"./pipeline", "./internal/readahead"}
+	eraTests     = []string{"./platform"}
 	limitTests   = []string{"./waitqueue", "./internal/node"}
 	statusTests  = []string{"./backendstatus", "./internal/node"}
 	daemonTests  = []string{"./internal/daemon"}
@@ -41,6 +42,24 @@
 	}, {
 		"request sent to a backend server whose stated leave was passed on", "internal/node/forward.go",
 		"if !leaving || known <= n.config.Bounds.leaveGrace() {", "if true {", nodeTests,
+	}, {
+		"keys granted that were not recorded since the store went back", "internal/node/backend.go",
+		"&& !authority.owns(table.Space, r)", "&& r.Fence == 0", nodeTests,
+	}, {
+		"keys taken while a lost owner may hold them", "internal/node/storegeneration.go",
+		"if !a.owns(space, r) {", "if false {", nodeTests,
+	}, {
+		"lease extended before the keys are recorded again", "internal/node/leasekeeper.go",
+		"return k.restored == nil || k.restored(version)", "return true || k.restored(version)", nodeTests,
+	}, {
+		"condition on a version of an earlier generation", "platform/store.go",
+		"if c.Version != 0 && metastore.Generation(c.Version) != basis {", "if c.Version != 0 && basis > 1<<20 {", eraTests,
+	}, {
+		"fencing token of an earlier generation issued again", "keyrange/generation.go",
+		"out.NextFence = max(out.NextFence, generation<<firstFenceShift)", "", []string{"./keyrange"},
+	}, {
+		"older key table shown after the store went back", "internal/node/remembered.go",
+		"case content >= m.content:", "case true:", nodeTests,
 	}, {
 		"limit of a backend server not known after a restart of its node", "internal/node/forward.go",
 		"n.applyLimitHint(r.Header)", "r.Header.Del(limitHintHeader)", nodeTests,
--- a/grant/tracker.go
+++ b/grant/tracker.go
@@ -114,6 +114,12 @@
 // return it again.
 func (t *Tracker) Committing(c CompletedMove) { t.committing[c.Span] = c.Fence }
 
+// Releasing reports whether a completed move of r is being committed.
+func (t *Tracker) Releasing(r keyrange.Range) bool {
+	fence, ok := t.committing[r.Span]
+	return ok && fence == r.Fence
+}
+
 // DropHandovers drops the handover tokens of keys that the owner no longer owns.
 func (t *Tracker) DropHandovers(table *keyrange.Space) {
 	kept := t.handovers[:0]
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -246,12 +246,16 @@
 	if !ok {
 		return grant.Reply{}
 	}
+	authority := b.authority()
+	grantable := table.Hide(func(r keyrange.Range) bool {
+		return r.Owner.Instance == b.node.config.Instance && !authority.owns(table.Space, r)
+	})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.lastHeartbeat.Incarnation() != hb.Incarnation() || b.lastHeartbeat.Sequence != hb.Sequence {
 		return grant.Reply{}
 	}
-	reply, completed := b.tracker.Heartbeat(hb, table.Space, b.node.lease.validUntil(), boottimeNow())
+	reply, completed := b.tracker.Heartbeat(hb, grantable, b.node.lease.validUntil(), boottimeNow())
 	b.tracker.DropHandovers(table.Space)
 	for _, c := range completed {
 		b.log.Info("keys released", zap.Uint16("from", c.From), zap.Uint16("to", c.To), zap.Uint64("fence", c.Fence),
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -83,6 +83,8 @@
 	server  *httptest.Server
 	// heartbeats is the address that it sends heartbeats to.
 	heartbeats string
+	// checker, if not nil, checks what it is granted.
+	checker *holdChecker
 
 	mu        sync.Mutex
 	startedMS int64
@@ -179,6 +181,9 @@
 		}
 	}
 	s.granted, s.until = reply.Grants, sent.Add(reply.Hold)
+	if s.checker != nil {
+		s.checker.record(s)
+	}
 	return len(s.released) > 0
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,6 +36,9 @@
 	Store metastore.WatchedTable
 	// Protocol decodes what clients, backend servers and operators send.
 	Protocol Protocol
+	// Bootstrap is set if the whole cluster starts for the first time, so that nothing can be
+	// in force that the store does not show.
+	Bootstrap bool
 	// DroppedLines returns the number of log lines dropped because the output was blocked;
 	// nil if they are not counted.
 	DroppedLines func() uint64
--- a/internal/node/keywriter.go
+++ b/internal/node/keywriter.go
@@ -72,11 +72,12 @@
 	if !ok {
 		space = KeySpace{Space: keyrange.NewSpace()}
 	}
-	next, txn, err := edit(space.Space)
+	base := space.InGeneration(w.views.currentGeneration(), space.Contents)
+	next, txn, err := edit(base)
 	if err != nil {
 		return err
 	}
-	buckets := next.ChangedBuckets(space.Space)
+	buckets := next.ChangedBuckets(base)
 	if !ok {
 		// The first write creates the rows of all buckets, so that two concurrent first
 		// plans conflict.
--- a/internal/node/leasekeeper.go
+++ b/internal/node/leasekeeper.go
@@ -50,6 +50,11 @@
 	// sample is called with the store's newest version and clock at each response.
 	sample func(version uint64, now time.Duration)
 
+	// restored, if not nil, reports whether a renewal at a version may extend the lease.
+	restored func(version uint64) bool
+	// onLapse, if not nil, is called when the node has no lease.
+	onLapse func()
+
 	mu          sync.Mutex
 	until       time.Time
 	lastRenewal time.Time // send time of the last renewal
@@ -60,6 +65,9 @@
 	// requested is the renewal requested from the planner, first at requestedAt.
 	requested   *renewalRequest
 	requestedAt time.Time
+	// recentNonces are the last nonces of this process. A store that went back shows one of
+	// them.
+	recentNonces []uint64
 	// earlierGrantsEnd is when all grants of an earlier process of this node have expired.
 	earlierGrantsEnd time.Time
 }
@@ -89,24 +97,39 @@
 	}
 	if k.requested == nil {
 		nonce := rand.Uint64()
-		k.pendingNonces = append(k.pendingNonces, nonce)
+		k.addNonce(nonce)
 		k.requested = &renewalRequest{Version: k.version, Row: leaseRow{Nonce: nonce, Address: k.address}}
 		k.requestedAt = k.now()
 	}
 	return k.requested
 }
 
+// maxRecentNonces is the number of nonces that are kept; the last minute's at least.
+const maxRecentNonces = 64
+
+// addNonce records a nonce that is about to be written. k.mu must be held.
+func (k *leaseKeeper) addNonce(nonce uint64) {
+	k.pendingNonces = append(k.pendingNonces, nonce)
+	k.recentNonces = append(k.recentNonces, nonce)
+	if len(k.recentNonces) > maxRecentNonces {
+		k.recentNonces = k.recentNonces[1:]
+	}
+}
+
 // confirm extends the lease if response confirms the requested renewal. The lease counts
 // from the time at which that renewal was first requested.
 func (k *leaseKeeper) confirm(response reportResponse) {
+	r := response.Renewed
+	restored := r != nil && k.mayExtend(r.Version)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	r := response.Renewed
 	if r == nil || k.requested == nil || k.requested.Row.Nonce != r.Nonce {
 		return
 	}
 	k.version, k.pendingNonces, k.requested = r.Version, nil, nil
-	k.extend(k.requestedAt)
+	if restored {
+		k.extend(k.requestedAt)
+	}
 }
 
 // extend sets the end of the lease after a renewal that was sent at the given time.
@@ -135,12 +158,15 @@
 // It then lists the cluster's rows again, because keys may have been reassigned while the
 // node had no lease.
 func (k *leaseKeeper) acquire(ctx context.Context) error {
+	if k.onLapse != nil {
+		k.onLapse()
+	}
 	k.mu.Lock()
 	k.until, k.lastRenewal, k.requested, k.earlierGrantsEnd = time.Time{}, time.Time{}, nil, k.now().Add(leaseDuration)
 	k.mu.Unlock()
 	sent, err := k.write(ctx)
 	if errors.Is(err, metastore.ErrConflict) {
-		version, _, readErr := k.read(ctx)
+		version, _, _, readErr := k.read(ctx)
 		if readErr != nil {
 			return readErr
 		}
@@ -204,6 +230,16 @@
 	}
 }
 
+// mayExtend reports whether a renewal at a version extends the lease. k.mu must not be held.
+func (k *leaseKeeper) mayExtend(version uint64) bool { return k.restored == nil || k.restored(version) }
+
+// rowVersion returns the version of the last confirmed write of the row.
+func (k *leaseKeeper) rowVersion() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.version
+}
+
 // renewalDue reports whether the node must write its row itself now.
 func (k *leaseKeeper) renewalDue() bool {
 	k.mu.Lock()
@@ -213,9 +249,10 @@
 
 // finishSelfRenewal extends the lease after a successful write and ends it after a conflict.
 func (k *leaseKeeper) finishSelfRenewal(sent time.Time, err error) {
+	restored := err == nil && k.mayExtend(k.rowVersion())
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err == nil {
+	if restored {
 		k.extend(sent)
 	}
 	if errors.Is(err, metastore.ErrConflict) {
@@ -233,7 +270,7 @@
 		return time.Time{}, err
 	}
 	k.mu.Lock()
-	k.pendingNonces = append(k.pendingNonces, row.Nonce)
+	k.addNonce(row.Nonce)
 	version := k.version
 	k.mu.Unlock()
 	key := leaseKey(k.instance)
@@ -251,13 +288,18 @@
 		return time.Time{}, err
 	}
 	// An earlier write whose response was lost may have taken effect.
-	version, nonce, readErr := k.read(ctx)
+	version, nonce, listed, readErr := k.read(ctx)
 	if readErr != nil {
 		return time.Time{}, readErr
 	}
 	k.mu.Lock()
 	// Meanwhile the planner may have renewed the row.
 	own := version != 0 && (version == k.version || slices.Contains(k.pendingNonces, nonce))
+	if metastore.Generation(listed) > metastore.Generation(k.version) && k.now().Before(k.until) {
+		// The store went back. The lease is in force, so the row was not taken: it is an
+		// earlier one of this process, or was lost.
+		own = version == 0 || slices.Contains(k.recentNonces, nonce)
+	}
 	k.mu.Unlock()
 	if !own {
 		return time.Time{}, err
@@ -270,11 +312,12 @@
 // next write is based on it.
 var errEarlierWriteApplied = errors.New("an earlier renewal took effect, but its response was lost")
 
-// read returns the version and nonce of the node's own row, or zeros if there is none.
-func (k *leaseKeeper) read(ctx context.Context) (version, nonce uint64, err error) {
+// read returns the version and nonce of the node's own row, or zeros if there is none, and the
+// version of the store.
+func (k *leaseKeeper) read(ctx context.Context) (version, nonce, listed uint64, err error) {
 	listing, err := k.store.List(ctx, leaseTable)
 	if err != nil {
-		return 0, 0, err
+		return 0, 0, 0, err
 	}
 	for _, row := range listing.Rows {
 		if row.Key != leaseKey(k.instance) {
@@ -282,9 +325,9 @@
 		}
 		var value leaseRow
 		if err := cbor.Unmarshal(row.Value, &value); err != nil {
-			return 0, 0, err
+			return 0, 0, 0, err
 		}
-		return row.Version, value.Nonce, nil
+		return row.Version, value.Nonce, listing.Version, nil
 	}
-	return 0, 0, nil
+	return 0, 0, listing.Version, nil
 }
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -33,7 +33,10 @@
 	Service string         `cbor:"4,keyasint"`
 	Slots   int            `cbor:"5,keyasint"`
 	State   BackendState   `cbor:"6,keyasint"`
+	// Generation is the generation of the store in which the row was written.
+	Generation uint64 `cbor:"7,keyasint,omitempty"`
 
+	// version is that of the row; 0 if the store lost it.
 	version uint64
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -21,6 +21,8 @@
 	// unread is the time that requests waited on their connection before they ran, held the
 	// time that responses waited for earlier ones.
 	unread, held *metrics.Histogram
+	// storeRollbacks counts how often the store was seen to go back to an earlier state.
+	storeRollbacks *metrics.Counter
 
 	mu     sync.Mutex
 	routes map[string]bool
@@ -29,6 +31,8 @@
 func newMetrics(n *Node) *nodeMetrics {
 	m := &nodeMetrics{set: metrics.NewSet(), routes: map[string]bool{}}
 	m.unread = m.set.NewHistogram("basilway_node_unread_seconds")
+	m.storeRollbacks = m.set.NewCounter("basilway_node_store_rollbacks_total")
+	m.set.NewGauge("basilway_node_store_generation", func() float64 { return float64(n.generation.generation()) })
 	m.held = m.set.NewHistogram("basilway_node_response_held_seconds")
 	m.set.NewGauge("basilway_node_running", func() float64 { return float64(n.backend.queue.load().running) })
 	m.set.NewGauge("basilway_node_waiting", func() float64 { return float64(n.backend.queue.load().waiting) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,8 @@
 	clients  *clientConns
 	refusals refusals
 	statuses *statuses
+	// generation is the present generation of the store.
+	generation *storeGeneration
 
 	sequence atomic.Uint64
 	stopping atomic.Bool
@@ -59,7 +61,7 @@
 		demand:  newDemandMeter(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}},
-		statuses: newStatuses(),
+		statuses: newStatuses(), generation: newStoreGeneration(config.Bootstrap),
 	}
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
@@ -72,6 +74,9 @@
 	n.lease.sample = n.planner.sample
 	n.gossip = newRowGossip(n)
 	n.views.onNewRows = n.gossip.enqueue
+	n.views.onGeneration = n.enterGeneration
+	n.views.settled = n.generation.settled
+	n.lease.restored, n.lease.onLapse = n.restored, n.generation.stopVouching
 	n.metrics = newMetrics(n)
 	n.events = newEvents(log, n.metrics.countDroppedLine)
 	return n
@@ -111,7 +116,7 @@
 	var running sync.WaitGroup
 	for _, task := range []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.gossip.runPush, n.gossip.runDigests, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.runHousekeeping,
 	} {
 		running.Go(func() { task(tasks) })
 	}
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -99,6 +99,9 @@
 		if owner.Instance != b.node.config.Instance || len(table.OwnedBy(owner)) == 0 {
 			continue
 		}
+		if !b.authority().mayTake(table.Space, owner) {
+			continue
+		}
 		b.log.Warn("earlier backend server did not return; dropping its keys", zap.String("backend", owner.Incarnation))
 		err := b.node.writer.update(ctx, b.node.config.Service, func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
 			return t.Drop(owner), metastore.Txn{}, nil
@@ -133,14 +136,14 @@
 		leaving := !b.leaveAcked.IsZero()
 		b.mu.Unlock()
 		if m, ok := view.Members[b.node.config.Instance]; ok && leaving && m.State == BackendReady {
-			m.State, m.version = BackendDraining, 0
+			m.State, m.version, m.Generation = BackendDraining, 0, b.node.generation.generation()
 			return b.writeMember(ctx, m)
 		}
 		return nil
 	}
 	want := Member{
 		Owner: b.tracker.Owner(), Address: b.node.config.PeerAddress, Zone: b.node.config.Zone,
-		Service: b.node.config.Service, Slots: b.lastHeartbeat.Slots, State: b.state,
+		Service: b.node.config.Service, Slots: b.lastHeartbeat.Slots, State: b.state, Generation: b.node.generation.generation(),
 	}
 	completed := append([]grant.CompletedMove(nil), b.completed...)
 	b.mu.Unlock()
@@ -200,14 +203,15 @@
 	if !ok {
 		return nil
 	}
+	authority := b.authority()
 	edit := func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
-		next, changed := editKeys(t, m, completed)
+		next, changed := editKeys(t, m, completed, authority)
 		if !changed {
 			return nil, metastore.Txn{}, errNoChange
 		}
 		return next, metastore.Txn{}, nil
 	}
-	if _, changed := editKeys(table.Space, m, completed); changed {
+	if _, changed := editKeys(table.Space, m, completed, authority); changed {
 		if err := b.node.writer.update(ctx, m.Service, edit); err != nil {
 			return err
 		}
@@ -220,10 +224,10 @@
 
 // editKeys returns the key table after the changes that m and completed require, and
 // whether it differs from t.
-func editKeys(t *keyrange.Space, m Member, completed []grant.CompletedMove) (*keyrange.Space, bool) {
+func editKeys(t *keyrange.Space, m Member, completed []grant.CompletedMove, authority keyAuthority) (*keyrange.Space, bool) {
 	next, changed := t, false
 	for _, owner := range t.Owners() {
-		if owner.Instance != m.Owner.Instance {
+		if owner.Instance != m.Owner.Instance || !authority.mayTake(t, owner) {
 			continue
 		}
 		switch {
@@ -233,6 +237,10 @@
 			next, changed = next.Replace(owner, m.Owner), true
 		}
 	}
+	if m.State != BackendDown {
+		reasserted, any := authority.reassert(next, m.Owner)
+		next, changed = reasserted, changed || any
+	}
 	for _, c := range completed {
 		if r := next.Find(c.From); r.Owner != m.Owner || r.Fence != c.Fence || !r.Moving() {
 			continue
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -90,19 +90,29 @@
 func (s *relayStore) List(ctx context.Context, table string) (metastore.Listing, error) {
 	listing, err := s.WatchedTable.List(ctx, table)
 	if err == nil || ctx.Err() != nil {
+		s.node.views.observeGeneration(listing.Version)
 		return listing, err
 	}
 	result, ok := s.relay(ctx, relayCall{Table: table})
 	if !ok {
 		return listing, err
 	}
+	s.node.views.observeGeneration(result.Listing.Version)
 	return result.Listing, result.err()
 }
 
+// Watch implements metastore.WatchedTable.
+func (s *relayStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Listing, error) {
+	listing, err := s.WatchedTable.Watch(ctx, table, after, wait)
+	s.node.views.observeGeneration(listing.Version)
+	return listing, err
+}
+
 // Apply implements metastore.WatchedTable.
 func (s *relayStore) Apply(ctx context.Context, txn metastore.Txn) (metastore.Applied, error) {
 	applied, err := s.WatchedTable.Apply(ctx, txn)
 	if err == nil || errors.Is(err, metastore.ErrConflict) || ctx.Err() != nil {
+		s.node.views.observeGeneration(applied.Version)
 		return applied, err
 	}
 	result, ok := s.relay(ctx, relayCall{Txn: &txn})
@@ -112,6 +122,7 @@
 	if result.Failure == relayUnavailable && errors.Is(err, metastore.ErrUnknown) {
 		return applied, err
 	}
+	s.node.views.observeGeneration(result.Applied.Version)
 	return result.Applied, result.err()
 }
 
--- /dev/null
+++ b/internal/node/storegeneration_test.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore"
+	"github.com/basilway/basilway/metastore/memory"
+)
+
+// goBack makes the store unavailable for away and then come back as it was at from.
+func (c *testCluster) goBack(from time.Time, away time.Duration) {
+	c.store.SetFaults(memory.Faults{Down: true})
+	time.Sleep(away)
+	c.store.Rewind(from, func(key string) bool { return key == simProtocol{}.DesiredStateRow() })
+	c.store.SetFaults(memory.Faults{})
+}
+
+// Guards against live owners that lose their keys, and against keys with two holders, when the
+// store comes back from a copy of before the keys were assigned.
+func TestOwnersServeWhileTheStoreGoesBack(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	before := time.Now()
+	c := newTestCluster(t, 3)
+	c.waitSettled()
+	l := c.startLoad(c.nodes...)
+	time.Sleep(200 * time.Millisecond)
+	c.goBack(before, 500*time.Millisecond)
+	returned := time.Now()
+	recorded := func() bool {
+		generation := c.store.Generation()
+		space, ok := c.nodes[0].views.current().Keys["booking"]
+		for key := 0; ok && key < 65536; key += holdStep {
+			ok = space.SettledIn(generation, uint16(key)) && c.holders(uint16(key)) == 1
+		}
+		return ok
+	}
+	g.Eventually(recorded, 20*time.Second, 5*time.Millisecond).Should(BeTrue())
+	t.Logf("recorded again after %v", time.Since(returned))
+	time.Sleep(300 * time.Millisecond)
+	l.stop()
+	g.Expect(l.unexpected()).To(BeEmpty())
+	g.Expect(l.refused.Load()).To(BeZero(), "owners serve on")
+	g.Expect(c.holds.found()).To(BeEmpty())
+	for _, n := range c.nodes {
+		g.Expect(n.sim.maxRuns()).To(BeNumerically("<=", 1))
+	}
+	// Leases go on.
+	g.Expect(boottimeNow()).To(BeTemporally("<", c.nodes[1].lease.validUntil()))
+}
+
+// Guards against two holders and repeated tokens when the store goes back at any point of
+// handovers, renewals, plans and leaves, more than once, and while nodes restart.
+func TestKeysHaveOneHolderWheneverTheStoreGoesBack(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			rng := rand.New(rand.NewPCG(seed, 1))
+			c := newTestCluster(t, 4)
+			c.waitSettled()
+			l := c.startLoad(c.nodes...)
+			leaving := c.nodes[rng.IntN(4)]
+			for round := range 4 {
+				switch round {
+				case 0:
+					c.nodes[rng.IntN(4)].sim.nameLimit("3")
+				case 1:
+					leaving.sim.mu.Lock()
+					leaving.sim.state = grant.Draining
+					leaving.sim.mu.Unlock()
+				case 2:
+					n := c.nodes[rng.IntN(4)]
+					n.cancel()
+					g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+					n.start()
+				}
+				time.Sleep(time.Duration(rng.IntN(900)) * time.Millisecond)
+				c.goBack(time.Now().Add(-time.Duration(100+rng.IntN(4000))*time.Millisecond), time.Duration(rng.IntN(400))*time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			l.stop()
+			g.Expect(c.holds.found()).To(BeEmpty())
+			for _, n := range c.nodes {
+				g.Expect(n.sim.maxRuns()).To(BeNumerically("<=", 1))
+			}
+			g.Eventually(func() int {
+				unserved := 0
+				for key := 0; key < 65536; key += holdStep {
+					if c.holders(uint16(key)) != 1 {
+						unserved++
+					}
+				}
+				return unserved
+			}, 40*time.Second, 100*time.Millisecond).Should(BeZero())
+			g.Expect(c.holds.found()).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a node without memory of the lost seconds that grants keys while a server of
+// these seconds may hold them.
+func TestRestartedNodeWaitsForLostLeases(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	c := newTestCluster(t, 2)
+	c.waitSettled()
+	n := c.nodes[0]
+	n.cancel()
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	c.goBack(time.Now().Add(-time.Second), 0)
+	n.start()
+	started := time.Now()
+	g.Eventually(func() bool { return n.views.current().Listed }, 10*time.Second).Should(BeTrue())
+	owned := func() int {
+		n.sim.mu.Lock()
+		defer n.sim.mu.Unlock()
+		return len(n.sim.granted)
+	}
+	g.Eventually(owned, 10*time.Second).Should(BeZero(), "the hold of before")
+	g.Eventually(owned, 30*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
+	g.Expect(time.Since(started)).To(BeNumerically(">=", leaseDuration))
+	g.Expect(c.holds.found()).To(BeEmpty())
+}
+
+// keyRow returns the row of a bucket of the key table.
+func keyRow(t *testing.T, table *keyrange.Table, version uint64) metastore.Row {
+	t.Helper()
+	data, err := table.Encode()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return metastore.Row{Key: bucketKey("booking", 0), Value: data, Version: version}
+}
+
+// Guards against a view that goes back with the store, and against one that ignores what is
+// written after that.
+func TestViewKeepsWhatTheStoreLost(t *testing.T) {
+	g := NewWithT(t)
+	s := newViewStore(simProtocol{}, zap.NewNop())
+	old := keyrange.New(keyrange.BucketSpan(0))
+	a, b := keyrange.Owner{Instance: "a", Incarnation: "a@1"}, keyrange.Owner{Instance: "b", Incarnation: "b@1"}
+	known, err := old.Assign(keyrange.BucketSpan(0), a)
+	g.Expect(err).NotTo(HaveOccurred())
+	owner := func() keyrange.Owner { return s.current().Keys["booking"].Find(0).Owner }
+	s.apply(keyRow(t, old, 10), keyRow(t, known, 12))
+	g.Expect(owner()).To(Equal(a))
+
+	s.apply(keyRow(t, old, metastore.VersionOf(1, 10)))
+	g.Expect(owner()).To(Equal(a), "the store has an older table")
+	g.Expect(s.current().Keys["booking"].Versions[0]).To(Equal(metastore.VersionOf(1, 10)), "the next write is based on it")
+	g.Expect(s.lostBuckets("booking")).To(Equal([]int{0}))
+
+	// Another node, which knows less, writes first.
+	other, err := old.InGeneration(1, 10).Assign(keyrange.Span{From: 100, To: 200}, b)
+	g.Expect(err).NotTo(HaveOccurred())
+	s.apply(keyRow(t, other, metastore.VersionOf(1, 11)))
+	g.Expect(owner()).To(Equal(a))
+	g.Expect(s.current().Keys["booking"].Find(150).Owner).To(Equal(b))
+	g.Expect(s.lostBuckets("booking")).To(Equal([]int{0}))
+
+	// What is written on the basis of all that replaces it.
+	space := s.current().Keys["booking"]
+	next := space.InGeneration(1, space.Contents).Table(0).Drop(a)
+	s.apply(keyRow(t, next, metastore.VersionOf(1, 12)))
+	g.Expect(owner()).To(Equal(keyrange.Owner{}))
+	g.Expect(s.lostBuckets("booking")).To(BeEmpty())
+
+	// A listing without the row says that the store lost it.
+	s.replace(clusterTable, metastore.Listing{Version: metastore.VersionOf(2, 5)})
+	g.Expect(s.current().Keys["booking"].Find(150).Owner).To(Equal(b))
+	g.Expect(s.current().Keys["booking"].Versions[0]).To(BeZero())
+}
+
+// Guards against a desired state that goes back with the store.
+func TestDesiredStateDoesNotGoBackWithTheStore(t *testing.T) {
+	g := NewWithT(t)
+	s := newViewStore(simProtocol{}, zap.NewNop())
+	row := func(version int, at uint64) metastore.Row {
+		return metastore.Row{Key: simProtocol{}.DesiredStateRow(), Value: []byte(fmt.Sprintf(`{"Version":%d}`, version)), Version: at}
+	}
+	s.apply(row(3, 10), row(5, 12))
+	s.apply(row(3, metastore.VersionOf(1, 10)))
+	g.Expect(s.current().Routes.Version).To(BeEquivalentTo(5))
+	s.apply(row(6, metastore.VersionOf(1, 11)))
+	g.Expect(s.current().Routes.Version).To(BeEquivalentTo(6))
+}
+
+// Guards against a renewal that extends the lease while the node's keys are not recorded, so
+// that others may take them once the leases of the lost seconds have run out.
+func TestLeaseIsExtendedOnlyOnceKeysAreRecorded(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	generation := n.store.WatchedTable.(*memory.Store).Generation() + 1
+	n.views.observeGeneration(metastore.VersionOf(generation, 1))
+	g.Expect(n.restored(metastore.VersionOf(generation, 2))).To(BeFalse())
+	n.generation.stopVouching()
+	g.Expect(n.restored(metastore.VersionOf(generation, 2))).To(BeTrue(), "without a lease there is nothing to record")
+}
+
+// Guards against refusing to start: the settings say that the whole cluster starts for the
+// first time, in whatever generation.
+func TestFirstStartOfAClusterWaitsForNothing(t *testing.T) {
+	g := NewWithT(t)
+	for bootstrap, want := range map[bool]bool{true: true, false: false} {
+		s := newStoreGeneration(bootstrap)
+		s.enter(4, &View{}, false)
+		g.Expect(s.settled()).To(Equal(want))
+		s.enter(5, &View{Listed: true}, true)
+		g.Expect(s.settled()).To(BeFalse(), "the store went back since")
+		s.now = func() time.Time { return boottimeNow().Add(settleTime + time.Second) }
+		g.Expect(s.settled()).To(BeTrue())
+	}
+}
+
+// Guards against metrics that don't show that the store went back.
+func TestStoreGenerationIsShown(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	n.views.observeGeneration(metastore.VersionOf(7, 1))
+	var out strings.Builder
+	n.metrics.set.WritePrometheus(&out)
+	g.Expect(out.String()).To(ContainSubstring("basilway_node_store_generation 7\n"))
+	g.Expect(out.String()).To(ContainSubstring("basilway_node_store_rollbacks_total 1\n"))
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -30,6 +30,10 @@
 type KeySpace struct {
 	*keyrange.Space
 	Versions [keyrange.Buckets]uint64
+	// Contents identify the contents of the tables: the versions at which they were written,
+	// in the generations in which they were. They differ from Versions for what was written
+	// before the store went back.
+	Contents [keyrange.Buckets]uint64
 }
 
 // PlannerRow is the row that names the planner.
--- a/keyrange/encoding.go
+++ b/keyrange/encoding.go
@@ -13,6 +13,11 @@
 	NextFence uint64         `cbor:"1,keyasint"`
 	Owners    []Owner        `cbor:"3,keyasint"`
 	Ranges    []encodedRange `cbor:"4,keyasint"`
+	// Generation and Base are those of Table; Unconfirmed lists the indexes of the ranges that
+	// are not confirmed.
+	Generation  uint64 `cbor:"5,keyasint,omitempty"`
+	Base        uint64 `cbor:"6,keyasint,omitempty"`
+	Unconfirmed []int  `cbor:"7,keyasint,omitempty"`
 }
 
 // encodedRange is a range that begins after the end of the previous one.
@@ -27,7 +32,7 @@
 
 // Encode returns the encoding that Decode reads.
 func (t *Table) Encode() ([]byte, error) {
-	out := encodedTable{NextFence: t.NextFence, Ranges: make([]encodedRange, 0, len(t.Ranges))}
+	out := encodedTable{NextFence: t.NextFence, Ranges: make([]encodedRange, 0, len(t.Ranges)), Generation: t.Generation, Base: t.Base}
 	indexes := map[Owner]int{{}: 0}
 	indexOf := func(o Owner) int {
 		index, known := indexes[o]
@@ -38,7 +43,10 @@
 		}
 		return index
 	}
-	for _, r := range t.Ranges {
+	for i, r := range t.Ranges {
+		if !r.Confirmed {
+			out.Unconfirmed = append(out.Unconfirmed, i)
+		}
 		out.Ranges = append(out.Ranges, encodedRange{To: r.To, Fence: r.Fence, Owner: indexOf(r.Owner), Next: indexOf(r.Next), Handover: r.Handover})
 	}
 	return cbor.Marshal(out)
@@ -50,7 +58,7 @@
 	if err := cbor.Unmarshal(data, &in); err != nil {
 		return nil, fmt.Errorf("key table: %w", err)
 	}
-	t := &Table{NextFence: in.NextFence, Ranges: make([]Range, 0, len(in.Ranges))}
+	t := &Table{NextFence: in.NextFence, Ranges: make([]Range, 0, len(in.Ranges)), Generation: in.Generation, Base: in.Base}
 	owners := append([]Owner{{}}, in.Owners...)
 	nextKey := int(span.From)
 	for _, r := range in.Ranges {
@@ -61,10 +69,16 @@
 			return nil, fmt.Errorf("key table: range %d to %d refers to an unknown owner", nextKey, r.To)
 		}
 		t.Ranges = append(t.Ranges, Range{
-			Span: Span{From: uint16(nextKey), To: r.To}, Owner: owners[r.Owner], Fence: r.Fence, Handover: r.Handover, Next: owners[r.Next],
+			Span: Span{From: uint16(nextKey), To: r.To}, Owner: owners[r.Owner], Fence: r.Fence, Handover: r.Handover, Next: owners[r.Next], Confirmed: true,
 		})
 		nextKey = int(r.To) + 1
 	}
+	for _, i := range in.Unconfirmed {
+		if i < 0 || i >= len(t.Ranges) {
+			return nil, fmt.Errorf("key table: unconfirmed range %d of %d", i, len(t.Ranges))
+		}
+		t.Ranges[i].Confirmed = false
+	}
 	if nextKey != int(span.To)+1 {
 		return nil, fmt.Errorf("key table: last range ends at key %d", nextKey-1)
 	}
--- a/keyrange/range.go
+++ b/keyrange/range.go
@@ -12,6 +12,8 @@
 	Handover string
 	// Next is the target of a planned move in progress; the zero Owner if there is none.
 	Next Owner
+	// Confirmed is set if the range was recorded in the generation of its table.
+	Confirmed bool
 }
 
 // Moving reports whether a planned move is in progress.
--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -21,10 +21,17 @@
 	// NextFence is the fencing token for the next change of owner.
 	NextFence uint64
 	Ranges    []Range
+	// Generation is the generation of the store in which the table was last changed.
+	Generation uint64
+	// Base identifies the content of an earlier generation that the table was derived from:
+	// its version, with the generation in which that content was written.
+	Base uint64
 }
 
 // New returns a table of a span in which no key has an owner.
-func New(s Span) *Table { return &Table{NextFence: 1, Ranges: []Range{{Span: s}}} }
+func New(s Span) *Table {
+	return &Table{NextFence: 1, Ranges: []Range{{Span: s, Confirmed: true}}}
+}
 
 // ChangedOwners returns the owners and move targets of the ranges that differ from an earlier
 // table, or of all ranges if earlier is nil.
@@ -55,7 +62,7 @@
 		if !r.Owner.IsZero() {
 			return ErrOwned
 		}
-		*r = Range{Span: r.Span, Owner: owner, Fence: fence}
+		*r = Range{Span: r.Span, Owner: owner, Fence: fence, Confirmed: true}
 		return nil
 	})
 }
@@ -89,7 +96,7 @@
 		if r.Owner != owner || !r.Moving() {
 			return ErrNotOwner
 		}
-		*r = Range{Span: r.Span, Owner: r.Next, Fence: fence, Handover: handover}
+		*r = Range{Span: r.Span, Owner: r.Next, Fence: fence, Handover: handover, Confirmed: true}
 		return nil
 	})
 }
@@ -107,7 +114,7 @@
 		if r.Owner != owner {
 			continue
 		}
-		*r = Range{Span: r.Span, Owner: r.Next}
+		*r = Range{Span: r.Span, Owner: r.Next, Confirmed: true}
 		if !r.Owner.IsZero() {
 			r.Fence = out.issueFence()
 		}
@@ -126,7 +133,7 @@
 			r.Next = next
 		}
 		if r.Owner == old {
-			r.Owner, r.Fence, r.Handover = next, out.issueFence(), ""
+			r.Owner, r.Fence, r.Handover, r.Confirmed = next, out.issueFence(), "", true
 		}
 	}
 	return out
@@ -138,7 +145,7 @@
 }
 
 func (t *Table) clone() *Table {
-	return &Table{NextFence: t.NextFence, Ranges: slices.Clone(t.Ranges)}
+	return &Table{NextFence: t.NextFence, Ranges: slices.Clone(t.Ranges), Generation: t.Generation, Base: t.Base}
 }
 
 func (t *Table) issueFence() uint64 {
--- a/membership/expiry/tracker.go
+++ b/membership/expiry/tracker.go
@@ -3,7 +3,11 @@
 // one counter, so every response of the store gives a minimum age for all earlier versions.
 package expiry
 
-import "time"
+import (
+	"time"
+
+	"github.com/basilway/basilway/metastore"
+)
 
 // Config holds the parameters of a Tracker.
 type Config struct {
@@ -51,6 +55,10 @@
 // Sample records that version is the newest version in the store at now, by the store's
 // clock. Samples that are older than the last one are ignored.
 func (t *Tracker) Sample(version uint64, now time.Duration) {
+	if n := len(t.samples); n > 0 && metastore.Generation(version) > metastore.Generation(t.samples[n-1].version) {
+		// The store went back, so earlier samples say nothing about its rows.
+		*t = Tracker{config: t.config}
+	}
 	if now < t.lastSample {
 		return // a later response was processed first
 	}
--- a/membership/expiry/tracker_test.go
+++ b/membership/expiry/tracker_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/metastore"
 )
 
 func config() Config {
@@ -51,3 +53,21 @@
 		}
 	}
 }
+
+// Guards against leases that expire by the versions of a store that went back since: those of
+// live holders may have been lost.
+func TestAgesStartAnewWhenTheStoreWentBack(t *testing.T) {
+	g := NewWithT(t)
+	tr := New(config())
+	for s := 0; s <= 20; s++ {
+		tr.Sample(uint64(100+10*s), time.Duration(s)*time.Second)
+	}
+	rows := map[string]uint64{"alive": metastore.VersionOf(1, 105)}
+	// The store's clock may have gone back too.
+	for s := 15; s < 24; s++ {
+		tr.Sample(metastore.VersionOf(1, uint64(120+s)), time.Duration(s)*time.Second)
+		g.Expect(tr.Lost(rows)).To(BeEmpty(), "%d s", s)
+	}
+	tr.Sample(metastore.VersionOf(1, 200), 24*time.Second)
+	g.Expect(tr.Lost(rows)).To(HaveLen(1))
+}
