Vouch only for keys that were recorded before the store went back

Two drills within seconds, with a restart of a node before the first: the new process has no memory of the lost seconds, but had a lease at the second drill, and took all keys that the rows name for its own. They may be held by a server of the lost seconds. Found by reading; TestSecondRollbackGivesNoAuthority failed before. The node now vouches for a range only if it was recorded in the generation before, or was vouched for since it was.

--- a/internal/node/storegeneration.go
+++ b/internal/node/storegeneration.go
@@ -35,14 +35,20 @@
 	seenAt  time.Time
 	// first is set if it is the first generation that this process has seen.
 	first bool
-	// before is the view of the generation before, and vouching is set if the node had its
-	// lease then: it knows the truth about its own keys.
-	before   *View
-	vouching bool
+	// rollbacks are the times at which the store went back while the node had its lease,
+	// without a lapse since. The node knows the truth about the keys that it owned then.
+	rollbacks []rollback
 	// entered is notified of a new generation.
 	entered chan struct{}
 }
 
+// rollback is a time at which the store went back.
+type rollback struct {
+	// from is the generation before, and before the view of it.
+	from   uint64
+	before *View
+}
+
 func newStoreGeneration(bootstrap bool) *storeGeneration {
 	return &storeGeneration{bootstrap: bootstrap, now: boottimeNow, entered: make(chan struct{}, 1)}
 }
@@ -52,8 +58,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.first = g.seenAt.IsZero() && !before.Listed && before.Routes == nil
+	if !leased || g.first || g.now().Sub(g.seenAt) > settleTime {
+		g.rollbacks = nil
+	}
+	if leased && !g.first {
+		g.rollbacks = append(g.rollbacks, rollback{g.current, before})
+	}
 	g.current, g.seenAt = generation, g.now()
-	g.before, g.vouching = before, leased && !g.first
 	select {
 	case g.entered <- struct{}{}:
 	default:
@@ -74,19 +85,25 @@
 	return g.current == 0 || g.first && g.bootstrap || g.now().Sub(g.seenAt) > settleTime
 }
 
-// vouches reports whether the node owned r, a range of service, when the store went back.
+// vouches reports whether the node certainly owned r, a range of service, when the store went
+// back last: it was recorded then, or the node vouched for it.
 func (g *storeGeneration) vouches(service string, r keyrange.Range) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.vouching {
-		return false
-	}
-	space, ok := g.before.Keys[service]
-	if !ok {
-		return false
+	for i := len(g.rollbacks) - 1; i >= 0; i-- {
+		space, ok := g.rollbacks[i].before.Keys[service]
+		if !ok {
+			return false
+		}
+		had := space.Find(r.From)
+		if had.Owner != r.Owner || had.Fence != r.Fence || !had.Covers(r.Span) {
+			return false
+		}
+		if space.SettledIn(g.rollbacks[i].from, r.From) {
+			return true
+		}
 	}
-	had := space.Find(r.From)
-	return had.Owner == r.Owner && had.Fence == r.Fence && had.Covers(r.Span)
+	return false
 }
 
 // keyAuthority says which ranges of the local backend server's service this node may grant and
@@ -246,12 +263,12 @@
 func (g *storeGeneration) stopVouching() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.vouching = false
+	g.rollbacks = nil
 }
 
 // isVouching reports whether the node had its lease when the store went back.
 func (g *storeGeneration) isVouching() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.vouching
+	return len(g.rollbacks) > 0
 }
--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -230,3 +230,27 @@
 	g.Expect(out.String()).To(ContainSubstring("basilway_node_store_generation 7\n"))
 	g.Expect(out.String()).To(ContainSubstring("basilway_node_store_rollbacks_total 1\n"))
 }
+
+// Guards against a node that vouches for keys only because it had a lease when the store went
+// back again: it must have owned them certainly before.
+func TestSecondRollbackGivesNoAuthority(t *testing.T) {
+	g := NewWithT(t)
+	own := keyrange.Owner{Instance: "a", Incarnation: "a@1"}
+	space, err := keyrange.NewSpace().Assign(keyrange.Span{From: 0, To: keyrange.MaxKey}, own)
+	g.Expect(err).NotTo(HaveOccurred())
+	view := func(listed bool) *View {
+		return &View{Listed: listed, Keys: map[string]KeySpace{"booking": {Space: space}}}
+	}
+	r := space.Find(0)
+	restarted := newStoreGeneration(false)
+	restarted.enter(1, &View{}, false)
+	restarted.enter(2, view(true), true)
+	g.Expect(restarted.vouches("booking", r)).To(BeFalse(), "recorded in no generation that it has seen")
+	lasting := newStoreGeneration(false)
+	lasting.enter(1, view(true), true)
+	g.Expect(lasting.vouches("booking", r)).To(BeTrue())
+	lasting.enter(2, view(true), true)
+	g.Expect(lasting.vouches("booking", r)).To(BeTrue(), "two drills within seconds")
+	lasting.enter(3, view(true), false)
+	g.Expect(lasting.vouches("booking", r)).To(BeFalse(), "the lease had lapsed")
+}
