--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -30,12 +32,16 @@
 	t.Parallel()
 	g := NewWithT(t)
 	before := time.Now()
-	c := newTestCluster(t, 3)
+	size := 3
+	if n, err := strconv.Atoi(os.Getenv("ROLLBACK_NODES")); err == nil {
+		size = n // by hand, to measure larger clusters
+	}
+	c := newTestCluster(t, size)
 	c.waitSettled()
 	l := c.startLoad(c.nodes...)
 	time.Sleep(200 * time.Millisecond)
 	c.goBack(before, 500*time.Millisecond)
-	returned := time.Now()
+	returned, calls := time.Now(), c.store.Counts()
 	recorded := func() bool {
 		generation := c.store.Generation()
 		space, ok := c.nodes[0].views.current().Keys["booking"]
@@ -45,7 +51,8 @@
 		return ok
 	}
 	g.Eventually(recorded, 20*time.Second, 5*time.Millisecond).Should(BeTrue())
-	t.Logf("recorded again after %v", time.Since(returned))
+	done := c.store.Counts()
+	t.Logf("recorded again after %v, with %d reads, %d writes and %d conflicts", time.Since(returned), done.Reads-calls.Reads, done.Writes-calls.Writes, done.Conflicts-calls.Conflicts)
 	time.Sleep(300 * time.Millisecond)
 	l.stop()
 	g.Expect(l.unexpected()).To(BeEmpty())
