End a limit only with a response that succeeded, and keep live members after a rollback

A response that failed may lack the header without meaning it: a single 500 would have let everything through until the next response.

The planner removed members whose lease rows the store had lost before they had written them again. It waits until the generation has settled now.

--- a/backendstatus/table.go
+++ b/backendstatus/table.go
@@ -28,10 +28,12 @@
 // returns whether that changes the limit, and whether the leave is new.
 //
 // A limit holds until a response without one. Responses may overtake each other, so only the
-// response to a request sent after the limit was last named ends it. A leave is final.
+// response to a request sent after the limit was last named ends it. A zero sentAt means that
+// the response says nothing by not naming a limit: it failed, or answers a health check. A leave
+// is final.
 func (t *Table) Observe(incarnation string, r Report, sentAt, now time.Time) (limitChanged, leaves bool) {
 	s := t.get(incarnation, now)
-	s.heard = true
+	s.heard = s.heard || r.Limited || !sentAt.IsZero()
 	if r.Leaving && s.leavingSince.IsZero() {
 		s.leavingSince, leaves = now, true
 	}
--- a/backendstatus/table_test.go
+++ b/backendstatus/table_test.go
@@ -29,6 +29,21 @@
 	g.Expect(limited).To(BeFalse())
 }
 
+// Guards against a limit that ends, or a hint that is ignored, because of a response that
+// failed.
+func TestFailedResponseEndsNoLimit(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.Observe("a@1", Report{}, time.Time{}, at(0))
+	g.Expect(table.Hint("a@1", 5, at(1))).To(BeTrue())
+	table.Observe("a@1", Report{}, time.Time{}, at(2))
+	_, limited := table.Limit("a@1")
+	g.Expect(limited).To(BeTrue())
+	table.Observe("a@1", Report{}, at(3), at(4))
+	_, limited = table.Limit("a@1")
+	g.Expect(limited).To(BeFalse())
+}
+
 // Guards against a hint that replaces what the backend server itself has stated.
 func TestHintHoldsOnlyUntilTheFirstResponse(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -74,8 +74,6 @@
 	if resp.Header.Get(b.node.headers.Backend) != grant.IncarnationID(incarnation) {
 		return false
 	}
-	if report, err := b.node.headers.backendReport(resp.Header); err == nil && (report.Limited || report.Leaving) {
-		b.node.observeResponse(incarnation, "health check", resp.Header, time.Time{})
-	}
+	b.node.observeHeader(incarnation, "health check", resp.Header, time.Time{})
 	return resp.StatusCode == http.StatusOK
 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -54,7 +54,7 @@
 	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
 	out := n.forwardOutcome(ctx, resp, err)
 	if out.resp != nil && out.load.incarnation != "" {
-		n.observeResponse(out.load.incarnation, e.ID, out.resp.Header, sentAt)
+		n.observeResponse(out.load.incarnation, e.ID, out.resp, sentAt)
 	}
 	end(out, err)
 	if out.err == nil || out.err.Reason != verdict.ReasonOverloaded {
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -74,7 +74,7 @@
 	owner := n.Node.backend.owner()
 	m := Member{Owner: owner, Address: "127.0.0.1:1"}
 	m.Owner.Instance = "instance-9"
-	n.observeResponse(owner.Incarnation, "r1", http.Header{simLeaving: {"1"}}, boottimeNow())
+	n.observeHeader(owner.Incarnation, "r1", http.Header{simLeaving: {"1"}}, boottimeNow())
 	g.Expect(n.leavingGate(m)).To(BeNil(), "it serves on for a while")
 	n.statuses.mu.Lock()
 	n.statuses.now = func() time.Time { return boottimeNow().Add(n.config.Bounds.DrainTimeout) }
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -107,25 +107,25 @@
 		return limited
 	}
 	header := func(limit string) http.Header { return http.Header{simLimit: {limit}} }
-	n.observeResponse(owner, "r1", header("0.5"), boottimeNow())
+	n.observeHeader(owner, "r1", header("0.5"), boottimeNow())
 	g.Expect(limited()).To(BeTrue())
-	n.observeResponse(owner, "r2", header("many"), boottimeNow())
+	n.observeHeader(owner, "r2", header("many"), boottimeNow())
 	g.Expect(limited()).To(BeTrue(), "an invalid header changes nothing")
 	_, err := b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
 	g.Expect(err).To(BeNil())
 	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
 	g.Expect(err).To(HaveField("Reason", verdict.ReasonRateLimited))
 	g.Expect(err.RetryAfter).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
-	n.observeResponse(owner, "r3", http.Header{}, boottimeNow())
+	n.observeHeader(owner, "r3", http.Header{}, boottimeNow())
 	g.Expect(limited()).To(BeFalse())
 	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
 	g.Expect(err).To(BeNil())
 
-	n.observeResponse(owner, "r4", header("0.5"), boottimeNow())
+	n.observeHeader(owner, "r4", header("0.5"), boottimeNow())
 	n.stopHeartbeats()
 	g.Expect(b.processHeartbeat(grant.Heartbeat{ID: "b-next", StartedMS: 2, Address: n.sim.address(), Service: "booking", Slots: 4, Sequence: 1})).To(BeTrue())
 	g.Expect(limited()).To(BeFalse())
-	n.observeResponse(owner, "r5", header("0.5"), boottimeNow())
+	n.observeHeader(owner, "r5", header("0.5"), boottimeNow())
 	_, err = b.queue.acquire(t.Context(), waitqueue.Item{Target: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second)})
 	g.Expect(err).To(BeNil())
 }
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -232,6 +232,9 @@
 		p.fence(ctx, lost)
 	}
 	present := leaseVersions(listing)
+	if !p.node.generation.settled() {
+		return // live members write the lease rows again that the store lost
+	}
 	for instance := range p.node.views.current().Members {
 		if _, ok := present[instance]; !ok {
 			p.removeMember(ctx, instance)
@@ -243,7 +246,7 @@
 // dropOwnersWithoutLease takes the keys from owners whose lease rows the store lost when it
 // went back and that did not write them again.
 func (p *planner) dropOwnersWithoutLease(ctx context.Context, leases map[string]uint64) {
-	if p.node.generation.generation() == 0 || !p.node.generation.settled() {
+	if p.node.generation.generation() == 0 {
 		return
 	}
 	for service, space := range p.node.views.current().Keys {
@@ -351,7 +354,7 @@
 
 // plan computes and writes the next changes for a service.
 func (p *planner) plan(ctx context.Context, service string) {
-	for {
+	for ctx.Err() == nil {
 		changes := p.nextChanges(service, time.Now())
 		if len(changes) == 0 {
 			return
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -276,7 +276,7 @@
 		return b.failedOutcome(ctx, t, err)
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
-		b.node.observeResponse(owner.Incarnation, e.ID, resp.Header, sentAt)
+		b.node.observeResponse(owner.Incarnation, e.ID, resp, sentAt)
 	}
 	if resp.Header.Get(headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return b.declinedOutcome(resp)
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -75,8 +75,18 @@
 }
 
 // observeResponse records what a backend server states in its response to a request that was
-// sent at sentAt, by boottimeNow. The response may have come through another node.
-func (n *Node) observeResponse(incarnation, requestID string, header http.Header, sentAt time.Time) {
+// sent at sentAt, by boottimeNow. The response may have come through another node. Only one that
+// succeeded ends a limit.
+func (n *Node) observeResponse(incarnation, requestID string, resp *http.Response, sentAt time.Time) {
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		sentAt = time.Time{}
+	}
+	n.observeHeader(incarnation, requestID, resp.Header, sentAt)
+}
+
+// observeHeader records what a response states, as observeResponse does. With a zero sentAt it
+// ends no limit.
+func (n *Node) observeHeader(incarnation, requestID string, header http.Header, sentAt time.Time) {
 	report, err := n.headers.backendReport(header)
 	if err != nil {
 		n.events.request("invalid header of backend server ignored", requestID, zap.String("backend", incarnation), zap.Error(err))
