--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -46,7 +46,7 @@
 		"keys granted that were not recorded since the store went back", "internal/node/backend.go",
 		"&& !authority.owns(table.Space, r)", "&& authority.settled && r.Fence == 0", nodeTests,
 	}, {
-		"keys taken while a lost owner may hold them", "internal/node/storegeneration.go",
+		"keys taken while a lost owner may hold them", "internal/node/keyauthority.go",
 		"if !a.owns(space, r) {", "if r.Fence == 0 {", nodeTests,
 	}, {
 		"lease extended before the keys are recorded again", "internal/node/leasekeeper.go",
