--- a/internal/node/leasekeeper_test.go
+++ b/internal/node/leasekeeper_test.go
@@ -86,3 +86,56 @@
 	k.confirm(reportResponse{Renewed: &leaseRenewal{Nonce: request.Row.Nonce, Version: version + 5}})
 	g.Expect(k.validUntil()).To(Equal(until.Add(time.Second)))
 }
+
+// Guards against a renewal that extends the lease while the node's keys are not recorded in the
+// store's present generation.
+func TestRenewalExtendsOnlyALeaseWhoseKeysAreRecorded(t *testing.T) {
+	g := NewWithT(t)
+	k := newLeaseKeeper(memory.New(memory.Rates{}, 1))
+	g.Expect(k.acquire(t.Context())).To(Succeed())
+	clock, recorded := k.now(), false
+	k.now = func() time.Time { return clock }
+	k.restored = func(uint64) bool { return recorded }
+	before := k.validUntil()
+	renew := func() {
+		clock = clock.Add(time.Second)
+		sent, err := k.write(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		k.finishSelfRenewal(sent, err)
+		request := k.requestRenewal()
+		k.confirm(reportResponse{Renewed: &leaseRenewal{Nonce: request.Row.Nonce, Version: k.rowVersion()}})
+	}
+	renew()
+	g.Expect(k.validUntil()).To(Equal(before))
+	recorded = true
+	renew()
+	g.Expect(k.validUntil()).To(Equal(before.Add(2 * time.Second)))
+}
+
+// Guards against a node that gives its lease up because the store went back to an earlier
+// renewal of it, or to a time before it, and against one that takes over what another process
+// wrote since.
+func TestLeaseOutlastsAStoreThatGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	store := memory.New(memory.Rates{}, 1)
+	start := time.Now()
+	k := newLeaseKeeper(store)
+	g.Expect(k.acquire(t.Context())).To(Succeed())
+	early := time.Now()
+	time.Sleep(time.Millisecond)
+	_, err := k.write(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, from := range []time.Time{early, start.Add(-time.Second)} {
+		store.Rewind(from, func(string) bool { return false })
+		_, err = k.write(t.Context())
+		g.Expect(err).To(MatchError(errEarlierWriteApplied))
+		sent, err := k.write(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		k.finishSelfRenewal(sent, nil)
+		g.Expect(k.validUntil()).NotTo(BeZero())
+	}
+	other := newLeaseKeeper(store)
+	g.Expect(other.acquire(t.Context())).To(Succeed())
+	_, err = k.write(t.Context())
+	g.Expect(err).To(MatchError(metastore.ErrConflict))
+}
