Reserve the ports of servers that tests start

Earlier, once, TestScenarios/first_instance_killed_just_after_the_cluster_grew: instance-3 of 4 did not become a member within 40 s.

Cause: the harness took a port from the kernel, closed it and passed it to a daemon that listens some 20 to 100 ms later. Any other socket of the machine may get the port meanwhile. The daemon then ends with "bind: address already in use", and the harness, which skips daemons that have ended, waited for it.

Ruled out: a daemon that crashes or hangs, which would have left its member and lease.

Change: a port stays bound by a socket that doesn't listen until the test ends, so no other socket gets it, also while a daemon restarts. When a wait fails, the log of a daemon that has ended is shown.

--- a/internal/httpprotocol/protocol_test.go
+++ b/internal/httpprotocol/protocol_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -21,28 +19,11 @@
 	"github.com/basilway/basilway/internal/httpprotocol"
 	"github.com/basilway/basilway/internal/node"
 	"github.com/basilway/basilway/internal/routestore"
+	"github.com/basilway/basilway/internal/testport"
 	"github.com/basilway/basilway/metastore/memory"
 	"github.com/basilway/basilway/metastore/polled"
 )
 
-// freeAddresses returns loopback addresses with free ports below those of outgoing
-// connections.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var out []string
-	for port := 8000 + os.Getpid()%100*10; len(out) < n && port < 10000; port++ {
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			out = append(out, address)
-		}
-	}
-	if len(out) < n {
-		t.Fatal("no free ports")
-	}
-	return out
-}
-
 // Guards against routing that works only on the users' platform: routes are applied to the
 // catalogue in the platform's table, a router reads them there, its backend server gets
 // keys, and a request is served; then a later version of the routes takes effect.
@@ -65,7 +46,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	addresses := freeAddresses(t, 4)
+	addresses := [4]string{testport.Reserve(t), testport.Reserve(t), testport.Reserve(t), testport.Reserve(t)}
 	router := node.New(node.Config{
 		Instance: "instance-1", Zone: "z", Service: "booking", BackendAddress: listener.Addr().String(),
 		ClientAddress: addresses[0], ReadyAddress: addresses[1], HeartbeatAddress: addresses[2], PeerAddress: addresses[3],
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -6,13 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -322,27 +319,6 @@
 	return most
 }
 
-// nextPort determines the port that freeAddress tries next. Ports stay below the kernel's
-// ephemeral range, so that no outgoing connection takes an address before its server
-// listens.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(10000 + os.Getpid()%200*100)) }
-
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 10000+nextPort.Add(1)%20000)
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // send makes one client request and returns the status, body and headers of the response.
 func send(ctx context.Context, method, address, path, id string, key int, body string) (int, string, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/internal/testport"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/metastore/memory"
 	"github.com/basilway/basilway/quarantine"
@@ -86,7 +87,7 @@
 func (c *testCluster) add(instance string) *testNode {
 	config := Config{
 		Instance: instance, Zone: "z", Service: "booking",
-		ClientAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t), HeartbeatAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t),
+		ClientAddress: testport.Reserve(c.t), ReadyAddress: testport.Reserve(c.t), HeartbeatAddress: testport.Reserve(c.t), PeerAddress: testport.Reserve(c.t),
 		Store: c.store, Protocol: simProtocol{},
 		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60},
 	}
--- a/internal/prove/cluster_test.go
+++ b/internal/prove/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
 	"github.com/basilway/basilway/internal/backendsim"
 	"github.com/basilway/basilway/internal/connectplatform"
+	"github.com/basilway/basilway/internal/testport"
 	"github.com/basilway/basilway/lease"
 	"github.com/basilway/basilway/metastore/memory"
 )
@@ -115,7 +115,7 @@
 	i := len(c.nodes) + 1
 	n := &node{
 		t: c.t, cluster: c, name: fmt.Sprintf("instance-%d", i), zone: fmt.Sprintf("demo/zone-%d", i%3),
-		listen: freeAddress(c.t), peerListen: freeAddress(c.t), checkGrants: checkGrants,
+		listen: testport.Reserve(c.t), peerListen: testport.Reserve(c.t), checkGrants: checkGrants,
 	}
 	var err error
 	if n.peerRelay, err = newRelay(c.network, n.peerListen, "", n.name); err != nil {
@@ -151,16 +151,6 @@
 	return slices.Clone(c.nodes)
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (n *node) startDaemon() {
 	args := []string{"--instance", n.name, "--zone", n.zone, "--listen", n.listen, "--peer-listen", n.peerListen,
 		"--advertise", n.peerRelay.address(), "--platform-url", "http://" + n.storeRelay.address()}
@@ -173,6 +163,18 @@
 	n.daemon = start(n.t, filepath.Join(n.cluster.dir, n.name+".log"), false, "basilwayd", args...)
 }
 
+// logEndSize is how much of a log logEnd returns, in bytes.
+const logEndSize = 2 << 10
+
+// logEnd returns the last lines of the daemon's log.
+func (n *node) logEnd() string {
+	data, err := os.ReadFile(filepath.Join(n.cluster.dir, n.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-logEndSize):])
+}
+
 func (n *node) startBackend() {
 	args := []string{"backend", "--listen", "127.0.0.1:0", "--service", service, "--announce", "http://" + n.listen,
 		"--service-time", "2ms", "--log-file", n.executionLog()}
@@ -298,6 +300,10 @@
 	for deadline := time.Now().Add(settleTimeout); !done(); time.Sleep(pollInterval) {
 		if time.Now().After(deadline) {
 			for _, n := range c.nodes {
+				if !n.daemon.alive() {
+					c.t.Logf("the daemon of %s has ended with code %d; the end of its log:\n%s", n.name, n.daemon.code, n.logEnd())
+					continue
+				}
 				if resp, err := n.owners(); err == nil {
 					c.t.Logf("%s knows version %d: %v", n.name, resp.ClusterVersion, resp.Ranges)
 				}
