--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -21,7 +21,7 @@
 func (b *backend) adoptionAllows(t ticket) bool {
 	view := b.node.views.current()
 	m, ok := view.Members[b.node.config.Instance]
-	if !ok || !b.adoptable || m.State != BackendReady || boottimeNow().Sub(b.started) > adoptionTimeout {
+	if !ok || !b.adoptable || m.State != BackendReady || b.node.now().Sub(b.started) > adoptionTimeout {
 		return false
 	}
 	if !t.sharded {
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -46,10 +46,10 @@
 	mu              sync.Mutex
 	succession      grant.Succession
 	lastHeartbeat   grant.Heartbeat
-	lastHeartbeatAt time.Time // by boottimeNow; zero before the first heartbeat
+	lastHeartbeatAt time.Time // by Node.now; zero before the first heartbeat
 	state           BackendState
 	tracker         *grant.Tracker // nil until the first heartbeat
-	// leaveAcked is when the backend server's leave was acknowledged, by boottimeNow; zero if
+	// leaveAcked is when the backend server's leave was acknowledged, by Node.now; zero if
 	// it is not leaving.
 	leaveAcked time.Time
 	// leavingID is the id of the backend server that last announced its leave.
@@ -63,25 +63,29 @@
 	mergedStrikes    int                 // number of View.strikes that are in strikes
 	unwrittenStrikes []quarantine.Record // strikes not yet written to the store
 	running          map[uint64]int      // requests in flight by fingerprint
-	// portClosedAt is when the backend server's port was found closed, by boottimeNow; zero
+	// portClosedAt is when the backend server's port was found closed, by Node.now; zero
 	// while it is open.
 	portClosedAt time.Time
 	// disconnected are the requests whose connection was closed without a response, by
 	// fingerprint, with the time.
 	disconnected map[uint64]time.Time
-	// started is when this process started, by boottimeNow.
+	// started is when this process started, by Node.now.
 	started time.Time
+	// portRefused reports whether nothing listens on the backend server's address any more.
+	portRefused func(ctx context.Context) bool
 }
 
 func newBackend(n *Node) *backend {
-	return &backend{
+	b := &backend{
 		node: n, queue: newRequestQueue(), log: n.log.Named("backend"), wakeup: make(chan struct{}, 1),
 		pool: httpclient.NewPool(n.config.BackendAddress, httpclient.Config{
 			DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, MaxIdle: 16, ReadBuffer: 4096,
 		}),
 		strikes: quarantine.New(quarantine.Config{Session: n.session, MaxAhead: maxClockSkew}),
-		running: map[uint64]int{}, disconnected: map[uint64]time.Time{}, started: boottimeNow(),
+		running: map[uint64]int{}, disconnected: map[uint64]time.Time{}, started: n.now(),
 	}
+	b.portRefused = b.probePort
+	return b
 }
 
 // wake triggers a pass of runReconcile. It does not block.
@@ -108,7 +112,7 @@
 func (b *backend) processHeartbeat(hb grant.Heartbeat) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := boottimeNow()
+	now := b.node.now()
 	known := b.tracker != nil
 	var last *grant.Heartbeat
 	if known {
@@ -180,7 +184,7 @@
 	}
 	b.log.Info("backend server leaving", zap.String("backend", id), zap.Stringer("state", b.state))
 	if b.leaveAcked.IsZero() {
-		b.leaveAcked = boottimeNow()
+		b.leaveAcked = b.node.now()
 	}
 	b.leavingID = id
 	if b.tracker != nil {
@@ -255,7 +259,7 @@
 	if b.lastHeartbeat.Incarnation() != hb.Incarnation() || b.lastHeartbeat.Sequence != hb.Sequence {
 		return grant.Reply{}
 	}
-	reply, completed := b.tracker.Heartbeat(hb, grantable, b.node.lease.validUntil(), boottimeNow())
+	reply, completed := b.tracker.Heartbeat(hb, grantable, b.node.lease.validUntil(), b.node.now())
 	b.tracker.DropHandovers(table.Space)
 	for _, c := range completed {
 		b.log.Info("keys released", zap.Uint16("from", c.From), zap.Uint16("to", c.To), zap.Uint64("fence", c.Fence),
--- a/internal/node/backenddown.go
+++ b/internal/node/backenddown.go
@@ -22,7 +22,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.portClosedAt.IsZero() && b.state != BackendDown {
-		b.portClosedAt = boottimeNow()
+		b.portClosedAt = b.node.now()
 		b.log.Info("backend server port closed", zap.Int("in flight", len(b.running)), zap.Bool("leaving", !b.leaveAcked.IsZero()))
 	}
 	b.wake()
@@ -36,7 +36,7 @@
 		b.mu.Unlock()
 		return
 	}
-	leaving, closedFor := !b.leaveAcked.IsZero(), boottimeNow().Sub(b.portClosedAt)
+	leaving, closedFor := !b.leaveAcked.IsZero(), b.node.now().Sub(b.portClosedAt)
 	b.mu.Unlock()
 	if leaving && (closedFor < reconcileInterval || !b.portRefused(ctx)) {
 		return
@@ -53,7 +53,7 @@
 		return
 	}
 	b.log.Warn("backend server down", zap.String("backend", owner.Incarnation), zap.String("reason", reason),
-		zap.Duration("last heartbeat", boottimeNow().Sub(b.lastHeartbeatAt)), zap.Int("in flight", len(b.running)), zap.Int("cut", len(b.disconnected)))
+		zap.Duration("last heartbeat", b.node.now().Sub(b.lastHeartbeatAt)), zap.Int("in flight", len(b.running)), zap.Int("cut", len(b.disconnected)))
 	b.state = BackendDown
 	var crashed []quarantine.Fingerprint
 	for f := range b.running {
@@ -70,8 +70,8 @@
 	b.changed.notify()
 }
 
-// portRefused reports whether nothing listens on the backend server's address any more.
-func (b *backend) portRefused(ctx context.Context) bool {
+// probePort reports whether nothing listens on the backend server's address any more.
+func (b *backend) probePort(ctx context.Context) (refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
 	defer cancel()
 	var dialer net.Dialer
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -78,8 +78,8 @@
 	slots   int
 	work    time.Duration
 	server  *httptest.Server
-	// heartbeats is the address that it sends heartbeats to.
-	heartbeats string
+	// announce sends a heartbeat; ok is false if there was no reply.
+	announce func(hb grant.Heartbeat) (reply grant.Reply, ok bool)
 	// checker, if not nil, checks what it is granted.
 	checker *holdChecker
 
@@ -108,7 +108,8 @@
 
 func newBackendSim(t *testing.T, id, service, heartbeats string) *backendSim {
 	t.Helper()
-	s := &backendSim{id: id, service: service, slots: 4, work: 5 * time.Millisecond, heartbeats: heartbeats, startedMS: 1, runs: map[string]int{}, stop: make(chan struct{})}
+	s := &backendSim{id: id, service: service, slots: 4, work: 5 * time.Millisecond, startedMS: 1, runs: map[string]int{}, stop: make(chan struct{})}
+	s.announce = func(hb grant.Heartbeat) (grant.Reply, bool) { return announceHTTP(heartbeats, hb) }
 	s.server = httptest.NewServer(s)
 	go s.runHeartbeats()
 	t.Cleanup(func() {
@@ -118,7 +119,13 @@
 	return s
 }
 
-func (s *backendSim) address() string { return s.server.Listener.Addr().String() }
+// address returns its address, or "" if it serves no requests.
+func (s *backendSim) address() string {
+	if s.server == nil {
+		return ""
+	}
+	return s.server.Listener.Addr().String()
+}
 
 // heartbeatEvery is the interval of the simulated heartbeats.
 const heartbeatEvery = 120 * time.Millisecond
@@ -145,25 +152,25 @@
 		s.mu.Unlock()
 		return false
 	}
+	if time.Now().After(s.until) {
+		s.granted = nil
+	}
 	s.sequence++
 	hb := grant.Heartbeat{ID: s.id, StartedMS: s.startedMS, Address: s.address(), Service: s.service, Slots: s.slots, Sequence: s.sequence, State: s.state, Released: s.released}
 	for _, g := range s.granted {
 		hb.Holds = append(hb.Holds, grant.Hold{Span: g.Span, Fence: g.Fence})
 	}
 	s.mu.Unlock()
-	body, _ := json.Marshal(hb)
 	sent := time.Now()
-	resp, err := http.Post("http://"+s.heartbeats+"/heartbeat", "application/json", bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	var reply grant.Reply
-	if json.NewDecoder(resp.Body).Decode(&reply) != nil || !reply.Renew {
+	reply, ok := s.announce(hb)
+	if !ok || !reply.Renew {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.quiet {
+		return false // it has ended meanwhile
+	}
 	s.released = nil
 	for _, old := range s.granted {
 		for key := int(old.From); key <= int(old.To); key++ {
@@ -184,6 +191,17 @@
 	return len(s.released) > 0
 }
 
+// announceHTTP sends a heartbeat to an address.
+func announceHTTP(address string, hb grant.Heartbeat) (reply grant.Reply, ok bool) {
+	body, _ := json.Marshal(hb)
+	resp, err := http.Post("http://"+address+"/heartbeat", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return reply, false
+	}
+	defer resp.Body.Close()
+	return reply, json.NewDecoder(resp.Body).Decode(&reply) == nil
+}
+
 func covered(grants []grant.Grant, key uint16) bool {
 	for _, g := range grants {
 		if g.Contains(key) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,6 +36,9 @@
 	Store metastore.WatchedTable
 	// Protocol decodes what clients, backend servers and operators send.
 	Protocol Protocol
+	// Now is the clock that leases and holds are measured with; nil for one that also counts the
+	// time while the instance is suspended.
+	Now func() time.Time
 	// Bootstrap is set if the whole cluster starts for the first time, so that nothing can be
 	// in force that the store does not show.
 	Bootstrap bool
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -50,7 +50,7 @@
 	e.Header = e.Header.Clone()
 	e.Header.Set(ticketHeader, t.encode(time.Now()))
 	n.setLimitHint(e.Header, m.Owner.Incarnation)
-	sentAt := boottimeNow()
+	sentAt := n.now()
 	resp, err := n.peers.pool(m.Address).Do(ctx, e, nil)
 	out := n.forwardOutcome(ctx, resp, err)
 	if out.resp != nil && out.load.incarnation != "" {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -42,7 +42,7 @@
 		if until.IsZero() {
 			return 0
 		}
-		return until.Sub(boottimeNow()).Seconds()
+		return until.Sub(n.now()).Seconds()
 	})
 	m.set.NewGauge("basilway_node_backend_limit", func() float64 {
 		limit, _ := n.statuses.limit(n.backend.owner().Incarnation)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,10 @@
 	statuses *statuses
 	// generation is the present generation of the store.
 	generation *storeGeneration
+	// now reads the clock that leases and holds are measured with.
+	now func() time.Time
+	// exchange sends a message to a peer and returns the response body.
+	exchange func(ctx context.Context, address, path string, body []byte) ([]byte, error)
 
 	sequence atomic.Uint64
 	stopping atomic.Bool
@@ -61,13 +65,18 @@
 		demand:  newDemandMeter(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}},
-		statuses: newStatuses(), generation: newStoreGeneration(config.Bootstrap),
+		now: config.Now,
 	}
+	if n.now == nil {
+		n.now = boottimeNow
+	}
+	n.exchange = n.exchangeHTTP
+	n.statuses, n.generation = newStatuses(n.now), newStoreGeneration(config.Bootstrap, n.now)
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
 	n.store = &relayStore{WatchedTable: config.Store, node: n, log: log.Named("relay")}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
-	n.lease = &leaseKeeper{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: boottimeNow}
+	n.lease = &leaseKeeper{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: n.now}
 	n.writer = &keyWriter{store: n.store, views: n.views, log: log.Named("keys")}
 	n.backend = newBackend(n)
 	n.planner = newPlanner(n)
@@ -114,10 +123,7 @@
 	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTasks()
 	var running sync.WaitGroup
-	for _, task := range []func(context.Context){
-		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.runHousekeeping,
-	} {
+	for _, task := range n.tasks() {
 		running.Go(func() { task(tasks) })
 	}
 	failed := make(chan error, len(servers))
@@ -141,6 +147,14 @@
 	return nil
 }
 
+// tasks returns what runs beside the servers.
+func (n *Node) tasks() []func(context.Context) {
+	return []func(context.Context){
+		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.runHousekeeping,
+	}
+}
+
 // watchDesiredState watches the operator's desired state. Every node does, because a change
 // must take effect everywhere within seconds.
 func (n *Node) watchDesiredState(ctx context.Context) {
@@ -228,12 +242,6 @@
 func (n *Node) listen() ([]boundServer, error) {
 	ready := http.NewServeMux()
 	ready.HandleFunc(n.config.Protocol.ReadyPath(), n.serveReady)
-	peers := http.NewServeMux()
-	peers.HandleFunc("POST "+reportPath, n.serveReport)
-	peers.HandleFunc("POST "+rowsPath, n.gossip.serveRows)
-	peers.HandleFunc("POST "+digestPath, n.gossip.serveDigest)
-	peers.HandleFunc("POST "+storePath, n.store.serveStore)
-	peers.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
 	var out []boundServer
@@ -245,7 +253,7 @@
 		{clientServer, n.config.ClientAddress, http.HandlerFunc(n.serveClient), false},
 		{"ready", n.config.ReadyAddress, ready, false},
 		{"heartbeats", n.config.HeartbeatAddress, http.HandlerFunc(n.backend.serveAnnouncement), false},
-		{"peers", n.config.PeerAddress, n.peerHandler(peers), false},
+		{"peers", n.config.PeerAddress, n.peerHandler(n.peerCalls()), false},
 		{"metrics", n.config.MetricsAddress, metricsMux, true},
 	} {
 		if s.address == "" {
@@ -329,6 +337,17 @@
 	return routes.Limits.IdleTimeout
 }
 
+// peerCalls serves the messages of other nodes.
+func (n *Node) peerCalls() *http.ServeMux {
+	calls := http.NewServeMux()
+	calls.HandleFunc("POST "+reportPath, n.serveReport)
+	calls.HandleFunc("POST "+rowsPath, n.gossip.serveRows)
+	calls.HandleFunc("POST "+digestPath, n.gossip.serveDigest)
+	calls.HandleFunc("POST "+storePath, n.store.serveStore)
+	calls.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	return calls
+}
+
 // peerHandler passes messages between nodes to calls. Forwarded client requests keep their
 // own paths and are recognized by their ticket.
 func (n *Node) peerHandler(calls http.Handler) http.HandlerFunc {
--- a/internal/node/peercall.go
+++ b/internal/node/peercall.go
@@ -23,6 +23,15 @@
 func (n *Node) post(ctx context.Context, address, path string, timeout time.Duration, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	data, err := n.exchange(ctx, address, path, body)
+	if err != nil {
+		return nil, err
+	}
+	n.gossip.recordContact()
+	return data, nil
+}
+
+func (n *Node) exchangeHTTP(ctx context.Context, address, path string, body []byte) ([]byte, error) {
 	resp, err := n.peers.pool(address).Do(ctx, httpclient.Exchange{
 		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body,
 	}, nil)
@@ -37,7 +46,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("peer responded with status %d", resp.StatusCode)
 	}
-	n.gossip.recordContact()
 	return data, nil
 }
 
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -58,7 +58,7 @@
 // checkHeartbeats checks whether a backend server that sends no heartbeats has ended.
 func (b *backend) checkHeartbeats(ctx context.Context) {
 	b.mu.Lock()
-	state, tracker, now := b.state, b.tracker, boottimeNow()
+	state, tracker, now := b.state, b.tracker, b.node.now()
 	silent := now.Sub(b.lastHeartbeatAt)
 	if tracker == nil {
 		silent = now.Sub(b.started)
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -87,7 +87,7 @@
 	}
 	n.backend.mu.Lock()
 	defer n.backend.mu.Unlock()
-	r.Cold = n.backend.tracker != nil && boottimeNow().Before(n.backend.lastHeartbeatAt.Add(n.backend.lastHeartbeat.WarmUpLeft))
+	r.Cold = n.backend.tracker != nil && n.now().Before(n.backend.lastHeartbeatAt.Add(n.backend.lastHeartbeat.WarmUpLeft))
 	return r
 }
 
--- a/internal/node/restore.go
+++ b/internal/node/restore.go
@@ -25,7 +25,7 @@
 // enterGeneration is called with the view before the first rows of a later generation of the
 // store are applied.
 func (n *Node) enterGeneration(generation uint64, before *View) {
-	leased := boottimeNow().Before(n.lease.validUntil())
+	leased := n.now().Before(n.lease.validUntil())
 	from := n.generation.generation()
 	n.generation.enter(generation, before, leased)
 	if before.Listed || before.Routes != nil {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -139,7 +139,7 @@
 func (b *backend) gate(t ticket) *verdict.Error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := boottimeNow()
+	now := b.node.now()
 	switch {
 	case b.state == BackendDown || !b.portClosedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
@@ -260,7 +260,7 @@
 	e.Header = e.Header.Clone()
 	e.Header.Set(headers.DeadlineMS, strconv.FormatInt(left, 10))
 	e.Header.Set(headers.ExpectBackend, grant.IncarnationID(owner.Incarnation))
-	sentAt := boottimeNow()
+	sentAt := b.node.now()
 	var refused *verdict.Error
 	resp, err := b.pool.Do(ctx, e, func() error {
 		if refused = b.gate(t); refused != nil {
--- a/internal/node/statuses.go
+++ b/internal/node/statuses.go
@@ -44,8 +44,8 @@
 	table *backendstatus.Table
 }
 
-func newStatuses() *statuses {
-	return &statuses{now: boottimeNow, table: backendstatus.NewTable()}
+func newStatuses(now func() time.Time) *statuses {
+	return &statuses{now: now, table: backendstatus.NewTable()}
 }
 
 func (s *statuses) observe(incarnation string, r backendstatus.Report, sentAt time.Time) (limitChanged, leaves bool) {
@@ -75,7 +75,7 @@
 }
 
 // observeResponse records what a backend server states in its response to a request that was
-// sent at sentAt, by boottimeNow. The response may have come through another node. Only one that
+// sent at sentAt, by Node.now. The response may have come through another node. Only one that
 // succeeded ends a limit.
 func (n *Node) observeResponse(incarnation, requestID string, resp *http.Response, sentAt time.Time) {
 	if resp.StatusCode >= http.StatusMultipleChoices {
--- a/internal/node/storegeneration.go
+++ b/internal/node/storegeneration.go
@@ -36,8 +36,8 @@
 	before *View
 }
 
-func newStoreGeneration(bootstrap bool) *storeGeneration {
-	return &storeGeneration{bootstrap: bootstrap, now: boottimeNow, entered: make(chan struct{}, 1)}
+func newStoreGeneration(bootstrap bool, now func() time.Time) *storeGeneration {
+	return &storeGeneration{bootstrap: bootstrap, now: now, entered: make(chan struct{}, 1)}
 }
 
 // enter starts a generation. before is the view at that time.
--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -217,7 +217,7 @@
 func TestFirstStartOfAClusterWaitsForNothing(t *testing.T) {
 	g := NewWithT(t)
 	for bootstrap, want := range map[bool]bool{true: true, false: false} {
-		s := newStoreGeneration(bootstrap)
+		s := newStoreGeneration(bootstrap, boottimeNow)
 		s.enter(4, &View{}, false)
 		g.Expect(s.settled()).To(Equal(want))
 		s.enter(5, &View{Listed: true}, true)
@@ -249,11 +249,11 @@
 		return &View{Listed: listed, Keys: map[string]KeySpace{"booking": {Space: space}}}
 	}
 	r := space.Find(0)
-	restarted := newStoreGeneration(false)
+	restarted := newStoreGeneration(false, boottimeNow)
 	restarted.enter(1, &View{}, false)
 	restarted.enter(2, view(true), true)
 	g.Expect(restarted.vouches("booking", r)).To(BeFalse(), "recorded in no generation that it has seen")
-	lasting := newStoreGeneration(false)
+	lasting := newStoreGeneration(false, boottimeNow)
 	lasting.enter(1, view(true), true)
 	g.Expect(lasting.vouches("booking", r)).To(BeTrue())
 	lasting.enter(2, view(true), true)
