Tell a replaced node from its successor by when they acquired their leases

Callers would see keys served by two backend servers (OWNER).

Cause: replacedHolders ordered the lease rows of one address by their versions, which every renewal changes. This needs no store that goes back: a planner that does not reach the store for some seconds is enough.

Now each row has the version with which its holder acquired the lease; versions only rise, also with the generation of the store. Rows of earlier builds lack it and count as before.

TestLateRenewalOfAReplacedNodeFencesNotItsSuccessor failed before (it named the successor).

--- a/internal/node/leasekeeper.go
+++ b/internal/node/leasekeeper.go
@@ -59,6 +59,8 @@
 	until       time.Time
 	lastRenewal time.Time // send time of the last renewal
 	version     uint64
+	// acquired is the version with which the lease was acquired; 0 until then.
+	acquired uint64
 	// pendingNonces are the nonces written or requested since the last confirmed write; any
 	// of those writes may have taken effect.
 	pendingNonces []uint64
@@ -98,7 +100,7 @@
 	if k.requested == nil {
 		nonce := rand.Uint64()
 		k.addNonce(nonce)
-		k.requested = &renewalRequest{Version: k.version, Row: leaseRow{Nonce: nonce, Address: k.address}}
+		k.requested = &renewalRequest{Version: k.version, Row: leaseRow{Nonce: nonce, Address: k.address, Acquired: k.acquired}}
 		k.requestedAt = k.now()
 	}
 	return k.requested
@@ -163,6 +165,7 @@
 	}
 	k.mu.Lock()
 	k.until, k.lastRenewal, k.requested, k.earlierGrantsEnd = time.Time{}, time.Time{}, nil, k.now().Add(leaseDuration)
+	k.acquired = 0
 	k.mu.Unlock()
 	sent, err := k.write(ctx)
 	if errors.Is(err, metastore.ErrConflict) {
@@ -184,6 +187,7 @@
 	k.views.replace(clusterTable, listing)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.acquired = k.version
 	k.extend(sent)
 	return nil
 }
@@ -264,15 +268,15 @@
 // errEarlierWriteApplied if the row holds an earlier write of this process, and with
 // metastore.ErrConflict if it holds a write of another process.
 func (k *leaseKeeper) write(ctx context.Context) (time.Time, error) {
-	row := leaseRow{Nonce: rand.Uint64(), Address: k.address}
-	value, err := cbor.Marshal(row)
-	if err != nil {
-		return time.Time{}, err
-	}
 	k.mu.Lock()
+	row := leaseRow{Nonce: rand.Uint64(), Address: k.address, Acquired: k.acquired}
 	k.addNonce(row.Nonce)
 	version := k.version
 	k.mu.Unlock()
+	value, err := cbor.Marshal(row)
+	if err != nil {
+		return time.Time{}, err
+	}
 	key := leaseKey(k.instance)
 	sent := k.now()
 	applied, err := k.store.Apply(ctx, metastore.Txn{
--- a/internal/node/leasekeeper_test.go
+++ b/internal/node/leasekeeper_test.go
@@ -139,3 +139,23 @@
 	_, err = k.write(t.Context())
 	g.Expect(err).To(MatchError(metastore.ErrConflict))
 }
+
+// Guards against taking the keys of the node that has an address now, because the lease of its
+// predecessor was renewed last.
+func TestLateRenewalOfAReplacedNodeFencesNotItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	store := memory.New(memory.Rates{}, 1)
+	first, second := newLeaseKeeper(store), newLeaseKeeper(store)
+	second.instance = "b"
+	g.Expect(first.acquire(t.Context())).To(Succeed())
+	late := first.requestRenewal()
+	g.Expect(second.acquire(t.Context())).To(Succeed())
+	_, err := second.write(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	n := New(Config{Instance: "planner", Store: store, Protocol: simProtocol{}}, zap.NewNop())
+	n.planner.renew(t.Context(), []pendingRenewal{{"a", late}})
+	listing, err := store.List(t.Context(), leaseTable)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(leaseVersions(listing)["a"]).To(BeNumerically(">", leaseVersions(listing)["b"]), "it was renewed last")
+	g.Expect(replacedHolders(listing)).To(ConsistOf(HaveField("Holder", "a")))
+}
--- a/internal/node/leaserow.go
+++ b/internal/node/leaserow.go
@@ -6,6 +6,17 @@
 	Nonce uint64 `cbor:"1,keyasint"`
 	// Address is where other nodes reach the lease holder.
 	Address string `cbor:"2,keyasint"`
+	// Acquired is the version of the row with which the holder acquired the lease; 0 in that
+	// row itself.
+	Acquired uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// acquiredAt returns the version of the store at which the holder of a row acquired the lease.
+func (r leaseRow) acquiredAt(version uint64) uint64 {
+	if r.Acquired == 0 {
+		return version
+	}
+	return r.Acquired
 }
 
 // renewalRequest asks the planner to renew a lease row.
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -243,11 +243,13 @@
 }
 
 // replacedHolders returns the holders whose address another node has taken over: the
-// platform gives an address to another instance only after the first one is gone.
+// platform gives an address to another instance only after the first one is gone. The order of
+// renewals does not tell which is the first: the planner may renew the lease of a node that is
+// gone.
 func replacedHolders(listing metastore.Listing) []expiry.Lost {
 	type holder struct {
-		instance string
-		version  uint64
+		instance          string
+		version, acquired uint64
 	}
 	newest := map[string]holder{}
 	var out []expiry.Lost
@@ -256,9 +258,9 @@
 		if err := cbor.Unmarshal(row.Value, &value); err != nil || value.Address == "" {
 			continue // such a row expires by its age
 		}
-		h := holder{row.Key[len(leaseTable)+1:], row.Version}
+		h := holder{row.Key[len(leaseTable)+1:], row.Version, value.acquiredAt(row.Version)}
 		older, taken := newest[value.Address]
-		if taken && older.version > h.version {
+		if taken && older.acquired > h.acquired {
 			older, h = h, older
 		}
 		newest[value.Address] = h
