Keep dropped keys unconfirmed if they were not recorded since the store went back

Callers would see keys served by two backend servers (OWNER). After the store went back, its table may show the owner before the last one. When the planner takes keys from that owner, because its machine was replaced, Drop marked them as recorded in the present generation, so that they were given away at once, while the last owner held them and had not written them yet.

Ruled out by reading: Assign, Replace and Release, which are guarded by the authority of the node or of a planner that has waited.

A node that is certain of its keys records them before it drops them, so keys of a backend server that ends during a drill are free at once, as before.

TestDroppingAnEarlierOwnerConfirmsNothing failed before.

--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -232,7 +232,8 @@
 		}
 		switch {
 		case m.State == BackendDown:
-			next, changed = next.Drop(owner), true
+			reasserted, _ := authority.reassert(next, owner)
+			next, changed = reasserted.Drop(owner), true
 		case owner != m.Owner:
 			next, changed = next.Replace(owner, m.Owner), true
 		}
--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -284,6 +284,10 @@
 		_, changed = edit(m, false, true)
 		g.Expect(changed).To(BeTrue())
 	}
+	for _, vouches := range []bool{true, false} {
+		dropped, _ := edit(down, !vouches, vouches)
+		g.Expect(dropped.SettledIn(1, 0)).To(BeTrue(), "free at once, because the owner is certain")
+	}
 	vouched, _ := edit(Member{Owner: own}, false, true)
 	g.Expect(vouched.Find(0)).To(And(HaveField("Fence", space.Find(0).Fence), HaveField("Confirmed", true)))
 	renewed, _ := edit(Member{Owner: own}, true, false)
--- a/keyrange/generation_test.go
+++ b/keyrange/generation_test.go
@@ -106,3 +106,17 @@
 	g.Expect(space.Find(0).Owner).To(Equal(gen1Owner))
 	g.Expect(space.Rewrite(3).ChangedBuckets(space)).To(Equal([]int{3}))
 }
+
+// Guards against giving keys away at once because the owner before the last one, which the store
+// shows after it went back, has ended.
+func TestDroppingAnEarlierOwnerConfirmsNothing(t *testing.T) {
+	g := NewWithT(t)
+	table, err := New(Span{0, 99}).Assign(Span{0, 99}, gen1Owner)
+	g.Expect(err).NotTo(HaveOccurred())
+	table, err = table.BeginMove(Span{50, 99}, gen1Owner, gen2Owner)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(table.Drop(gen1Owner).SettledIn(0, table.Drop(gen1Owner).Find(0))).To(BeTrue())
+	later := table.InGeneration(1, 7).Drop(gen1Owner)
+	g.Expect(later.SettledIn(1, later.Find(0))).To(BeFalse())
+	g.Expect(later.SettledIn(1, later.Find(50))).To(BeFalse())
+}
--- a/keyrange/table.go
+++ b/keyrange/table.go
@@ -103,7 +103,8 @@
 
 // Drop takes all keys from an owner that can no longer run requests: its backend server
 // ended, its hold expired, or its daemon lost its lease. Moves from the owner are completed
-// without a handover, moves to it are cancelled.
+// without a handover, moves to it are cancelled. Ranges that are not confirmed stay so: after the
+// store went back, the owner that the table shows may not be the last one.
 func (t *Table) Drop(owner Owner) *Table {
 	out := t.clone()
 	for i := range out.Ranges {
@@ -114,7 +115,7 @@
 		if r.Owner != owner {
 			continue
 		}
-		*r = Range{Span: r.Span, Owner: r.Next, Confirmed: true}
+		*r = Range{Span: r.Span, Owner: r.Next, Confirmed: r.Confirmed}
 		if !r.Owner.IsZero() {
 			r.Fence = out.issueFence()
 		}
