Remove a member without a lease together with its keys

After a drill the member row of a machine that is gone was back, its lease row was not. The planner gave it keys, took them away because it has no lease, did not remove the member because it had owned keys just before, and gave it keys again, each 1.2 s.

Cause: two steps that each left their part to the other, removeMember (only without keys) and dropOwnersWithoutLease (keys only). Without a drill the second never ran, so that a member without a lease that owned keys kept them for ever.

Now fence does both in one transaction, on the condition that there is no lease row, for members and owners without one. Members are read before the leases, so who joins meanwhile is not taken for lost.

TestMemberWithoutALeaseLosesItsKeysForGood failed before (timed out after 10 s).

--- a/internal/node/gates_test.go
+++ b/internal/node/gates_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
@@ -367,3 +368,24 @@
 	g.Expect(table.Find(10).Moving()).To(BeTrue(), "the first change is still there")
 	g.Expect(table.Find(20).Moving()).To(BeTrue())
 }
+
+// Guards against keys that go back and forth between nobody and a member that is gone: its lease
+// row is missing, but its member row is still there.
+func TestMemberWithoutALeaseLosesItsKeysForGood(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	gone := Member{Owner: keyrange.Owner{Instance: "instance-9", Incarnation: "b-9@1"}, Service: "booking", Slots: 4, State: BackendReady}
+	row, err := cbor.Marshal(gone)
+	g.Expect(err).NotTo(HaveOccurred())
+	owner := n.Node.backend.trackedOwner()
+	g.Expect(n.writer.update(t.Context(), "booking", func(s *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
+		span := keyrange.Span{From: 0, To: 99}
+		s, err := s.BeginMove(span, owner, gone.Owner)
+		if err == nil {
+			s, err = s.Release(span, owner, "")
+		}
+		return s, metastore.Txn{Writes: []metastore.Write{{Key: memberKey("instance-9"), Value: row}}}, err
+	})).To(Succeed())
+	g.Eventually(func() keyrange.Owner { return n.views.current().Keys["booking"].Find(7).Owner }, 10*time.Second, 20*time.Millisecond).Should(Equal(owner))
+	g.Expect(n.views.current().Members).NotTo(HaveKey("instance-9"))
+}
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -208,7 +210,7 @@
 }
 
 // fenceLost removes the members whose leases expired or whose addresses other nodes took
-// over, and takes their keys away. It also removes members without a lease row.
+// over, and takes their keys away. It does the same with members and owners without a lease row.
 func (p *planner) fenceLost(ctx context.Context) {
 	interval := leaseIdlePollInterval
 	if p.anyMemberSilent(time.Now()) {
@@ -218,28 +220,45 @@
 		return
 	}
 	p.lastLeasePoll = time.Now()
+	// Who appears after this has a lease already.
+	view := p.node.views.current()
 	listing, err := p.node.store.List(ctx, leaseTable)
 	if err != nil {
 		p.log.Debug("leases not read", zap.Error(err))
 		return
 	}
+	present := leaseVersions(listing)
 	p.mu.Lock()
 	p.sampleLocked(listing.Version, listing.Now)
-	gone := append(p.expiry.Lost(leaseVersions(listing)), replacedHolders(listing)...)
+	gone := append(p.expiry.Lost(present), replacedHolders(listing)...)
 	p.mu.Unlock()
+	if p.node.generation.settled() {
+		// Before that, live nodes write the lease rows again that the store lost.
+		gone = append(gone, holdersWithoutLease(view, present)...)
+	}
 	for _, lost := range gone {
 		p.fence(ctx, lost)
 	}
-	present := leaseVersions(listing)
-	if !p.node.generation.settled() {
-		return // live members write the lease rows again that the store lost
+}
+
+// holdersWithoutLease returns the members and the owners of keys that have no lease row.
+func holdersWithoutLease(view *View, leases map[string]uint64) []expiry.Lost {
+	instances := map[string]bool{}
+	for instance := range view.Members {
+		instances[instance] = true
+	}
+	for _, space := range view.Keys {
+		for _, owner := range space.Owners() {
+			instances[owner.Instance] = true
+		}
 	}
-	for instance := range p.node.views.current().Members {
-		if _, ok := present[instance]; !ok {
-			p.removeMember(ctx, instance)
+	var out []expiry.Lost
+	for _, instance := range slices.Sorted(maps.Keys(instances)) {
+		if _, ok := leases[instance]; !ok {
+			out = append(out, expiry.Lost{Holder: instance})
 		}
 	}
-	p.dropOwnersWithoutLease(ctx, present)
+	return out
 }
 
 // replacedHolders returns the holders whose address another node has taken over: the
@@ -271,21 +290,20 @@
 	return out
 }
 
-// fence deletes the lease row of a lost holder. The same transaction deletes its member row
-// and takes its keys away.
+// fence deletes the lease row of a lost holder, or makes sure that there is none. The same
+// transaction deletes its member row and takes its keys away.
 func (p *planner) fence(ctx context.Context, lost expiry.Lost) {
-	view := p.node.views.current()
-	m, ok := view.Members[lost.Holder]
 	ctx, cancel := context.WithTimeout(ctx, planWriteTimeout)
 	defer cancel()
-	p.log.Warn("lease expired or address taken over by another node", zap.String("lost", lost.Holder), zap.Uint64("version", lost.Version), zap.Duration("unchanged", lost.Age))
+	p.log.Warn("lease expired or missing, or address taken over by another node", zap.String("lost", lost.Holder),
+		zap.Uint64("version", lost.Version), zap.Duration("unchanged", lost.Age))
 	txn := metastore.Txn{
 		Conditions: []metastore.Condition{{Key: leaseKey(lost.Holder), Version: lost.Version}},
 		Writes:     []metastore.Write{{Key: leaseKey(lost.Holder), Delete: true}, {Key: memberKey(lost.Holder), Delete: true}},
 	}
 	var err error
-	if _, sharded := view.Keys[m.Service]; ok && sharded {
-		err = p.node.writer.update(ctx, m.Service, func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
+	if service := p.node.views.current().serviceOf(lost.Holder); service != "" {
+		err = p.node.writer.update(ctx, service, func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
 			for _, owner := range t.Owners() {
 				if owner.Instance == lost.Holder {
 					t = t.Drop(owner)
@@ -301,24 +319,6 @@
 	}
 }
 
-// removeMember removes the row of a member without a lease, unless it still owns keys.
-func (p *planner) removeMember(ctx context.Context, instance string) {
-	view := p.node.views.current()
-	m := view.Members[instance]
-	if table, ok := view.Keys[m.Service]; ok && len(table.OwnedBy(m.Owner)) > 0 {
-		return
-	}
-	_, err := p.node.store.Apply(ctx, metastore.Txn{
-		Conditions: []metastore.Condition{{Key: leaseKey(instance)}, {Key: memberKey(instance), Version: m.version}},
-		Writes:     []metastore.Write{{Key: memberKey(instance), Delete: true}},
-	})
-	if err != nil {
-		p.log.Info("member without a lease not removed", zap.String("member", instance), zap.Error(err))
-		return
-	}
-	p.log.Info("member without a lease removed", zap.String("member", instance))
-}
-
 // plan computes and writes the next changes for a service.
 func (p *planner) plan(ctx context.Context, service string) {
 	for ctx.Err() == nil {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -67,3 +67,19 @@
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Owner.Instance, b.Owner.Instance) })
 	return out
 }
+
+// serviceOf returns the service with key ownership that an instance serves or owns keys of, or ""
+// if there is none.
+func (v *View) serviceOf(instance string) string {
+	if m, ok := v.Members[instance]; ok {
+		if _, sharded := v.Keys[m.Service]; sharded {
+			return m.Service
+		}
+	}
+	for service, space := range v.Keys {
+		if slices.ContainsFunc(space.Owners(), func(o keyrange.Owner) bool { return o.Instance == instance }) {
+			return service
+		}
+	}
+	return ""
+}
