Let a lease end if the node's keys stay unrecorded after the store went back

A node that could renew its lease after a drill but not write its keys for 9.2 s had its lease extended from then on, and still vouched for the keys, while others may take such keys from that moment: two holders.

Cause: restored() took the end of the wait for enough. It is enough for the others, not for a node that goes on with what it knew before. Now a renewal extends the lease only once all keys that the node vouches for are recorded, and the node stops vouching when its lease has run out, also if nobody took the lease row.

TestLeaseEndsIfKeysStayUnrecorded failed before.

--- a/internal/node/restore.go
+++ b/internal/node/restore.go
@@ -98,7 +98,11 @@
 // this one goes on granting.
 func (n *Node) restored(version uint64) bool {
 	n.views.observeGeneration(version)
-	if n.generation.settled() || !n.generation.isVouching() {
+	if !n.generation.isVouching() {
+		return true
+	}
+	if !n.now().Before(n.lease.validUntil()) {
+		n.generation.stopVouching()
 		return true
 	}
 	view := n.views.current()
--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -212,6 +212,29 @@
 	g.Expect(n.restored(metastore.VersionOf(generation, 2))).To(BeTrue(), "without a lease there is nothing to record")
 }
 
+// Guards against a lease that goes on although the node's keys are still unrecorded when others may
+// take them, and against vouching for them after it has run out.
+func TestLeaseEndsIfKeysStayUnrecorded(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	r := n.views.current().Keys["booking"].Find(7)
+	version := metastore.VersionOf(n.store.WatchedTable.(*memory.Store).Generation()+1, 1)
+	n.views.observeGeneration(version)
+	later := func() time.Time { return boottimeNow().Add(settleTime + time.Second) }
+	n.generation.mu.Lock()
+	n.generation.now = later
+	n.generation.mu.Unlock()
+	g.Expect(n.generation.settled()).To(BeTrue())
+	g.Expect(n.restored(version)).To(BeFalse())
+	g.Expect(n.generation.vouches("booking", r)).To(BeTrue())
+
+	n.lease.mu.Lock()
+	n.lease.until = boottimeNow()
+	n.lease.mu.Unlock()
+	g.Expect(n.restored(version)).To(BeTrue(), "there is nothing to record any more")
+	g.Expect(n.generation.vouches("booking", r)).To(BeFalse())
+}
+
 // Guards against refusing to start: the settings say that the whole cluster starts for the
 // first time, in whatever generation.
 func TestFirstStartOfAClusterWaitsForNothing(t *testing.T) {
