Compare acquisitions of leases by their own generation

The row with which a node acquired its lease told that by its own version. After the store went back, that version bears the new generation, so the row of a machine that was gone counted as acquired after that of its successor, which had been written in the generation before. The planner took the keys of the live successor.

Now the row names the generation in which it was written. A node that learns the generation only from its first write writes once more.

TestAcquisitionsKeepTheirOrderWhenTheStoreGoesBack failed before.

--- a/internal/node/leasekeeper.go
+++ b/internal/node/leasekeeper.go
@@ -167,6 +167,7 @@
 	k.until, k.lastRenewal, k.requested, k.earlierGrantsEnd = time.Time{}, time.Time{}, nil, k.now().Add(leaseDuration)
 	k.acquired = 0
 	k.mu.Unlock()
+	generation := k.views.currentGeneration()
 	sent, err := k.write(ctx)
 	if errors.Is(err, metastore.ErrConflict) {
 		version, _, _, readErr := k.read(ctx)
@@ -174,11 +175,21 @@
 			return readErr
 		}
 		k.adoptVersion(version)
+		generation = k.views.currentGeneration()
 		sent, err = k.write(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	k.mu.Lock()
+	k.acquired = k.version
+	k.mu.Unlock()
+	if metastore.Generation(k.rowVersion()) != generation {
+		// The row tells the earlier generation.
+		if sent, err = k.write(ctx); err != nil {
+			return err
+		}
+	}
 	listing, err := k.store.List(ctx, clusterTable)
 	if err != nil {
 		return err
@@ -187,7 +198,6 @@
 	k.views.replace(clusterTable, listing)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.acquired = k.version
 	k.extend(sent)
 	return nil
 }
@@ -268,8 +278,12 @@
 // errEarlierWriteApplied if the row holds an earlier write of this process, and with
 // metastore.ErrConflict if it holds a write of another process.
 func (k *leaseKeeper) write(ctx context.Context) (time.Time, error) {
+	generation := k.views.currentGeneration()
 	k.mu.Lock()
 	row := leaseRow{Nonce: rand.Uint64(), Address: k.address, Acquired: k.acquired}
+	if row.Acquired == 0 {
+		row.Acquired = metastore.VersionOf(generation, 0)
+	}
 	k.addNonce(row.Nonce)
 	version := k.version
 	k.mu.Unlock()
--- a/internal/node/leasekeeper_test.go
+++ b/internal/node/leasekeeper_test.go
@@ -159,3 +159,35 @@
 	g.Expect(leaseVersions(listing)["a"]).To(BeNumerically(">", leaseVersions(listing)["b"]), "it was renewed last")
 	g.Expect(replacedHolders(listing)).To(ConsistOf(HaveField("Holder", "a")))
 }
+
+// Guards against taking a node for the successor at its address because the store that went back
+// shows the row with which it acquired its lease at a version of the new generation.
+func TestAcquisitionsKeepTheirOrderWhenTheStoreGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	store := memory.New(memory.Rates{}, 1)
+	first, second := newLeaseKeeper(store), newLeaseKeeper(store)
+	second.instance = "b"
+	g.Expect(first.acquire(t.Context())).To(Succeed())
+	time.Sleep(time.Millisecond)
+	copied := time.Now()
+	time.Sleep(time.Millisecond)
+	g.Expect(second.acquire(t.Context())).To(Succeed())
+	g.Expect(store.Rewind(copied, func(string) bool { return false })).To(BeNumerically(">", 0))
+	second.views.observeGeneration(metastore.VersionOf(store.Generation(), 1))
+	for range 2 { // the first write recognises that the row is lost
+		sent, err := second.write(t.Context())
+		second.finishSelfRenewal(sent, err)
+	}
+	listing, err := store.List(t.Context(), leaseTable)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(leaseVersions(listing)).To(HaveLen(2))
+	g.Expect(replacedHolders(listing)).To(ConsistOf(HaveField("Holder", "a")))
+
+	third := newLeaseKeeper(store)
+	third.instance = "c"
+	g.Expect(third.acquire(t.Context())).To(Succeed(), "it starts without knowing the generation")
+	g.Expect(third.acquired).To(BeNumerically(">", second.acquired))
+	listing, err = store.List(t.Context(), leaseTable)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(replacedHolders(listing)).NotTo(ContainElement(HaveField("Holder", "c")))
+}
