Measure a drill in larger clusters in virtual time

TestLargerClusterServesThroughADrill: the store goes back by 5 s after 1 s away, with moves in the lost seconds, at 400 writing and 2,000 reading calls a second. Bound: all keys recorded again within 2 s of the return, and one holder for each key all the time.

--- a/internal/node/rollbackmodel_test.go
+++ b/internal/node/rollbackmodel_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/metastore/memory"
 )
 
 // rollbackSeeds returns the seeds of the model test. ROLLBACK_SEEDS and ROLLBACK_FROM choose
@@ -43,7 +45,7 @@
 
 func runRollbackModel(t *testing.T, seed uint64) {
 	g := NewWithT(t)
-	c := newVirtualCluster(t, seed, 5)
+	c := newVirtualCluster(t, seed, 5, memory.Rates{})
 	defer c.stop()
 	_, ok := c.waitServed(30 * time.Second)
 	g.Expect(ok).To(BeTrue(), "first assignment")
@@ -64,6 +66,69 @@
 	g.Expect(ok).To(BeTrue(), "all keys are served again")
 }
 
+// restoreTarget is how long after the store's return all keys are recorded again.
+const restoreTarget = 2 * time.Second
+
+// Guards against live owners that lose keys in a drill that takes back five seconds, and against
+// keys that are recorded too late, within the rates of the users' store, in a larger cluster.
+// ROLLBACK_NODES chooses its size by hand.
+func TestLargerClusterServesThroughADrill(t *testing.T) {
+	size := 30
+	if n, err := strconv.Atoi(os.Getenv("ROLLBACK_NODES")); err == nil {
+		size = n
+	}
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newVirtualCluster(t, 1, size, memory.Rates{Reads: 2000, Writes: 400})
+		defer c.stop()
+		_, ok := c.waitServed(time.Minute)
+		g.Expect(ok).To(BeTrue())
+		time.Sleep(10 * time.Second)
+		for i := range 20 { // moves in the seconds that are lost
+			c.addDemand(c.nodes[i%size], uint16(i*3000), 400*time.Millisecond)
+			time.Sleep(250 * time.Millisecond)
+		}
+		var unserved int
+		watched := make(chan struct{})
+		drillEnds := time.Now().Add(5 * time.Second)
+		c.pending.Go(func() {
+			defer close(watched)
+			for time.Now().Before(drillEnds) {
+				unserved = max(unserved, c.unserved())
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		c.goBack(5*time.Second, time.Second)
+		returned, before, polls := time.Now(), c.store.Counts(), uint64(0)
+		for !c.recorded() && time.Since(returned) < 20*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			polls++
+		}
+		took, after := time.Since(returned), c.store.Counts()
+		<-watched
+		t.Logf("%d nodes: recorded again after %v, with %d reads and %d writes, %d of these in conflict; %d of %d sampled keys without one holder at the most",
+			size, took, after.Reads-before.Reads-polls-1, after.Writes+after.Conflicts-before.Writes-before.Conflicts, after.Conflicts-before.Conflicts, unserved, keyrange.MaxKey/holdStep+1)
+		g.Expect(took).To(BeNumerically("<=", restoreTarget))
+		g.Expect(c.holds.found()).To(BeEmpty())
+	})
+}
+
+// recorded reports whether all key tables were written in the present generation of the store and
+// all their ranges are confirmed.
+func (c *virtualCluster) recorded() bool {
+	listing, err := c.store.List(c.t.Context(), clusterTable)
+	if err != nil {
+		return false
+	}
+	views := newViewStore(simProtocol{}, c.log)
+	views.replace(clusterTable, listing)
+	space, ok := views.current().Keys["booking"]
+	for key := 0; ok && key <= keyrange.MaxKey; key += holdStep {
+		ok = space.SettledIn(c.store.Generation(), uint16(key)) && !space.Find(uint16(key)).Owner.IsZero()
+	}
+	return ok
+}
+
 // longestFault is how long a fault may last.
 const longestFault = 15 * time.Second
 
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -67,8 +67,8 @@
 	lives            int64
 }
 
-func newVirtualCluster(t *testing.T, seed uint64, size int) *virtualCluster {
-	c := &virtualCluster{t: t, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, store: memory.New(memory.Rates{}, seed), holds: newHoldChecker(), log: zap.NewNop()}
+func newVirtualCluster(t *testing.T, seed uint64, size int, rates memory.Rates) *virtualCluster {
+	c := &virtualCluster{t: t, rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 1))}, store: memory.New(rates, seed), holds: newHoldChecker(), log: zap.NewNop()}
 	if dir := os.Getenv("ROLLBACK_LOGS"); dir != "" {
 		config := zap.NewDevelopmentConfig()
 		config.OutputPaths = []string{filepath.Join(dir, fmt.Sprint("seed-", seed, ".log"))}
