Keep the places of requests that were told when to come back

The Retry-After was not true.

Cause: a refused request got a time of its own, but nothing kept its place; new requests took the room. Beyond one second all were told the same time, so at twice the limit hardly anybody had a place within reach.

Those without a place are told other times. If the requests with places stay away, the places weigh less, so that the limit is used.

Without a limit nothing changes.

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -102,7 +102,7 @@
 func (b *backend) run(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
 	offered := time.Now()
 	done, refused := b.queue.acquire(ctx, waitqueue.Item{
-		Route: t.route, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
+		Route: t.route, Fingerprint: t.fingerprint, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
 	})
 	if refused != nil {
 		return outcome{err: refused}
--- a/waitqueue/config.go
+++ b/waitqueue/config.go
@@ -29,6 +29,9 @@
 	// A longer one refuses fewer of the requests that happen to arrive together, but lets more
 	// of them reach an overloaded backend server together.
 	RateBurst time.Duration
+	// ReturnShare is the largest share of the time that they have left for which callers stay
+	// away after a refusal.
+	ReturnShare float64
 	// MinRate is the smallest limit that is applied, in requests per second. Responses to
 	// these requests tell when the backend server ends its limit.
 	MinRate float64
@@ -39,6 +42,6 @@
 	return Config{
 		InitialWork: 60 * time.Millisecond, Smoothing: 0.05, WorkMargin: 0.3, DeadlineFraction: 0.8,
 		MinRetryAfter: 30 * time.Millisecond, MaxRetryAfter: time.Second, MaxWaiting: 512,
-		ReviewInterval: 10 * time.Millisecond, RateBurst: 250 * time.Millisecond, MinRate: 0.25,
+		ReviewInterval: 10 * time.Millisecond, RateBurst: 250 * time.Millisecond, ReturnShare: 1.0 / 3, MinRate: 0.25,
 	}
 }
--- a/waitqueue/item.go
+++ b/waitqueue/item.go
@@ -17,6 +17,8 @@
 	ID ID
 	// Route is the kind of request, by which its work is estimated.
 	Route string
+	// Fingerprint tells a request that comes back from others; 0 if it is not known.
+	Fingerprint uint64
 	// Nested is set for requests made by a request that runs elsewhere, which holds its slot
 	// there until they are answered.
 	Nested bool
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -82,8 +82,10 @@
 func (q *Queue) Offer(it Item, now time.Time) (Decision, []Decision) {
 	others := q.Advance(now)
 	w := waiting{Item: it, work: q.Work(it.Route)}
-	if ahead := q.aheadInRate(w, now); q.rate.available(now) < 1+ahead {
-		return q.refuseForRate(it.ID, ahead, now), others
+	ahead := q.aheadInRate(w, now)
+	kept := q.rate.turns.claim(it.Fingerprint, now)
+	if !q.rate.admits(w.priorityClass(), ahead, kept, now) {
+		return q.refuseForRate(it, ahead, now), others
 	}
 	free := len(q.running) < q.slots && len(q.waiting) == 0
 	wait := time.Duration(0)
--- a/waitqueue/ratelimit.go
+++ b/waitqueue/ratelimit.go
@@ -11,8 +11,11 @@
 // limits nothing.
 type rateLimit struct {
 	bucket *rate.Limiter
-	// lastTurn is the latest time at which a refused request was told to come back.
-	lastTurn time.Time
+	// turns are the places of refused requests that can wait for them.
+	turns turns
+	// lastTold is the latest time at which a refused request without a place was told to come
+	// back.
+	lastTold time.Time
 	// offered is when each priority class last had a request, admitted or not.
 	offered map[priorityClass]time.Time
 }
@@ -27,12 +30,12 @@
 		r.bucket.SetLimitAt(now, rate.Limit(perSecond))
 		return
 	}
-	r.bucket, r.lastTurn = rate.NewLimiter(rate.Limit(perSecond), burst), now
+	r.bucket, r.lastTold, r.turns = rate.NewLimiter(rate.Limit(perSecond), burst), now, turns{}
 	r.offered = map[priorityClass]time.Time{}
 	r.bucket.AllowN(now, burst-1)
 }
 
-func (r *rateLimit) remove() { r.bucket = nil }
+func (r *rateLimit) remove() { r.bucket, r.turns = nil, turns{} }
 
 // available returns how many requests may be sent at now.
 func (r *rateLimit) available(now time.Time) float64 {
@@ -45,22 +48,65 @@
 // take counts a request that is sent at now, and reports whether the limit allows it.
 func (r *rateLimit) take(now time.Time) bool { return r.bucket == nil || r.bucket.AllowN(now, 1) }
 
-// nextTurn returns how long a refused request should stay away. Each refused request gets a
-// turn of its own, so that those who come back don't compete for the same one; ahead is the
-// number of requests that go first. The result is at most longest, or the time that the limit
-// puts between two requests.
-func (r *rateLimit) nextTurn(ahead float64, longest time.Duration, now time.Time) time.Duration {
-	interval := time.Duration(float64(time.Second) / float64(r.bucket.Limit()))
+// interval is the time that the limit puts between two requests.
+func (r *rateLimit) interval() time.Duration {
+	return time.Duration(float64(time.Second) / float64(r.bucket.Limit()))
+}
+
+// admits reports whether a request of a class may be sent at now, if ahead others and the places
+// in kept go first. A place weighs as much as requests usually come.
+func (r *rateLimit) admits(class priorityClass, ahead float64, kept []turn, now time.Time) bool {
+	if r.bucket == nil {
+		return true
+	}
+	left := r.available(now) - ahead - 1
+	last := now
+	for _, t := range kept {
+		if left < 0 {
+			break
+		}
+		if class.precedes(t.class) {
+			continue
+		}
+		if t.at.After(last) {
+			left = min(float64(r.bucket.Burst()), left+t.at.Sub(last).Seconds()*float64(r.bucket.Limit()))
+			last = t.at
+		}
+		left -= 1 - r.turns.missed
+	}
+	return left >= -roundingTokens
+}
+
+// roundingTokens is the share of a request by which the bucket may miss one at its turn.
+const roundingTokens = 1e-3
+
+// nextTurn returns how long a refused request should stay away; ahead is the number of requests
+// that go first. A request that can wait for its turn gets a place. Others are told different
+// times, so that they don't come back together; these are at most longest, or the time that the
+// limit puts between two requests.
+func (r *rateLimit) nextTurn(it Item, ahead float64, config Config, now time.Time) time.Duration {
+	interval := r.interval()
 	missing := max(0, 1+ahead-r.available(now))
-	turn := now.Add(time.Duration(missing * float64(interval)))
-	if after := r.lastTurn.Add(interval); after.After(turn) {
-		turn = after
+	at := r.turns.after(now.Add(time.Duration(missing*float64(interval))), it.priorityClass(), interval)
+	at = later(at, now.Add(config.MinRetryAfter))
+	stay := time.Duration(config.ReturnShare * float64(it.Deadline.Sub(now)))
+	if it.Fingerprint != 0 && at.Sub(now) <= stay {
+		r.turns.add(turn{it.Fingerprint, it.priorityClass(), at})
+		return at.Sub(now)
 	}
-	if longest = max(longest, interval); turn.Sub(now) > longest {
+	at = later(at, r.lastTold.Add(interval))
+	if longest := max(config.MaxRetryAfter, interval); at.Sub(now) > longest {
 		return longest
 	}
-	r.lastTurn = turn
-	return turn.Sub(now)
+	r.lastTold = at
+	return at.Sub(now)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // SetRateLimit limits the requests that are sent to the backend server to perSecond, and
@@ -82,6 +128,7 @@
 	if q.rate.bucket == nil {
 		return 0
 	}
+	q.rate.turns.expire(now)
 	ahead, own := float64(len(q.waiting)), w.priorityClass()
 	q.rate.offered[own] = now
 	if q.rate.bucket.Burst() < 2 {
@@ -106,13 +153,12 @@
 	kept := max(0, int(room))
 	var out []Decision
 	for _, w := range q.waiting[kept:] {
-		out = append(out, q.refuseForRate(w.ID, float64(kept), now))
+		out = append(out, q.refuseForRate(w.Item, float64(kept), now))
 	}
 	q.waiting = q.waiting[:kept]
 	return out
 }
 
-func (q *Queue) refuseForRate(id ID, ahead float64, now time.Time) Decision {
-	after := max(q.rate.nextTurn(ahead, q.config.MaxRetryAfter, now), q.config.MinRetryAfter)
-	return Decision{ID: id, Action: Refuse, RetryAfter: after, RateLimited: true}
+func (q *Queue) refuseForRate(it Item, ahead float64, now time.Time) Decision {
+	return Decision{ID: it.ID, Action: Refuse, RetryAfter: q.rate.nextTurn(it, ahead, q.config, now), RateLimited: true}
 }
