Allow net/http's words for a new connection that was closed before its use

TestStopAndRestartOfNode failed once in 150 runs beside copies of itself (load 27 to 36): "http: server closed idle connection" is not among the texts that it takes for a connection that was closed before a request. net/http returns this error undecorated only if the connection ended while no response was expected, and returns it to the caller, instead of sending again, only for a connection that had not been used before. So no request was cut: it is the case that the check allows under another name ("EOF", when the request had been written by then). The check of all other errors is unchanged.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -266,8 +266,9 @@
 	time.Sleep(300 * time.Millisecond)
 	l.stop()
 	for _, problem := range l.unexpected() {
-		// While the port is closed, connections are refused or closed before a request.
-		g.Expect(problem).To(Or(ContainSubstring("connection refused"), ContainSubstring("reset"), ContainSubstring("EOF")))
+		// While the port is closed, connections are refused or closed before a request. The last text
+		// is that of net/http for a new connection that was closed before it was used.
+		g.Expect(problem).To(Or(ContainSubstring("connection refused"), ContainSubstring("reset"), ContainSubstring("EOF"), ContainSubstring("server closed idle connection")))
 	}
 	after := c.nodes[0].views.current().Keys["booking"].OwnedBy(before[0].Owner)
 	g.Expect(after).NotTo(BeEmpty(), "the backend server must keep its keys across a restart of the node")
