--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -58,7 +58,7 @@
 		"keys given away because an earlier owner is gone", "keyrange/table.go",
 		"Owner: r.Next, Confirmed: r.Confirmed}", "Owner: r.Next, Confirmed: true}", []string{"./keyrange"},
 	}, {
-		"successor at an address fenced for its predecessor", "internal/node/planner.go",
+		"successor at an address fenced for its predecessor", "internal/node/plannerfence.go",
 		"older.acquired > h.acquired", "older.version > h.version", nodeTests,
 	}, {
 		"acquisition of a lease counted in a later generation", "internal/node/leaserow.go",
@@ -208,7 +208,7 @@
 		"lease row of another process taken for the node's own", "internal/node/leasekeeper.go",
 		"own := version != 0 && (version == k.version || slices.Contains(k.pendingNonces, nonce))", "own := version != 0 && (true || slices.Contains(k.pendingNonces, nonce))", nodeTests,
 	}, {
-		"keys taken from a node that renewed its lease", "internal/node/planner.go",
+		"keys taken from a node that renewed its lease", "internal/node/plannerfence.go",
 		"Conditions: []metastore.Condition{{Key: leaseKey(lost.Holder), Version: lost.Version}},", "", nodeTests,
 	}, {
 		"lease treated as expired too early", "membership/expiry/tracker.go",
--- a/internal/node/keyauthority.go
+++ b/internal/node/keyauthority.go
@@ -60,7 +60,8 @@
 }
 
 // reassert returns the space with the ranges of owner recorded in the present generation: those
-// that the node vouches for as they are, unless the planner is to do so, others with new fencing tokens once that is safe.
+// that the node vouches for as they are, unless the planner is to do so, and others with new fencing
+// tokens once that is safe.
 func (a keyAuthority) reassert(space *keyrange.Space, owner keyrange.Owner) (next *keyrange.Space, changed bool) {
 	unrecorded := func(r keyrange.Range) bool { return r.Owner == owner && !space.SettledIn(a.generation, r.From) }
 	confirm := func(r keyrange.Range) bool { return unrecorded(r) && a.vouches(r) && !a.delegated }
--- a/internal/node/leasekeeper.go
+++ b/internal/node/leasekeeper.go
@@ -167,39 +167,47 @@
 	k.until, k.lastRenewal, k.requested, k.earlierGrantsEnd = time.Time{}, time.Time{}, nil, k.now().Add(leaseDuration)
 	k.acquired = 0
 	k.mu.Unlock()
+	sent, err := k.acquireRow(ctx)
+	if err != nil {
+		return err
+	}
+	listing, err := k.store.List(ctx, clusterTable)
+	if err != nil {
+		return err
+	}
+	k.sample(listing.Version, listing.Now)
+	k.views.replace(clusterTable, listing)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.extend(sent)
+	return nil
+}
+
+// acquireRow writes the row on the basis of whatever it holds. It returns the time before the write
+// was sent.
+func (k *leaseKeeper) acquireRow(ctx context.Context) (time.Time, error) {
 	generation := k.views.currentGeneration()
 	sent, err := k.write(ctx)
 	if errors.Is(err, metastore.ErrConflict) {
 		version, _, _, readErr := k.read(ctx)
 		if readErr != nil {
-			return readErr
+			return time.Time{}, readErr
 		}
 		k.adoptVersion(version)
 		generation = k.views.currentGeneration()
 		sent, err = k.write(ctx)
 	}
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	k.mu.Lock()
 	k.acquired = k.version
 	k.mu.Unlock()
 	if metastore.Generation(k.rowVersion()) != generation {
-		// The row tells the earlier generation.
-		if sent, err = k.write(ctx); err != nil {
-			return err
-		}
-	}
-	listing, err := k.store.List(ctx, clusterTable)
-	if err != nil {
-		return err
+		// The row names the generation that was known before the write.
+		return k.write(ctx)
 	}
-	k.sample(listing.Version, listing.Now)
-	k.views.replace(clusterTable, listing)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.extend(sent)
-	return nil
+	return sent, nil
 }
 
 // adoptVersion makes version the one that the next write is based on, and clears the
--- a/waitqueue/ratelimit.go
+++ b/waitqueue/ratelimit.go
@@ -54,7 +54,7 @@
 }
 
 // admits reports whether a request of a class may be sent at now, if ahead others and the places
-// in kept go first. A place weighs as much as requests usually come.
+// in kept go first. A place counts for the share of requests that come back at their turn.
 func (r *rateLimit) admits(class priorityClass, ahead float64, kept []turn, now time.Time) bool {
 	if r.bucket == nil {
 		return true
--- a/waitqueue/turns.go
+++ b/waitqueue/turns.go
@@ -32,13 +32,15 @@
 // missedSmoothing is the weight of one place in the share of missed ones.
 const missedSmoothing = 0.05
 
-func (t *turns) count(missed float64) { t.missed += missedSmoothing * (missed - t.missed) }
+// recordMissed adds a place to the share of missed ones; missed is 1 if its request did not come,
+// else 0.
+func (t *turns) recordMissed(missed float64) { t.missed += missedSmoothing * (missed - t.missed) }
 
 // expire removes the places whose requests did not come.
 func (t *turns) expire(now time.Time) {
 	for len(t.places) > 0 && now.Sub(t.places[0].at) > turnGrace {
 		t.places = t.places[1:]
-		t.count(1)
+		t.recordMissed(1)
 	}
 }
 
@@ -49,7 +51,7 @@
 		if fingerprint != 0 && x.fingerprint == fingerprint && !now.Before(x.at.Add(-turnEarly)) {
 			before = slices.Clone(t.places[:i])
 			t.places = slices.Delete(t.places, i, i+1)
-			t.count(0)
+			t.recordMissed(0)
 			return before
 		}
 	}
