Let the test of vouched ranges notice an earlier generation

The gate 'range recorded that its owner vouched for in an earlier generation' could be disabled unnoticed: the test's range was refused for its size. With the whole range the test fails when the gate is disabled.

--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -343,11 +343,12 @@
 		n.planner.confirmVouched(t.Context())
 		return n.views.current().Keys["booking"].SettledIn(4, 7)
 	}
-	vouched := vouchedRange{From: 0, To: 100, Fence: fence}
+	vouched := vouchedRange{From: 0, To: keyrange.MaxKey, Fence: fence}
+	part, other := vouched, vouched
+	part.To, other.Fence = 100, fence+1
 	g.Expect(settledAfter(report{Generation: 3, Vouched: []vouchedRange{vouched}})).To(BeFalse())
-	g.Expect(settledAfter(report{Generation: 4, Vouched: []vouchedRange{{From: 0, To: keyrange.MaxKey, Fence: fence + 1}}})).To(BeFalse())
-	g.Expect(settledAfter(report{Generation: 4, Vouched: []vouchedRange{vouched}})).To(BeFalse(), "only a part of the range")
-	vouched.To = keyrange.MaxKey
+	g.Expect(settledAfter(report{Generation: 4, Vouched: []vouchedRange{other}})).To(BeFalse())
+	g.Expect(settledAfter(report{Generation: 4, Vouched: []vouchedRange{part}})).To(BeFalse())
 	g.Expect(settledAfter(report{Generation: 4, Vouched: []vouchedRange{vouched}})).To(BeTrue())
 	g.Expect(n.views.current().Keys["booking"].Find(7)).To(And(HaveField("Owner", own), HaveField("Fence", fence)))
 }
