--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -36,6 +36,7 @@
 	store *memory.Store
 	nodes []*testNode
 	holds *holdChecker
+	log   *zap.Logger
 	// desired is the initial desired state.
 	desired httproute.Snapshot
 }
@@ -50,7 +51,7 @@
 
 func newTestCluster(t *testing.T, n int) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, store: memory.New(memory.Rates{}, 1), holds: newHoldChecker(), desired: httproute.Snapshot{
+	c := &testCluster{t: t, store: memory.New(memory.Rates{}, 1), holds: newHoldChecker(), log: newTestLogger(t), desired: httproute.Snapshot{
 		Version:  1,
 		Services: []httproute.Service{{Name: "booking", Sharded: true, HealthPath: "/health"}},
 		Routes: []httproute.Route{
@@ -103,7 +104,7 @@
 
 func (n *testNode) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	n.Node, n.cancel, n.done = New(n.config, zap.NewNop()), cancel, make(chan error, 1)
+	n.Node, n.cancel, n.done = New(n.config, n.cluster.log.With(zap.String("instance", n.config.Instance))), cancel, make(chan error, 1)
 	go func() { n.done <- n.Run(ctx) }()
 }
 
