--- a/waitqueue/ratelimit_test.go
+++ b/waitqueue/ratelimit_test.go
@@ -42,9 +42,12 @@
 	}
 }
 
-func (s *limitSim) offer(priority int) Decision {
+func (s *limitSim) offer(priority int) Decision { return s.offerFrom(0, priority) }
+
+// offerFrom offers a request with a fingerprint.
+func (s *limitSim) offerFrom(fingerprint uint64, priority int) Decision {
 	s.nextID++
-	d, others := s.queue.Offer(Item{ID: s.nextID, Route: "r", Priority: priority, Target: s.now.Add(200 * time.Millisecond), Deadline: s.now.Add(800 * time.Millisecond)}, s.now)
+	d, others := s.queue.Offer(Item{ID: s.nextID, Route: "r", Fingerprint: fingerprint, Priority: priority, Target: s.now.Add(200 * time.Millisecond), Deadline: s.now.Add(800 * time.Millisecond)}, s.now)
 	s.record(append(others, d)...)
 	return d
 }
@@ -74,7 +77,7 @@
 				s.record(s.queue.SetRateLimit(highest*rapid.Float64Range(0.3, 1).Draw(t, "part"), s.now)...)
 			}
 			for range rapid.IntRange(0, 6).Draw(t, "requests") {
-				s.offer(rapid.IntRange(0, 2).Draw(t, "priority"))
+				s.offerFrom(rapid.Uint64Range(0, 9).Draw(t, "fingerprint"), rapid.IntRange(0, 2).Draw(t, "priority"))
 			}
 		}
 		// The bound of the platform's page: one and a half times the limit, and 5 requests.
