--- a/internal/node/rollbackmodel_test.go
+++ b/internal/node/rollbackmodel_test.go
@@ -57,8 +57,8 @@
 		g.Expect(c.holds.found()).To(BeEmpty())
 	}
 	for _, n := range c.nodes {
-		n.setIsolated(false)
-		n.setCutOff(false)
+		n.isolated.Store(false)
+		n.cutOff.Store(false)
 	}
 	time.Sleep(longestFault)
 	_, ok = c.waitServed(30 * time.Second)
@@ -176,12 +176,12 @@
 		})
 	case 7:
 		c.t.Logf("%v: %s is isolated", time.Now().Format("05.000"), n.config.Instance)
-		n.setIsolated(true)
-		c.later(c.rng.between(0, 8*time.Second), func() { n.setIsolated(false) })
+		n.isolated.Store(true)
+		c.later(c.rng.between(0, 8*time.Second), func() { n.isolated.Store(false) })
 	case 8:
 		c.t.Logf("%v: %s doesn't reach the store", time.Now().Format("05.000"), n.config.Instance)
-		n.setCutOff(true)
-		c.later(c.rng.between(0, 14*time.Second), func() { n.setCutOff(false) })
+		n.cutOff.Store(true)
+		c.later(c.rng.between(0, 14*time.Second), func() { n.cutOff.Store(false) })
 	case 9:
 		c.powerLoss()
 	case 10:
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,10 +62,11 @@
 	node   *Node // nil while it is stopped
 	cancel context.CancelFunc
 	tasks  *sync.WaitGroup
+	sim    *backendSim // nil while it is down
+	lives  int64
+
 	// isolated is set while it reaches no other node, cutOff while it doesn't reach the store.
-	isolated, cutOff bool
-	sim              *backendSim
-	lives            int64
+	isolated, cutOff atomic.Bool
 }
 
 func newVirtualCluster(t *testing.T, seed uint64, size int, rates memory.Rates) *virtualCluster {
@@ -141,30 +143,6 @@
 	return n.sim
 }
 
-func (n *virtualNode) setIsolated(isolated bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.isolated = isolated
-}
-
-func (n *virtualNode) isIsolated() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.isolated
-}
-
-func (n *virtualNode) setCutOff(cutOff bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cutOff = cutOff
-}
-
-func (n *virtualNode) isCutOff() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cutOff
-}
-
 // replace starts another instance at the node's address.
 func (n *virtualNode) replace(instance string) {
 	n.mu.Lock()
@@ -216,7 +194,7 @@
 	sleep(ctx, n.cluster.rng.between(time.Millisecond, 6*time.Millisecond))
 	var target *Node
 	for _, other := range n.cluster.nodes {
-		if other.config.PeerAddress == address && !other.isIsolated() && !n.isIsolated() {
+		if other.config.PeerAddress == address && !other.isolated.Load() && !n.isolated.Load() {
 			if node := other.running(); node != nil {
 				target = node
 			}
@@ -242,21 +220,21 @@
 }
 
 func (s virtualStore) List(ctx context.Context, table string) (metastore.Listing, error) {
-	if s.node.isCutOff() {
+	if s.node.cutOff.Load() {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
 	return s.WatchedTable.List(ctx, table)
 }
 
 func (s virtualStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Listing, error) {
-	if s.node.isCutOff() {
+	if s.node.cutOff.Load() {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
 	return s.WatchedTable.Watch(ctx, table, after, wait)
 }
 
 func (s virtualStore) Apply(ctx context.Context, txn metastore.Txn) (metastore.Applied, error) {
-	if s.node.isCutOff() {
+	if s.node.cutOff.Load() {
 		return metastore.Applied{}, metastore.ErrUnavailable
 	}
 	return s.WatchedTable.Apply(ctx, txn)
