Check that live owners keep their keys through a drill in the larger cluster

The test logged the greatest number of keys without one holder but did not bound it. Traced: the key was being moved when the store went back (owner instance-6, next instance-20) and was without a holder for 40 ms, between its release and the write that completes the move, as in any planned move.

--- a/internal/node/rollbackmodel_test.go
+++ b/internal/node/rollbackmodel_test.go
@@ -94,7 +94,7 @@
 		c.pending.Go(func() {
 			defer close(watched)
 			for time.Now().Before(drillEnds) {
-				unserved = max(unserved, c.unserved())
+				unserved = max(unserved, c.unservedBut(c.moving))
 				time.Sleep(20 * time.Millisecond)
 			}
 		})
@@ -109,6 +109,7 @@
 		t.Logf("%d nodes: recorded again after %v, with %d reads and %d writes, %d of these in conflict; %d of %d sampled keys without one holder at the most",
 			size, took, after.Reads-before.Reads-polls-1, after.Writes+after.Conflicts-before.Writes-before.Conflicts, after.Conflicts-before.Conflicts, unserved, keyrange.MaxKey/holdStep+1)
 		g.Expect(took).To(BeNumerically("<=", restoreTarget))
+		g.Expect(unserved).To(BeZero(), "live owners serve their keys through the drill")
 		g.Expect(c.holds.found()).To(BeEmpty())
 	})
 }
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -264,7 +264,10 @@
 }
 
 // unserved returns how many sampled keys don't have exactly one holder.
-func (c *virtualCluster) unserved() int {
+func (c *virtualCluster) unserved() int { return c.unservedBut(func(uint16) bool { return false }) }
+
+// unservedBut is unserved without the keys that are excused.
+func (c *virtualCluster) unservedBut(excused func(key uint16) bool) int {
 	out := 0
 	for key := 0; key <= keyrange.MaxKey; key += holdStep {
 		holders := 0
@@ -273,13 +276,24 @@
 				holders++
 			}
 		}
-		if holders != 1 {
+		if holders != 1 && !excused(uint16(key)) {
 			out++
 		}
 	}
 	return out
 }
 
+// moving reports whether a node knows of a planned move of key that is in progress. Between its
+// release and the write that completes the move, nobody holds the key.
+func (c *virtualCluster) moving(key uint16) bool {
+	for _, n := range c.nodes {
+		if node := n.running(); node != nil && node.views.current().Keys["booking"].Find(key).Moving() {
+			return true
+		}
+	}
+	return false
+}
+
 // waitServed waits until each sampled key has one holder, and returns how long that took.
 func (c *virtualCluster) waitServed(limit time.Duration) (took time.Duration, ok bool) {
 	start := time.Now()
