Keep the running node from recording keys in two tests of its lease

The log of the node shows the test's own race: it asserts 1.8 ms after the node saw the new generation, while the node's reconciling, which that wakes, records the keys, as it should. The store is now down from before the new generation is seen, so the keys do stay unrecorded. TestLeaseIsExtendedOnlyOnceKeysAreRecorded had the same race. The checks are unchanged.

--- a/internal/node/storegeneration_test.go
+++ b/internal/node/storegeneration_test.go
@@ -205,7 +205,8 @@
 func TestLeaseIsExtendedOnlyOnceKeysAreRecorded(t *testing.T) {
 	g := NewWithT(t)
 	n := single(t)
-	generation := n.store.WatchedTable.(*memory.Store).Generation() + 1
+	generation := n.cluster.store.Generation() + 1
+	n.cluster.store.SetFaults(memory.Faults{Down: true}) // the running node can record nothing
 	n.views.observeGeneration(metastore.VersionOf(generation, 1))
 	g.Expect(n.restored(metastore.VersionOf(generation, 2))).To(BeFalse())
 	n.generation.stopVouching()
@@ -218,7 +219,8 @@
 	g := NewWithT(t)
 	n := single(t)
 	r := n.views.current().Keys["booking"].Find(7)
-	version := metastore.VersionOf(n.store.WatchedTable.(*memory.Store).Generation()+1, 1)
+	version := metastore.VersionOf(n.cluster.store.Generation()+1, 1)
+	n.cluster.store.SetFaults(memory.Faults{Down: true}) // the running node can record nothing
 	n.views.observeGeneration(version)
 	later := func() time.Time { return boottimeNow().Add(settleTime + time.Second) }
 	n.generation.mu.Lock()
