--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -57,6 +57,9 @@
 		}
 		return 0
 	})
+	m.set.NewGauge("basilway_node_desired_state_read_age_seconds", func() float64 {
+		return n.contact.age(tableOf(n.config.Protocol.DesiredStateRow())).Seconds()
+	})
 	if n.config.DroppedLines != nil {
 		m.set.NewGauge("basilway_node_log_lines_blocked_total", func() float64 { return float64(n.config.DroppedLines()) })
 	}
@@ -96,6 +99,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_requests_total{route=%q,outcome=%q}`, m.label(route), reason)).Inc()
 }
 
+// countDesiredState counts a desired state that was applied.
+func (m *nodeMetrics) countDesiredState(forwarded bool) {
+	source := "store"
+	if forwarded {
+		source = "node"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_desired_states_total{source=%q}`, source)).Inc()
+}
+
 // countSent counts a request that is sent to the local backend server.
 func (m *nodeMetrics) countSent(t ticket) {
 	from := "client"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	peers    *peers
 	demand   *demandMeter
 	meanWork workMeter
+	contact  *storeContact
 	sizes    responseSizes
 	pacer    *pacer
 	clients  *clientConns
@@ -62,7 +63,7 @@
 	n := &Node{
 		config: config, headers: config.Protocol.Headers(), log: log,
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
-		demand:  newDemandMeter(), meanWork: workMeter{routes: map[string]time.Duration{}},
+		demand:  newDemandMeter(), contact: newStoreContact(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}},
 		now: config.Now,
@@ -87,6 +88,7 @@
 	n.views.settled = n.generation.settled
 	n.lease.restored, n.lease.onLapse = n.restored, n.generation.stopVouching
 	n.metrics = newMetrics(n)
+	n.views.onDesiredState = n.metrics.countDesiredState
 	n.events = newEvents(log, n.metrics.countDroppedLine)
 	return n
 }
@@ -187,7 +189,7 @@
 }
 
 func (n *Node) newTableWatcher(table string) *tableWatcher {
-	return &tableWatcher{table: table, store: n.store, views: n.views, log: n.log.Named("watch"), sample: n.planner.sample}
+	return &tableWatcher{table: table, store: n.store, views: n.views, log: n.log.Named("watch"), contact: n.contact, sample: n.planner.sample}
 }
 
 // housekeepingInterval is the interval at which connections to nodes that left are closed.
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -31,6 +31,8 @@
 	store metastore.WatchedTable
 	views *viewStore
 	log   *zap.Logger
+	// contact records the store's answers.
+	contact *storeContact
 	// shouldWatch reports whether the table is to be watched now, and listInterval returns
 	// how often it is listed otherwise. listInterval may be nil if shouldWatch is always true.
 	shouldWatch  func() bool
@@ -68,6 +70,7 @@
 			if failing {
 				w.log.Info("store reachable again", zap.String("table", w.table), zap.Uint64("version", listing.Version))
 			}
+			w.contact.record(w.table)
 			w.sample(listing.Version, listing.Now)
 			after = max(after, listing.Version)
 			backoff, failing = watchBackoffMin, false
@@ -82,7 +85,8 @@
 			continue
 		}
 		if !failing {
-			w.log.Warn("store not reachable", zap.String("table", w.table), zap.Uint64("version", after), zap.Error(err))
+			w.log.Warn("store not reachable", zap.String("table", w.table), zap.Uint64("version", after), zap.Bool("watching", watching),
+				zap.Duration("since its last answer", w.contact.age(w.table)), zap.Error(err))
 		}
 		failing = true
 		sleep(ctx, jitter(backoff))
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -24,6 +24,10 @@
 	// another node. It must not block.
 	onNewRows func(rows []freshRow, forwarded bool)
 
+	// onDesiredState, if not nil, is called when a desired state is applied, with whether it
+	// came from another node. It must not block or call the viewStore.
+	onDesiredState func(forwarded bool)
+
 	// onGeneration, if not nil, is called with the view before rows of a later generation of
 	// the store are applied. It must not block or call the viewStore.
 	onGeneration func(generation uint64, before *View)
@@ -74,14 +78,15 @@
 func (s *viewStore) applyFromPeer(rows ...metastore.Row) { s.mergeAndNotify(rows, true) }
 
 func (s *viewStore) mergeAndNotify(rows []metastore.Row, forwarded bool) {
-	fresh := s.merge(rows)
+	fresh := s.merge(rows, forwarded)
 	if len(fresh) > 0 && s.onNewRows != nil {
 		s.onNewRows(fresh, forwarded)
 	}
 }
 
-// merge applies the rows that are newer than the known ones, and returns them.
-func (s *viewStore) merge(rows []metastore.Row) []freshRow {
+// merge applies the rows that are newer than the known ones, and returns them. forwarded is set
+// if they came from another node.
+func (s *viewStore) merge(rows []metastore.Row, forwarded bool) []freshRow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.view.clone()
@@ -95,7 +100,7 @@
 			continue
 		}
 		s.rows[row.Key] = row
-		if err := s.applyRow(next, row, known); err != nil {
+		if err := s.applyRow(next, row, known, forwarded); err != nil {
 			s.log.Error("row of the store cannot be decoded; its previous version stays in effect",
 				zap.String("row", row.Key), zap.Uint64("version", row.Version), zap.Error(err))
 		}
@@ -162,10 +167,10 @@
 }
 
 // applyRow applies a row to v. known is the version of the row that v shows.
-func (s *viewStore) applyRow(v *View, row metastore.Row, known uint64) error {
+func (s *viewStore) applyRow(v *View, row metastore.Row, known uint64, forwarded bool) error {
 	switch {
 	case row.Key == s.protocol.DesiredStateRow():
-		return s.applyRoutes(v, row)
+		return s.applyRoutes(v, row, forwarded)
 	case row.Key == plannerKey:
 		var p PlannerRow
 		if !row.Deleted {
@@ -189,7 +194,7 @@
 	return nil
 }
 
-func (s *viewStore) applyRoutes(v *View, row metastore.Row) error {
+func (s *viewStore) applyRoutes(v *View, row metastore.Row, forwarded bool) error {
 	if row.Deleted {
 		return fmt.Errorf("the desired state was deleted")
 	}
@@ -207,7 +212,11 @@
 		return nil
 	}
 	v.Routes = table
-	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Int("routes", len(snapshot.Routes)))
+	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Int("routes", len(snapshot.Routes)),
+		zap.Bool("from another node", forwarded), zap.Uint64("row version", row.Version))
+	if s.onDesiredState != nil {
+		s.onDesiredState(forwarded)
+	}
 	return nil
 }
 
