--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -67,6 +67,8 @@
 
 	// isolated is set while it reaches no other node, cutOff while it doesn't reach the store.
 	isolated, cutOff atomic.Bool
+	// silences counts how often calls to the store that were under way lost their answers.
+	silences atomic.Int64
 }
 
 func newVirtualCluster(t *testing.T, seed uint64, size int, rates memory.Rates) *virtualCluster {
@@ -230,9 +232,22 @@
 	if s.node.cutOff.Load() {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
-	return s.WatchedTable.Watch(ctx, table, after, wait)
+	ctx, cancel := context.WithTimeout(ctx, wait+virtualWatchMargin)
+	defer cancel()
+	before := s.node.silences.Load()
+	listing, err := s.WatchedTable.Watch(ctx, table, after, wait)
+	if s.node.silences.Load() != before {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return metastore.Listing{}, metastore.ErrUnavailable
+	}
+	return listing, err
 }
 
+// virtualWatchMargin is how much longer than its wait a client waits for the answer to a watch.
+const virtualWatchMargin = 2 * time.Second
+
 func (s virtualStore) Apply(ctx context.Context, txn metastore.Txn) (metastore.Applied, error) {
 	if s.node.cutOff.Load() {
 		return metastore.Applied{}, metastore.ErrUnavailable
