Offer a new desired state to nodes that the store does not answer

Callers: at a node that the store turns away, requests were handled by an older desired state for longer than the 2 s that the users allow. Cause: new rows of the cluster are sent to other nodes at once, but those of the desired state only travelled with digest comparisons, each about 2 s with a random node.

A node that applies a new desired state now compares its version with that of three other nodes, three times within about a second; who has the earlier one gets the row. At the first comparison nodes that the store answers have it already, so only versions travel to them.

In the virtual cluster a cut from the store now ends the open watches too.

--- /dev/null
+++ b/internal/node/desiredgossip.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/metastore"
+)
+
+// offerDelays are the pauses before a new desired state is offered to some other nodes, and to
+// others again. By the first offer, nodes that the store answers have it already, so that the row,
+// which may have 64 KiB, is only sent to those that lack it.
+var offerDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+
+// desiredStateGossip brings new desired states to nodes that the store does not answer.
+type desiredStateGossip struct {
+	node   *Node
+	log    *zap.Logger
+	wakeup chan struct{}
+}
+
+func newDesiredStateGossip(n *Node) *desiredStateGossip {
+	return &desiredStateGossip{node: n, log: n.log.Named("desired"), wakeup: make(chan struct{}, 1)}
+}
+
+// desiredStateMessage tells which desired state a node has.
+type desiredStateMessage struct {
+	// Version is 0 if the node has none.
+	Version uint64 `cbor:"1,keyasint"`
+	// Row is sent if the other node is known to have an earlier version.
+	Row *metastore.Row `cbor:"2,keyasint,omitempty"`
+}
+
+// notify starts the offers of a new desired state. It does not block.
+func (g *desiredStateGossip) notify() {
+	select {
+	case g.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// run offers each new desired state to other nodes.
+func (g *desiredStateGossip) run(ctx context.Context) {
+	for {
+		select {
+		case <-g.wakeup:
+		case <-ctx.Done():
+			return
+		}
+		g.offer(ctx)
+	}
+}
+
+// offer offers the desired state until a newer one arrives.
+func (g *desiredStateGossip) offer(ctx context.Context) {
+	for _, delay := range offerDelays {
+		sleep(ctx, jitter(2*delay))
+		var sent sync.WaitGroup
+		for _, address := range g.node.gossip.targets(nil) {
+			sent.Go(func() {
+				if err := g.compare(ctx, address); err != nil && ctx.Err() == nil {
+					g.log.Debug("desired state not offered", zap.String("address", address), zap.Error(err))
+				}
+			})
+		}
+		sent.Wait()
+		if ctx.Err() != nil || len(g.wakeup) > 0 {
+			return
+		}
+	}
+}
+
+// compare makes sure that this node and the one at address have the newer desired state of both.
+func (g *desiredStateGossip) compare(ctx context.Context, address string) error {
+	version, row := g.node.views.desiredState()
+	theirs, err := g.send(ctx, address, desiredStateMessage{Version: version})
+	if err != nil {
+		return err
+	}
+	if theirs.Row != nil {
+		g.node.views.applyFromPeer(*theirs.Row)
+	}
+	if theirs.Version < version {
+		_, err = g.send(ctx, address, desiredStateMessage{Version: version, Row: &row})
+	}
+	return err
+}
+
+func (g *desiredStateGossip) send(ctx context.Context, address string, message desiredStateMessage) (response desiredStateMessage, err error) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return response, err
+	}
+	data, err := g.node.post(ctx, address, desiredStatePath, peerMessageTimeout, body)
+	if err != nil {
+		return response, err
+	}
+	if err := cbor.Unmarshal(data, &response); err != nil {
+		return response, fmt.Errorf("decode desired state: %w", err)
+	}
+	return response, nil
+}
+
+// serve compares the desired state of another node with that of this one.
+func (g *desiredStateGossip) serve(w http.ResponseWriter, r *http.Request) {
+	var message desiredStateMessage
+	if !g.node.readCall(w, r, &message) {
+		return
+	}
+	if message.Row != nil {
+		g.node.views.applyFromPeer(*message.Row)
+	}
+	var response desiredStateMessage
+	version, row := g.node.views.desiredState()
+	if response.Version = version; version > message.Version {
+		response.Row = &row
+	}
+	g.node.writeCallResponse(w, response)
+}
+
+// desiredState returns the version of the desired state in force, 0 if there is none, and its row.
+func (s *viewStore) desiredState() (uint64, metastore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.Routes == nil {
+		return 0, metastore.Row{}
+	}
+	return s.view.Routes.Version, s.rows[s.protocol.DesiredStateRow()]
+}
--- a/internal/node/desiredstate_test.go
+++ b/internal/node/desiredstate_test.go
@@ -79,3 +79,29 @@
 		})
 	}
 }
+
+// Guards against nodes that the store turns away and that have a desired state too late, because
+// only a comparison with a random node brought it.
+func TestDesiredStateReachesNodesThatTheStoreTurnsAway(t *testing.T) {
+	for _, size := range []int{4, 12, 62} {
+		t.Run(fmt.Sprint(size, "_nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newVirtualCluster(t, 1, size, memory.Rates{Reads: 2000, Writes: 400})
+				defer c.stop()
+				_, ok := c.waitServed(time.Minute)
+				g.Expect(ok).To(BeTrue())
+				for round := range 12 {
+					for i, n := range c.nodes {
+						n.cutOff.Store((i+round)%2 == 0)
+					}
+					time.Sleep(c.rng.between(0, 3*time.Second))
+					version := uint64(2 + round)
+					c.setDesiredState(version)
+					time.Sleep(applyTime)
+					g.Expect(c.outdated(version)).To(BeEmpty())
+				}
+			})
+		})
+	}
+}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -25,6 +25,8 @@
 	rowsPath   = "/basilway/rows"
 	digestPath = "/basilway/digest"
 	storePath  = "/basilway/store"
+	// desiredStatePath compares the desired states of two nodes.
+	desiredStatePath = "/basilway/desired-state"
 )
 
 // forward sends a request to the node beside m's backend server, which may be this one.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	backend  *backend
 	planner  *planner
 	gossip   *rowGossip
+	desired  *desiredStateGossip
 	peers    *peers
 	demand   *demandMeter
 	meanWork workMeter
@@ -82,13 +83,16 @@
 	n.backend = newBackend(n)
 	n.planner = newPlanner(n)
 	n.lease.sample = n.planner.sample
-	n.gossip = newRowGossip(n)
+	n.gossip, n.desired = newRowGossip(n), newDesiredStateGossip(n)
 	n.views.onNewRows = n.gossip.enqueue
 	n.views.onGeneration = n.enterGeneration
 	n.views.settled = n.generation.settled
 	n.lease.restored, n.lease.onLapse = n.restored, n.generation.stopVouching
 	n.metrics = newMetrics(n)
-	n.views.onDesiredState = n.metrics.countDesiredState
+	n.views.onDesiredState = func(forwarded bool) {
+		n.metrics.countDesiredState(forwarded)
+		n.desired.notify()
+	}
 	n.events = newEvents(log, n.metrics.countDroppedLine)
 	return n
 }
@@ -153,7 +157,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.desired.run, n.runHousekeeping,
 	}
 }
 
@@ -346,6 +350,7 @@
 	calls.HandleFunc("POST "+rowsPath, n.gossip.serveRows)
 	calls.HandleFunc("POST "+digestPath, n.gossip.serveDigest)
 	calls.HandleFunc("POST "+storePath, n.store.serveStore)
+	calls.HandleFunc("POST "+desiredStatePath, n.desired.serve)
 	calls.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return calls
 }
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -66,7 +66,8 @@
 	lives  int64
 
 	// isolated is set while it reaches no other node, cutOff while it doesn't reach the store.
-	isolated, cutOff atomic.Bool
+	isolated atomic.Bool
+	cutOff   storeCut
 	// silences counts how often calls to the store that were under way lost their answers.
 	silences atomic.Int64
 }
@@ -234,6 +235,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+virtualWatchMargin)
 	defer cancel()
+	defer s.node.cutOff.onCut(cancel)()
 	before := s.node.silences.Load()
 	listing, err := s.WatchedTable.Watch(ctx, table, after, wait)
 	if s.node.silences.Load() != before {
@@ -245,6 +247,47 @@
 	return listing, err
 }
 
+// storeCut tells whether a node is cut off from the store, and ends its watches when that begins.
+type storeCut struct {
+	mu      sync.Mutex
+	off     bool
+	watches map[*context.CancelFunc]bool
+}
+
+// Load reports whether the node is cut off.
+func (s *storeCut) Load() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.off
+}
+
+// Store cuts the node off or ends that.
+func (s *storeCut) Store(off bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.off = off
+	for cancel := range s.watches {
+		if off {
+			(*cancel)()
+		}
+	}
+}
+
+// onCut calls cancel when the node is cut off, until the returned function is called.
+func (s *storeCut) onCut(cancel context.CancelFunc) (stop func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.watches == nil {
+		s.watches = map[*context.CancelFunc]bool{}
+	}
+	s.watches[&cancel] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.watches, &cancel)
+	}
+}
+
 // virtualWatchMargin is how much longer than its wait a client waits for the answer to a watch.
 const virtualWatchMargin = 2 * time.Second
 
