Order desired states by the operator's version, not by that of their row

Callers: a node that restarted after the store had gone back handled requests by an older desired state than the other nodes, until the operator had written the lost one again; and a node that had seen an invalid, deleted or older desired state gave that to others. Cause: nodes compared and exchanged the row by the version of the store, whose newest row need not have the newest desired state. Evidence: TestRestartedNodeGetsTheDesiredStateThatTheStoreLost and TestNodePassesOnTheDesiredStateInForce (four cases) fail before and pass now.

A node keeps and passes on the newest valid desired state by its own version. Digests name it, so that nodes with the same version of the row still find a difference.

--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -123,13 +123,3 @@
 	}
 	g.node.writeCallResponse(w, response)
 }
-
-// desiredState returns the version of the desired state in force, 0 if there is none, and its row.
-func (s *viewStore) desiredState() (uint64, metastore.Row) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.view.Routes == nil {
-		return 0, metastore.Row{}
-	}
-	return s.view.Routes.Version, s.rows[s.protocol.DesiredStateRow()]
-}
--- /dev/null
+++ b/internal/node/desiredstate.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/metastore"
+)
+
+// mergeDesiredState applies row, the row of the desired state, to v if it is newer than the one in
+// force by the operator's version, which outlasts a store that goes back. The kept row has the
+// newest valid value, for other nodes, at the newest version of the row. It returns whether
+// anything was new. s.mu must be held.
+func (s *viewStore) mergeDesiredState(v *View, row metastore.Row, forwarded bool) bool {
+	known := s.rows[row.Key]
+	if row.Version == known.Version && bytes.Equal(row.Value, known.Value) {
+		return false
+	}
+	table, err := s.decodeDesiredState(row)
+	if err != nil {
+		s.log.Error("desired state cannot be used; the one before stays in force", zap.Uint64("row version", row.Version),
+			zap.Bool("from another node", forwarded), zap.Error(err))
+		return s.keepDesiredState(row.Version, known)
+	}
+	if v.Routes != nil && table.Version < v.Routes.Version {
+		if row.Version > known.Version {
+			s.log.Warn("older desired state ignored", zap.Uint64("version", table.Version), zap.Uint64("in force", v.Routes.Version),
+				zap.Bool("from another node", forwarded), zap.Uint64("generation", metastore.Generation(row.Version)))
+		}
+		return s.keepDesiredState(row.Version, known)
+	}
+	if v.Routes != nil && table.Version == v.Routes.Version && (row.Version <= known.Version || bytes.Equal(row.Value, known.Value)) {
+		return s.keepDesiredState(row.Version, known)
+	}
+	row.Version = max(row.Version, known.Version)
+	s.rows[row.Key], v.Routes = row, table
+	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Bool("from another node", forwarded),
+		zap.Uint64("row version", row.Version))
+	if s.onDesiredState != nil {
+		s.onDesiredState(forwarded)
+	}
+	return true
+}
+
+// keepDesiredState records that the row was read at a version without a newer desired state.
+func (s *viewStore) keepDesiredState(version uint64, known metastore.Row) bool {
+	if known.Version == 0 || version <= known.Version {
+		return false
+	}
+	known.Version = version
+	s.rows[known.Key] = known
+	return true
+}
+
+func (s *viewStore) decodeDesiredState(row metastore.Row) (*httproute.Table, error) {
+	if row.Deleted {
+		return nil, fmt.Errorf("the desired state was deleted")
+	}
+	snapshot, err := s.protocol.DesiredState(row.Value)
+	if err != nil {
+		return nil, err
+	}
+	return httproute.NewTable(snapshot)
+}
+
+// desiredState returns the version of the desired state in force, 0 if there is none, and its row.
+func (s *viewStore) desiredState() (uint64, metastore.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view.Routes == nil {
+		return 0, metastore.Row{}
+	}
+	return s.view.Routes.Version, s.rows[s.protocol.DesiredStateRow()]
+}
--- a/internal/node/desiredstate_test.go
+++ b/internal/node/desiredstate_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"go.uber.org/zap"
+
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/metastore/memory"
 )
@@ -105,3 +107,64 @@
 		})
 	}
 }
+
+// Guards against a node that restarts while the store shows an older copy, and that handles requests
+// by an older desired state than the others until the operator has written the lost one again.
+func TestRestartedNodeGetsTheDesiredStateThatTheStoreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newVirtualCluster(t, 1, 6, memory.Rates{})
+		defer c.stop()
+		_, ok := c.waitServed(time.Minute)
+		g.Expect(ok).To(BeTrue())
+		before := time.Now()
+		time.Sleep(time.Second)
+		c.setDesiredState(2)
+		time.Sleep(time.Second)
+		g.Expect(c.outdated(2)).To(BeEmpty())
+		c.store.Rewind(before, func(string) bool { return false })
+		time.Sleep(time.Second)
+		c.nodes[0].stop()
+		c.nodes[0].start()
+		time.Sleep(contactTime + applyTime)
+		g.Expect(c.outdated(2)).To(BeEmpty())
+		c.setDesiredState(2)
+		c.setDesiredState(3)
+		time.Sleep(applyTime)
+		g.Expect(c.outdated(3)).To(BeEmpty())
+	})
+}
+
+// desiredRow returns the row of a desired state.
+func desiredRow(version, rowVersion uint64) metastore.Row {
+	return metastore.Row{Key: simProtocol{}.DesiredStateRow(), Value: fmt.Appendf(nil, `{"Version":%d}`, version), Version: rowVersion}
+}
+
+// Guards against a node that gives other nodes a desired state that cannot be used, or an older one
+// than it has itself, because that is in the newest row of the store.
+func TestNodePassesOnTheDesiredStateInForce(t *testing.T) {
+	invalid := desiredRow(0, 30)
+	invalid.Value = []byte("{")
+	deleted := desiredRow(0, 30)
+	deleted.Deleted = true
+	for name, row := range map[string]metastore.Row{
+		"invalid": invalid, "deleted": deleted, "older": desiredRow(4, 30), "older, of a later generation": desiredRow(4, metastore.VersionOf(1, 3)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			from, to := newViewStore(simProtocol{}, zap.NewNop()), newViewStore(simProtocol{}, zap.NewNop())
+			from.apply(desiredRow(5, 20))
+			from.apply(row)
+			to.apply(row)
+			to.applyFromPeer(from.rowsOf([]string{row.Key})...)
+			version, kept := to.desiredState()
+			g.Expect(version).To(BeEquivalentTo(5))
+			g.Expect(kept.Version).To(Equal(row.Version), "the newest version of the row")
+
+			from.apply(desiredRow(6, row.Version+1))
+			to.applyFromPeer(from.rowsOf([]string{row.Key})...)
+			version, _ = to.desiredState()
+			g.Expect(version).To(BeEquivalentTo(6))
+		})
+	}
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -74,6 +74,9 @@
 // digestMessage summarizes the rows that a node has.
 type digestMessage struct {
 	Sum uint64 `cbor:"1,keyasint"`
+	// Desired is the version of the desired state in force. After the store went back, nodes may
+	// have different ones at the same version of its row.
+	Desired uint64 `cbor:"3,keyasint,omitempty"`
 	// Versions of all rows by key; only in responses to a different sum.
 	Versions map[string]uint64 `cbor:"2,keyasint,omitempty"`
 }
@@ -239,7 +242,8 @@
 // syncWith exchanges rows with another node, so that both have the newer version of each.
 func (g *rowGossip) syncWith(ctx context.Context, address string) error {
 	sum, versions := g.node.views.digest()
-	body, err := cbor.Marshal(digestMessage{Sum: sum})
+	desired, _ := g.node.views.desiredState()
+	body, err := cbor.Marshal(digestMessage{Sum: sum, Desired: desired})
 	if err != nil {
 		return err
 	}
@@ -251,6 +255,11 @@
 	if err := cbor.Unmarshal(data, &theirs); err != nil {
 		return fmt.Errorf("decode digest: %w", err)
 	}
+	if theirs.Desired != desired {
+		if err := g.node.desired.compare(ctx, address); err != nil {
+			return err
+		}
+	}
 	if theirs.Sum == sum {
 		return nil
 	}
@@ -301,7 +310,8 @@
 	if sum == message.Sum {
 		versions = nil
 	}
-	g.node.writeCallResponse(w, digestMessage{Sum: sum, Versions: versions})
+	desired, _ := g.node.views.desiredState()
+	g.node.writeCallResponse(w, digestMessage{Sum: sum, Desired: desired, Versions: versions})
 }
 
 // digest returns a sum over all rows, which is equal on nodes that have the same versions,
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"fmt"
 	"strings"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
-	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/keyrange"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/quarantine"
@@ -95,12 +93,18 @@
 		s.enter(metastore.Generation(row.Version))
 	}
 	for _, row := range rows {
+		if row.Key == s.protocol.DesiredStateRow() {
+			if s.mergeDesiredState(next, row, forwarded) {
+				fresh = append(fresh, freshRow{Row: row})
+			}
+			continue
+		}
 		known := s.rows[row.Key].Version
 		if row.Version <= known {
 			continue
 		}
 		s.rows[row.Key] = row
-		if err := s.applyRow(next, row, known, forwarded); err != nil {
+		if err := s.applyRow(next, row, known); err != nil {
 			s.log.Error("row of the store cannot be decoded; its previous version stays in effect",
 				zap.String("row", row.Key), zap.Uint64("version", row.Version), zap.Error(err))
 		}
@@ -167,10 +171,8 @@
 }
 
 // applyRow applies a row to v. known is the version of the row that v shows.
-func (s *viewStore) applyRow(v *View, row metastore.Row, known uint64, forwarded bool) error {
+func (s *viewStore) applyRow(v *View, row metastore.Row, known uint64) error {
 	switch {
-	case row.Key == s.protocol.DesiredStateRow():
-		return s.applyRoutes(v, row, forwarded)
 	case row.Key == plannerKey:
 		var p PlannerRow
 		if !row.Deleted {
@@ -194,32 +196,6 @@
 	return nil
 }
 
-func (s *viewStore) applyRoutes(v *View, row metastore.Row, forwarded bool) error {
-	if row.Deleted {
-		return fmt.Errorf("the desired state was deleted")
-	}
-	snapshot, err := s.protocol.DesiredState(row.Value)
-	if err != nil {
-		return err
-	}
-	table, err := httproute.NewTable(snapshot)
-	if err != nil {
-		return err
-	}
-	if v.Routes != nil && table.Version < v.Routes.Version {
-		s.log.Warn("older desired state ignored", zap.Uint64("version", table.Version), zap.Uint64("in force", v.Routes.Version),
-			zap.Uint64("generation", metastore.Generation(row.Version)))
-		return nil
-	}
-	v.Routes = table
-	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Int("routes", len(snapshot.Routes)),
-		zap.Bool("from another node", forwarded), zap.Uint64("row version", row.Version))
-	if s.onDesiredState != nil {
-		s.onDesiredState(forwarded)
-	}
-	return nil
-}
-
 // applyMember applies a member's row. What a store that went back has lost of it stays in
 // effect until the member writes it again.
 func applyMember(v *View, row metastore.Row, known uint64) error {
