Offer a new desired state along a ring, so that each node gets as many offers

With random targets TestDesiredStateReachesNodesThatTheStoreTurnsAway failed in one of three runs: with 62 nodes, half of them turned away, one node had got no offer within 2 s. By calculation that is a node in some 6 % of runs of 12 changes.

--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
@@ -16,7 +20,10 @@
 // offerDelays are the pauses before a new desired state is offered to some other nodes, and to
 // others again. By the first offer, nodes that the store answers have it already, so that the row,
 // which may have 64 KiB, is only sent to those that lack it.
-var offerDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+var offerDelays = []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
+
+// offersPerRound is the number of nodes that a new desired state is offered to at once.
+const offersPerRound = 3
 
 // desiredStateGossip brings new desired states to nodes that the store does not answer.
 type desiredStateGossip struct {
@@ -59,10 +66,11 @@
 
 // offer offers the desired state until a newer one arrives.
 func (g *desiredStateGossip) offer(ctx context.Context) {
-	for _, delay := range offerDelays {
+	for round, delay := range offerDelays {
 		sleep(ctx, jitter(2*delay))
+		version, _ := g.node.views.desiredState()
 		var sent sync.WaitGroup
-		for _, address := range g.node.gossip.targets(nil) {
+		for _, address := range offerTargets(g.node.gossip.reachablePeers(), g.node.config.Instance, version, round) {
 			sent.Go(func() {
 				if err := g.compare(ctx, address); err != nil && ctx.Err() == nil {
 					g.log.Debug("desired state not offered", zap.String("address", address), zap.Error(err))
@@ -76,6 +84,24 @@
 	}
 }
 
+// offerTargets returns the addresses of the nodes that a node offers a version to in a round. The
+// instances form a ring in an order that differs for each version, and each offers to those that
+// follow it, so that each gets offers from as many.
+func offerTargets(peers []reachablePeer, self string, version uint64, round int) []string {
+	position := func(instance string) uint64 {
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(instance), version))
+	}
+	own := position(self)
+	slices.SortFunc(peers, func(a, b reachablePeer) int {
+		return cmp.Compare(position(a.instance)-own, position(b.instance)-own) // wraps around
+	})
+	var out []string
+	for i := range min(offersPerRound, len(peers)) {
+		out = append(out, peers[(round*offersPerRound+i)%len(peers)].address)
+	}
+	return out
+}
+
 // compare makes sure that this node and the one at address have the newer desired state of both.
 func (g *desiredStateGossip) compare(ctx context.Context, address string) error {
 	version, row := g.node.views.desiredState()
--- a/internal/node/desiredstate_test.go
+++ b/internal/node/desiredstate_test.go
@@ -59,6 +59,7 @@
 func TestDesiredStateIsInForceAfterOpenWatchesWentSilent(t *testing.T) {
 	for _, size := range []int{3, 12, 62} {
 		t.Run(fmt.Sprint(size, "_nodes"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				c := newVirtualCluster(t, 1, size, memory.Rates{Reads: 2000, Writes: 400})
@@ -87,6 +88,7 @@
 func TestDesiredStateReachesNodesThatTheStoreTurnsAway(t *testing.T) {
 	for _, size := range []int{4, 12, 62} {
 		t.Run(fmt.Sprint(size, "_nodes"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				c := newVirtualCluster(t, 1, size, memory.Rates{Reads: 2000, Writes: 400})
@@ -168,3 +170,29 @@
 		})
 	}
 }
+
+// Guards against nodes that get no offer of a new desired state while many are turned away.
+func TestEachNodeIsOfferedADesiredStateByOthers(t *testing.T) {
+	g := NewWithT(t)
+	const size = 62
+	offers := map[string]int{}
+	for self := range size {
+		targets := map[string]bool{}
+		for round := range offerDelays {
+			var peers []reachablePeer
+			for n := range size {
+				if n != self {
+					peers = append(peers, reachablePeer{instance: fmt.Sprint(n), address: fmt.Sprint(n)})
+				}
+			}
+			for _, address := range offerTargets(peers, fmt.Sprint(self), 7, round) {
+				targets[address] = true
+				offers[address]++
+			}
+		}
+		g.Expect(targets).To(HaveLen(len(offerDelays) * offersPerRound))
+	}
+	for n := range size {
+		g.Expect(offers[fmt.Sprint(n)]).To(Equal(len(offerDelays) * offersPerRound))
+	}
+}
