Replace a watch of the store whose answer is overdue

Callers: 3 s after all open connections had gone silent, or after the answers to all open watches had been lost, requests were still handled by a desired state that had been replaced more than 2 s before (CONFIG). Cause: a node learned of changes from one watch only, which the store might hold open for 25 s and the client for 27 s; nothing showed that its answer would never come. What a node knew had no bound on its age.

--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -224,3 +225,17 @@
 	}
 	p.idle = nil
 }
+
+// CloseIdle closes the connections that have not been used since a time. After an exchange that
+// got no answer, the connections that were idle all the while may be silent too.
+func (p *Pool) CloseIdle(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.idleSince.After(since) {
+			return false
+		}
+		c.Close()
+		return true
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,6 +166,12 @@
 func (n *Node) watchDesiredState(ctx context.Context) {
 	w := n.newTableWatcher(tableOf(n.config.Protocol.DesiredStateRow()))
 	w.shouldWatch = func() bool { return true }
+	w.watchers = func() int {
+		if n.gossip.isolated() {
+			return 1 // no other node tells this one of a change
+		}
+		return len(n.views.current().Members)
+	}
 	w.run(ctx)
 }
 
@@ -175,6 +181,7 @@
 func (n *Node) watchCluster(ctx context.Context) {
 	w := n.newTableWatcher(clusterTable)
 	w.shouldWatch = func() bool { return n.views.current().Planner.Instance == n.config.Instance }
+	w.watchers = func() int { return 1 }
 	w.listInterval = func() time.Duration {
 		if n.gossip.isolated() {
 			return isolatedPollInterval
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,9 +12,17 @@
 )
 
 const (
-	// watchTimeout is how long the store may hold a watch open without changes. Each new
-	// watch is a priced call; a dead connection is found by keep-alive probes.
-	watchTimeout = 25 * time.Second
+	// minWatchWait and maxWatchWait are the shortest and longest time that the store is asked to
+	// hold a watch open without changes.
+	minWatchWait = time.Second
+	maxWatchWait = 25 * time.Second
+	// watchAnswerMargin is how long after that time the answer may arrive. A connection can lose
+	// an answer and look alive.
+	watchAnswerMargin = 700 * time.Millisecond
+	// watchesPerSecond is the rate at which all nodes together begin watches of a table anew
+	// while nothing changes. It bounds how long it takes until one of them notices that all
+	// answers were lost; each watch is a priced call.
+	watchesPerSecond = 5.0
 	// watchBackoffMin and watchBackoffMax bound the backoff after a failed watch.
 	watchBackoffMin = 50 * time.Millisecond
 	watchBackoffMax = 1200 * time.Millisecond
@@ -37,6 +46,8 @@
 	// how often it is listed otherwise. listInterval may be nil if shouldWatch is always true.
 	shouldWatch  func() bool
 	listInterval func() time.Duration
+	// watchers returns how many nodes watch the table.
+	watchers func() int
 	// sample is called with the store's newest version and clock at each response.
 	sample func(version uint64, now time.Duration)
 	// lastListed is when the table was last listed; zero if it was not.
@@ -59,7 +70,7 @@
 		var listing metastore.Listing
 		var err error
 		if watching {
-			if listing, err = w.store.Watch(ctx, w.table, after, watchTimeout); err == nil {
+			if listing, err = w.watch(ctx, after); err == nil {
 				w.views.apply(listing.Rows...)
 			}
 		} else if listing, err = w.store.List(ctx, w.table); err == nil {
@@ -84,6 +95,12 @@
 			watching = false
 			continue
 		}
+		if errors.Is(err, errWatchSilent) {
+			w.log.Info("watch not answered; listing the whole table", zap.String("table", w.table), zap.Uint64("version", after),
+				zap.Duration("since its last answer", w.contact.age(w.table)))
+			watching = false
+			continue
+		}
 		if !failing {
 			w.log.Warn("store not reachable", zap.String("table", w.table), zap.Uint64("version", after), zap.Bool("watching", watching),
 				zap.Duration("since its last answer", w.contact.age(w.table)), zap.Error(err))
@@ -93,3 +110,27 @@
 		backoff = min(2*backoff, watchBackoffMax)
 	}
 }
+
+// errWatchSilent means that a watch was not answered in time.
+var errWatchSilent = errors.New("watch not answered")
+
+// watch waits for changes after a version.
+func (w *tableWatcher) watch(ctx context.Context, after uint64) (metastore.Listing, error) {
+	wait := watchWait(w.watchers(), rand.Float64())
+	watchCtx, cancel := context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)
+	defer cancel()
+	listing, err := w.store.Watch(watchCtx, w.table, after, wait)
+	if err != nil && ctx.Err() == nil && watchCtx.Err() != nil {
+		return metastore.Listing{}, context.Cause(watchCtx)
+	}
+	return listing, err
+}
+
+// watchWait returns how long the store is asked to hold a watch open if a number of nodes watch the
+// table. random is between 0 and 1; the waits differ so that watches that began together, with a
+// change, do not all end together.
+func watchWait(watchers int, random float64) time.Duration {
+	mean := time.Duration(float64(watchers) / watchesPerSecond * float64(time.Second))
+	longest := min(max(2*mean-minWatchWait, minWatchWait), maxWatchWait)
+	return minWatchWait + time.Duration(random*float64(longest-minWatchWait))
+}
