--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -46,7 +46,7 @@
 	p := &Pool{address: address, config: config}
 	p.dialer = net.Dialer{
 		Timeout:         config.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: unansweredProbes(config.SilenceTimeout)},
 	}
 	if config.UserTimeout > 0 {
 		p.dialer.Control = func(_, _ string, raw syscall.RawConn) error {
@@ -60,6 +60,21 @@
 	return p
 }
 
+// probeInterval is the time after which an unused connection is probed, and between two probes. The
+// system counts it in whole seconds.
+const probeInterval = time.Second
+
+// defaultSilenceTimeout applies if a Config has none.
+const defaultSilenceTimeout = 4 * time.Second
+
+// unansweredProbes returns after how many unanswered probes a silent connection is closed.
+func unansweredProbes(silenceTimeout time.Duration) int {
+	if silenceTimeout == 0 {
+		silenceTimeout = defaultSilenceTimeout
+	}
+	return max(int(silenceTimeout/probeInterval)-1, 1)
+}
+
 // Address returns the address that the pool connects to.
 func (p *Pool) Address() string { return p.address }
 
