End a watch of an earlier generation once the store is known to have gone back

Callers: could handle requests by an older desired state after a drill, until the watch ended by itself. Cause: a watch resumes after a version of before the store went back; once the store has given that version out again, rows written below it are never delivered, and the response that would show the new generation comes only with the next change. Evidence: TestWatchEndsOnceTheStoreIsKnownToHaveGoneBack, failing before. Any response or row of the later generation now ends the watch, and the table is listed.

--- a/internal/node/remembered.go
+++ b/internal/node/remembered.go
@@ -34,6 +34,8 @@
 		s.onGeneration(generation, s.view)
 	}
 	s.generation = generation
+	close(s.entered)
+	s.entered = make(chan struct{})
 }
 
 // observeGeneration starts a later generation if version belongs to one.
@@ -43,6 +45,19 @@
 	s.enter(metastore.Generation(version))
 }
 
+// leftGeneration returns a channel that is closed once a later generation than that of version is
+// seen.
+func (s *viewStore) leftGeneration(version uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.generation > metastore.Generation(version) {
+		left := make(chan struct{})
+		close(left)
+		return left
+	}
+	return s.entered
+}
+
 // currentGeneration returns the newest generation that was seen.
 func (s *viewStore) currentGeneration() uint64 {
 	s.mu.Lock()
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -117,8 +117,18 @@
 // watch waits for changes after a version.
 func (w *tableWatcher) watch(ctx context.Context, after uint64) (metastore.Listing, error) {
 	wait := watchWait(w.watchers(), rand.Float64())
-	watchCtx, cancel := context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)
-	defer cancel()
+	watchCtx, cancelTimer := context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)
+	defer cancelTimer()
+	watchCtx, cancel := context.WithCancelCause(watchCtx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-w.views.leftGeneration(after):
+			// The store may have given versions up to after to other rows.
+			cancel(metastore.ErrHistoryLost)
+		case <-watchCtx.Done():
+		}
+	}()
 	listing, err := w.store.Watch(watchCtx, w.table, after, wait)
 	if err != nil && ctx.Err() == nil && watchCtx.Err() != nil {
 		return metastore.Listing{}, context.Cause(watchCtx)
--- /dev/null
+++ b/internal/node/tablewatcher_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/metastore"
+)
+
+// scriptedStore answers reads with functions and counts listings.
+type scriptedStore struct {
+	metastore.WatchedTable
+	list     func() metastore.Listing
+	watch    func(ctx context.Context) (metastore.Listing, error)
+	listings atomic.Int64
+}
+
+func (s *scriptedStore) List(context.Context, string) (metastore.Listing, error) {
+	s.listings.Add(1)
+	time.Sleep(storeDelay)
+	return s.list(), nil
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (metastore.Listing, error) {
+	return s.watch(ctx)
+}
+
+// watchDesired runs a watcher of the desired state until the test ends.
+func watchDesired(t *testing.T, store *scriptedStore) *viewStore {
+	views := newViewStore(simProtocol{}, zap.NewNop())
+	w := &tableWatcher{
+		table: tableOf(simProtocol{}.DesiredStateRow()), store: store, views: views, log: zap.NewNop(), contact: newStoreContact(),
+		shouldWatch: func() bool { return true }, watchers: func() int { return 100 }, sample: func(uint64, time.Duration) {},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return views
+}
+
+// Guards against a watch that resumes in an earlier generation of the store and misses rows that were
+// written at versions given out again.
+func TestWatchEndsOnceTheStoreIsKnownToHaveGoneBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		generation := uint64(0)
+		store := &scriptedStore{
+			list: func() metastore.Listing {
+				row := desiredRow(generation+1, metastore.VersionOf(generation, 90))
+				return metastore.Listing{Rows: []metastore.Row{row}, Version: row.Version}
+			},
+			watch: func(ctx context.Context) (metastore.Listing, error) {
+				<-ctx.Done()
+				return metastore.Listing{}, metastore.ErrUnavailable
+			},
+		}
+		views := watchDesired(t, store)
+		time.Sleep(100 * time.Millisecond)
+		generation = 1
+		views.observeGeneration(metastore.VersionOf(1, 95)) // by a response to another call
+		time.Sleep(100 * time.Millisecond)
+		version, _ := views.desiredState()
+		g.Expect(version).To(BeEquivalentTo(2))
+	})
+}
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -37,6 +37,8 @@
 	view       *View
 	rows       map[string]metastore.Row // the newest of each key, including deleted rows
 	generation uint64
+	// entered is closed when the next generation of the store is seen.
+	entered chan struct{}
 	// remembered are the key tables of earlier generations that may have been lost, by key of
 	// their rows.
 	remembered map[string]rememberedTable
@@ -45,7 +47,8 @@
 
 func newViewStore(protocol Protocol, log *zap.Logger) *viewStore {
 	return &viewStore{
-		protocol: protocol, log: log, rows: map[string]metastore.Row{}, remembered: map[string]rememberedTable{}, changed: make(chan struct{}),
+		protocol: protocol, log: log, rows: map[string]metastore.Row{}, remembered: map[string]rememberedTable{},
+		changed: make(chan struct{}), entered: make(chan struct{}),
 		view: &View{Members: map[string]Member{}, Keys: map[string]KeySpace{}},
 	}
 }
