Pause between listings while watches cannot resume

Cause: a node whose own client of the store has not seen a later generation yet, but that other nodes read the store for, got a listing of that generation, could not resume a watch after it and listed again at once.

--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -57,6 +57,9 @@
 // run watches the table until ctx ends.
 func (w *tableWatcher) run(ctx context.Context) {
 	backoff, failing := watchBackoffMin, false
+	// resumePause is the pause before a listing after a watch that could not resume; 0 if the last
+	// watch did.
+	var resumePause time.Duration
 	var after uint64
 	watching := false
 	for ctx.Err() == nil {
@@ -72,6 +75,7 @@
 		if watching {
 			if listing, err = w.watch(ctx, after); err == nil {
 				w.views.apply(listing.Rows...)
+				resumePause = 0
 			}
 		} else if listing, err = w.store.List(ctx, w.table); err == nil {
 			w.views.replace(w.table, listing)
@@ -93,6 +97,8 @@
 		if errors.Is(err, metastore.ErrHistoryLost) {
 			w.log.Info("watch history of the table is gone; listing the whole table", zap.String("table", w.table))
 			watching = false
+			sleep(ctx, jitter(resumePause))
+			resumePause = min(max(2*resumePause, watchBackoffMin), watchBackoffMax)
 			continue
 		}
 		if errors.Is(err, errWatchSilent) {
--- a/internal/node/tablewatcher_test.go
+++ b/internal/node/tablewatcher_test.go
@@ -76,3 +76,20 @@
 		g.Expect(version).To(BeEquivalentTo(2))
 	})
 }
+
+// Guards against a node that lists a table again and again without a pause while its watches cannot
+// resume, as when other nodes read a later generation of the store for it. All nodes together may make
+// 2,000 reads a second; with 1,900 nodes that is one a second for each.
+func TestListingsPauseWhileWatchesCannotResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &scriptedStore{
+			list:  func() metastore.Listing { return metastore.Listing{Version: 1} },
+			watch: func(context.Context) (metastore.Listing, error) { return metastore.Listing{}, metastore.ErrHistoryLost },
+		}
+		watchDesired(t, store)
+		const seconds = 60
+		time.Sleep(seconds * time.Second)
+		g.Expect(store.listings.Load()).To(BeNumerically("<=", 2*seconds))
+	})
+}
