--- a/internal/httpclient/silence_test.go
+++ b/internal/httpclient/silence_test.go
@@ -30,7 +30,7 @@
 			return value
 		}
 		found := option(syscall.TCP_KEEPIDLE) + option(syscall.TCP_KEEPINTVL)*option(syscall.TCP_KEEPCNT)
-		g.Expect(time.Duration(found)*time.Second).To(BeNumerically("<=", limit))
+		g.Expect(time.Duration(found) * time.Second).To(BeNumerically("<=", limit))
 		c.Close()
 	}
 }
