--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -300,10 +300,15 @@
 
 // goBack makes the store unavailable for away and then come back as it was age before that.
 func (c *virtualCluster) goBack(age, away time.Duration) {
+	c.goBackBut(age, away, func(key string) bool { return key == simProtocol{}.DesiredStateRow() })
+}
+
+// goBackBut is goBack, with the rows whose keys match kept written again.
+func (c *virtualCluster) goBackBut(age, away time.Duration, kept func(key string) bool) {
 	from := time.Now().Add(-age)
 	c.store.SetFaults(memory.Faults{Down: true})
 	time.Sleep(away)
-	c.store.Rewind(from, func(key string) bool { return key == simProtocol{}.DesiredStateRow() })
+	c.store.Rewind(from, kept)
 	c.store.SetFaults(memory.Faults{Delay: storeDelay})
 }
 
