Close idle connections to a peer after a message or probe without an answer

Callers: after connections between nodes had gone silent, requests were refused although the peer could be reached. Evidence: TestMessageAfterASilentOneIsAnswered fails before.

--- a/internal/node/peercall.go
+++ b/internal/node/peercall.go
@@ -32,10 +32,12 @@
 }
 
 func (n *Node) exchangeHTTP(ctx context.Context, address, path string, body []byte) ([]byte, error) {
-	resp, err := n.peers.pool(address).Do(ctx, httpclient.Exchange{
+	pool, started := n.peers.pool(address), time.Now()
+	resp, err := pool.Do(ctx, httpclient.Exchange{
 		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body,
 	}, nil)
 	if err != nil {
+		pool.CloseIdle(started)
 		return nil, err
 	}
 	defer resp.Body.Close()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -274,8 +274,10 @@
 func ping(pool *httpclient.Pool, address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	started := time.Now()
 	resp, err := pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: pingPath, Host: address, Header: http.Header{}}, nil)
 	if err != nil {
+		pool.CloseIdle(started)
 		return err
 	}
 	discardBody(resp.Body)
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/internal/testproxy"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -108,3 +111,32 @@
 	p.mu.Unlock()
 	g.Expect(p.candidate("fast", short, false, now).Work).To(BeNumerically("<", short))
 }
+
+// Guards against messages to a peer that fail one after the other, because each uses another idle
+// connection that went silent together with the first one.
+func TestMessageAfterASilentOneIsAnswered(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	peer := New(Config{Instance: "a", Protocol: simProtocol{}}, zap.NewNop())
+	var arrived sync.WaitGroup
+	arrived.Add(3)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pingPath { // the first ones use a connection each
+			arrived.Done()
+			arrived.Wait()
+		}
+		peer.peerCalls().ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	proxy := testproxy.New(t, server.Listener.Addr().String())
+	n := New(Config{Instance: "b", Protocol: simProtocol{}}, zap.NewNop())
+	var pings sync.WaitGroup
+	for range 3 {
+		pings.Go(func() { g.Expect(ping(n.peers.pool(proxy.Address()), proxy.Address())).To(Succeed()) })
+	}
+	pings.Wait()
+	time.Sleep(10 * time.Millisecond) // the connections become idle
+	proxy.GoSilent()
+	g.Expect(n.desired.compare(t.Context(), proxy.Address())).NotTo(Succeed())
+	g.Expect(n.desired.compare(t.Context(), proxy.Address())).To(Succeed())
+}
