--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -220,8 +220,17 @@
 		"concurrent change of the key table overwritten", "internal/node/keywriter.go",
 		"txn.Conditions = append(txn.Conditions, metastore.Condition{Key: key, Version: space.Versions[bucket]})", "", nodeTests,
 	}, {
-		"desired state replaced by an older version", "internal/node/viewstore.go",
+		"desired state replaced by an older version", "internal/node/desiredstate.go",
 		"if v.Routes != nil && table.Version < v.Routes.Version {", "if false {", nodeTests,
+	}, {
+		"desired state of before an overdue answer of the store", "internal/node/tablewatcher.go",
+		"context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)", "context.WithTimeoutCause(ctx, time.Hour, errWatchSilent)", nodeTests,
+	}, {
+		"watch resumed after versions that the store gave out again", "internal/node/tablewatcher.go",
+		"cancel(metastore.ErrHistoryLost)", "_ = cancel", nodeTests,
+	}, {
+		"new desired state not offered to other nodes", "internal/node/node.go",
+		"n.desired.notify()", "", nodeTests,
 	}, {
 		"request sent by the connect daemon after its lease expired", "internal/daemon/leaseclock.go",
 		"func (c *leaseClock) valid(now time.Time) bool { return c.remaining(now) > 0 }", "func (c *leaseClock) valid(time.Time) bool { return true }", daemonTests,
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -14,11 +14,13 @@
 const (
 	// minWatchWait and maxWatchWait are the shortest and longest time that the store is asked to
 	// hold a watch open without changes.
-	minWatchWait = time.Second
+	minWatchWait = 500 * time.Millisecond
 	maxWatchWait = 25 * time.Second
 	// watchAnswerMargin is how long after that time the answer may arrive. A connection can lose
 	// an answer and look alive.
 	watchAnswerMargin = 700 * time.Millisecond
+	// minMeanWatchWait is the mean wait if few nodes watch the table.
+	minMeanWatchWait = time.Second
 	// watchesPerSecond is the rate at which all nodes together begin watches of a table anew
 	// while nothing changes. It bounds how long it takes until one of them notices that all
 	// answers were lost; each watch is a priced call.
@@ -122,7 +124,7 @@
 
 // watch waits for changes after a version.
 func (w *tableWatcher) watch(ctx context.Context, after uint64) (metastore.Listing, error) {
-	wait := watchWait(w.watchers(), rand.Float64())
+	wait := watchWait(w.watchers(), rand.ExpFloat64())
 	watchCtx, cancelTimer := context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)
 	defer cancelTimer()
 	watchCtx, cancel := context.WithCancelCause(watchCtx)
@@ -143,10 +145,10 @@
 }
 
 // watchWait returns how long the store is asked to hold a watch open if a number of nodes watch the
-// table. random is between 0 and 1; the waits differ so that watches that began together, with a
-// change, do not all end together.
+// table. random has an exponential distribution with a mean of 1, so that some watch ends soon at any
+// time, also after all began together with a change.
 func watchWait(watchers int, random float64) time.Duration {
 	mean := time.Duration(float64(watchers) / watchesPerSecond * float64(time.Second))
-	longest := min(max(2*mean-minWatchWait, minWatchWait), maxWatchWait)
-	return minWatchWait + time.Duration(random*float64(longest-minWatchWait))
+	mean = min(max(mean, minMeanWatchWait), maxWatchWait)
+	return min(minWatchWait+time.Duration(random*float64(mean-minWatchWait)), maxWatchWait)
 }
