--- a/internal/node/tablewatcher_test.go
+++ b/internal/node/tablewatcher_test.go
@@ -56,10 +56,11 @@
 func TestWatchEndsOnceTheStoreIsKnownToHaveGoneBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		generation := uint64(0)
+		var generation atomic.Uint64
 		store := &scriptedStore{
 			list: func() metastore.Listing {
-				row := desiredRow(generation+1, metastore.VersionOf(generation, 90))
+				now := generation.Load()
+				row := desiredRow(now+1, metastore.VersionOf(now, 90))
 				return metastore.Listing{Rows: []metastore.Row{row}, Version: row.Version}
 			},
 			watch: func(ctx context.Context) (metastore.Listing, error) {
@@ -69,7 +70,7 @@
 		}
 		views := watchDesired(t, store)
 		time.Sleep(100 * time.Millisecond)
-		generation = 1
+		generation.Store(1)
 		views.observeGeneration(metastore.VersionOf(1, 95)) // by a response to another call
 		time.Sleep(100 * time.Millisecond)
 		version, _ := views.desiredState()
