Distribute rows by the planner along a tree, and record moves there

Cause: on 295 machines each node that learned of a changed row sent it to three others, and each owner's node wrote the moves of its keys itself. Writes of owners' nodes conflicted with each other, in one part of the store that takes 300 transactions a second.

Change: - The planner sends each new row to all nodes, once each and once across each zone boundary; others offer theirs to it. Gossip stays for the time without a planner, comparisons of versions for what gets lost. - Completed moves go to the planner, which writes those of 8 to 50 ms in one transaction; owners' nodes write them themselves if it does not answer. - A conflict's response has the present rows, so they are not read again. - Twelve nodes and the planner watch the desired state; the planner relays a new one to all. Reports say how old the newest read is; when it is too old, all nodes watch. Versions travel with reports in both directions. - Reports are at most 300 a second for all; the largest instances plan. - Metrics of store calls and of messages between nodes by kind.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,6 +28,9 @@
 	// LinkBitsPerSecond is the rate of the instance's network link; 0 if unknown, and then
 	// large responses are not paced.
 	LinkBitsPerSecond float64
+	// Cores is the processor share of the instance in cores; 0 if unknown. The planner role goes to
+	// an instance with a large one.
+	Cores float64
 	// MaxDescriptors is the process's limit of open file descriptors; 0 if unknown.
 	MaxDescriptors int
 	// MetricsAddress serves metrics at /metrics; empty turns them off.
--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/metastore"
 )
 
@@ -116,7 +117,7 @@
 		return err
 	}
 	if theirs.Row != nil {
-		g.node.views.applyFromPeer(*theirs.Row)
+		g.node.views.applyFromPeer(membership.FromRelay, *theirs.Row)
 	}
 	if theirs.Version < version {
 		_, err = g.send(ctx, address, desiredStateMessage{Version: version, Row: &row})
@@ -146,7 +147,7 @@
 		return
 	}
 	if message.Row != nil {
-		g.node.views.applyFromPeer(*message.Row)
+		g.node.views.applyFromPeer(membership.FromRelay, *message.Row)
 	}
 	var response desiredStateMessage
 	version, row := g.node.views.desiredState()
--- a/internal/node/desiredmodel_test.go
+++ b/internal/node/desiredmodel_test.go
@@ -136,7 +136,12 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				c := newVirtualCluster(t, seed, 7, memory.Rates{})
+				// In every fourth play not all nodes watch the store.
+				size := 7
+				if seed%4 == 0 {
+					size = desiredStateWatchers + 6
+				}
+				c := newVirtualCluster(t, seed, size, memory.Rates{})
 				defer c.stop()
 				_, ok := c.waitServed(30 * time.Second)
 				g.Expect(ok).To(BeTrue())
--- a/internal/node/desiredstate_test.go
+++ b/internal/node/desiredstate_test.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/metastore/memory"
 )
@@ -159,13 +160,13 @@
 			from.apply(desiredRow(5, 20))
 			from.apply(row)
 			to.apply(row)
-			to.applyFromPeer(from.rowsOf([]string{row.Key})...)
+			to.applyFromPeer(membership.FromGossip, from.rowsOf([]string{row.Key})...)
 			version, kept := to.desiredState()
 			g.Expect(version).To(BeEquivalentTo(5))
 			g.Expect(kept.Version).To(Equal(row.Version), "the newest version of the row")
 
 			from.apply(desiredRow(6, row.Version+1))
-			to.applyFromPeer(from.rowsOf([]string{row.Key})...)
+			to.applyFromPeer(membership.FromGossip, from.rowsOf([]string{row.Key})...)
 			version, _ = to.desiredState()
 			g.Expect(version).To(BeEquivalentTo(6))
 		})
@@ -216,7 +217,7 @@
 			}
 			return exchange(ctx, address, path, body)
 		}
-		other.views.applyFromPeer(desiredRow(9, 1000))
+		other.views.applyFromPeer(membership.FromGossip, desiredRow(9, 1000))
 		key := strikePrefix + "x"
 		n.views.mu.Lock()
 		n.views.rows[key] = metastore.Row{Key: key, Version: 7, Deleted: true}
--- /dev/null
+++ b/internal/node/desiredwatch.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/membership"
+)
+
+const (
+	// desiredStateWatchers is the number of nodes that watch the desired state for all. If each node
+	// did, each change would cost a priced call a node. The store may turn half of the machines away.
+	desiredStateWatchers = 12
+	// maxDesiredStateAge is the age of the newest read of the desired state by any node at which all
+	// nodes read it themselves, besides the time until a node learns of it.
+	maxDesiredStateAge = 1200 * time.Millisecond
+)
+
+// newestRead is what a node knows of the newest read of the desired state by any node. It is safe
+// for concurrent use.
+type newestRead struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+// record records that some node read the desired state at a time.
+func (r *newestRead) record(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.at) {
+		r.at = at
+	}
+}
+
+// age returns the age of the newest read.
+func (r *newestRead) age(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.at)
+}
+
+// watchesDesiredState reports whether this node watches the desired state. A few nodes and the planner
+// do. Others learn of a change from these, and with each report to the planner that the store has been
+// read lately; without that they watch too.
+func (n *Node) watchesDesiredState() bool {
+	view := n.views.current()
+	if view.Planner.Instance == n.config.Instance || n.gossip.isolated() {
+		return true
+	}
+	limit := maxDesiredStateAge + reportInterval(len(view.Members))*4/3
+	if n.newestRead.age(time.Now()) > limit {
+		return true
+	}
+	var others []string
+	for _, p := range n.gossip.reachablePeers() {
+		others = append(others, p.instance)
+	}
+	return membership.IsWatcher(n.config.Instance, others, desiredStateWatchers)
+}
+
+// desiredStateReadAge returns how long ago this node last read the desired state, and false if it never did.
+func (n *Node) desiredStateReadAge() (time.Duration, bool) {
+	age := n.contact.age(tableOf(n.config.Protocol.DesiredStateRow()))
+	return age, age > 0
+}
+
+// compareDesiredState compares the desired state with that of a node that has another version.
+func (n *Node) compareDesiredState(ctx context.Context, address string) {
+	if err := n.desired.compare(ctx, address); err != nil && ctx.Err() == nil {
+		n.desired.log.Debug("desired states not compared", zap.String("address", address), zap.Error(err))
+	}
+}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -27,6 +27,8 @@
 	storePath  = "/basilway/store"
 	// desiredStatePath compares the desired states of two nodes.
 	desiredStatePath = "/basilway/desired-state"
+	// completedMovesPath asks the planner to record moves whose keys are released.
+	completedMovesPath = "/basilway/completed-moves"
 )
 
 // forward sends a request to the node beside m's backend server, which may be this one.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/metastore"
 )
 
@@ -27,10 +28,18 @@
 	// sameZoneDigestShare is the fraction of digest comparisons within the availability zone.
 	sameZoneDigestShare = 0.6
 	// pushDelay is how long rows are collected for one message, and forwardDelay the same
-	// for rows that came from another node. pushDelay is short compared with the wait for a
-	// key that moves; forwardDelay is longer, to combine several changes of a row.
+	// for rows that came from another node by gossip. pushDelay is short compared with the wait
+	// for a key that moves; forwardDelay is longer, to combine several changes of a row.
 	pushDelay    = 8 * time.Millisecond
 	forwardDelay = 25 * time.Millisecond
+	// relayFanout is the number of nodes of its availability zone to which a node sends rows that
+	// are distributed to all.
+	relayFanout = 12
+	// maxRelayTries is the number of nodes of a group that are tried if the first does not answer.
+	maxRelayTries = 3
+	// maxAffectedTargets is the number of instances that get a change of their keys directly;
+	// changes that affect more reach them about as soon along the tree.
+	maxAffectedTargets = 16
 	// peerMessageTimeout bounds one message to another node with rows, a digest or a relayed
 	// store call.
 	peerMessageTimeout = 300 * time.Millisecond
@@ -44,7 +53,8 @@
 
 // rowGossip passes the cluster's rows on from node to node, so that only the planner
 // watches the store: each store call is priced, and the rate of calls must not grow with
-// the number of nodes.
+// the number of nodes. The planner distributes all rows along a tree; see
+// membership.DistributionOf.
 type rowGossip struct {
 	node   *Node
 	log    *zap.Logger
@@ -52,16 +62,20 @@
 
 	mu sync.Mutex
 	// pending are the rows to send, and affected the instances that need them first.
-	pending  map[string]metastore.Row
+	pending  map[string]pendingRow
 	affected map[string]bool
-	// forwarded is set while all pending rows came from other nodes.
-	forwarded bool
 	// lastContact is the time of the last successful exchange with another node.
 	lastContact time.Time
 }
 
 func newRowGossip(n *Node) *rowGossip {
-	return &rowGossip{node: n, log: n.log.Named("spread"), wakeup: make(chan struct{}, 1), pending: map[string]metastore.Row{}, affected: map[string]bool{}, lastContact: time.Now()}
+	return &rowGossip{node: n, log: n.log.Named("spread"), wakeup: make(chan struct{}, 1), pending: map[string]pendingRow{}, affected: map[string]bool{}, lastContact: time.Now()}
+}
+
+// pendingRow is a row to send, with how it reached this node.
+type pendingRow struct {
+	metastore.Row
+	source membership.Source
 }
 
 // rowsMessage carries rows, requests rows, or both.
@@ -69,6 +83,11 @@
 	Rows []metastore.Row `cbor:"1,keyasint,omitempty"`
 	// Want lists the keys of the rows that the sender requests.
 	Want []string `cbor:"2,keyasint,omitempty"`
+	// Relay lists the addresses of the nodes that the receiver passes the rows on to.
+	Relay []string `cbor:"3,keyasint,omitempty"`
+	// Source tells the receiver who else gets the rows. A message without it, as nodes of an
+	// earlier release send, is membership.FromGossip.
+	Source membership.Source `cbor:"4,keyasint,omitempty"`
 }
 
 // digestMessage summarizes the rows that a node has.
@@ -95,20 +114,19 @@
 	return time.Since(g.lastContact) > isolatedAfter
 }
 
-// enqueue queues rows that were new to this node. The instances that a change affects get
-// it from the nodes that wrote it or read it from the store; other nodes only forward it to
-// random nodes.
-func (g *rowGossip) enqueue(rows []freshRow, forwarded bool) {
+// enqueue queues rows that were new to this node.
+func (g *rowGossip) enqueue(rows []freshRow, source membership.Source) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.forwarded = forwarded && (g.forwarded || len(g.pending) == 0)
+	// Other nodes than the planner offer a desired state to others.
+	isPlanner := g.node.views.current().Planner.Instance == g.node.config.Instance
 	for _, row := range rows {
-		if tableOf(row.Key) != clusterTable {
+		if tableOf(row.Key) != clusterTable && !isPlanner {
 			continue
 		}
-		g.pending[row.Key] = row.Row
-		if forwarded {
-			continue
+		g.pending[row.Key] = pendingRow{row.Row, source}
+		if source != membership.FromStore {
+			continue // who wrote or read it sends it to the instances that it affects
 		}
 		for _, instance := range row.affected {
 			g.affected[instance] = true
@@ -120,6 +138,35 @@
 	}
 }
 
+// collectDelay returns how long to collect rows for one message.
+func (g *rowGossip) collectDelay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, row := range g.pending {
+		if row.source != membership.FromGossip {
+			return pushDelay
+		}
+	}
+	return forwardDelay
+}
+
+// takePending returns the rows to send, by what is to be done with them, and the instances that
+// they affect.
+func (g *rowGossip) takePending(distributor string) (rows map[membership.Distribution][]metastore.Row, affected map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	isDistributor := g.node.views.current().Planner.Instance == g.node.config.Instance
+	rows = map[membership.Distribution][]metastore.Row{}
+	for _, row := range g.pending {
+		action := membership.DistributionOf(row.source, isDistributor, distributor != "")
+		rows[action] = append(rows[action], row.Row)
+	}
+	affected = g.affected
+	g.affected = map[string]bool{}
+	clear(g.pending)
+	return rows, affected
+}
+
 // runPush sends queued rows to other nodes.
 func (g *rowGossip) runPush(ctx context.Context) {
 	for {
@@ -128,41 +175,110 @@
 		case <-ctx.Done():
 			return
 		}
-		g.mu.Lock()
-		delay := pushDelay
-		if g.forwarded {
-			delay = forwardDelay
-		}
-		g.mu.Unlock()
-		sleep(ctx, delay)
-		g.mu.Lock()
-		rows := make([]metastore.Row, 0, len(g.pending))
-		for _, row := range g.pending {
-			rows = append(rows, row)
-		}
-		affected := g.affected
-		g.affected = map[string]bool{}
-		clear(g.pending)
-		g.mu.Unlock()
-		if len(rows) == 0 {
-			continue
+		sleep(ctx, g.collectDelay())
+		distributor := g.distributorAddress()
+		rows, affected := g.takePending(distributor)
+		g.relayToAll(ctx, rows[membership.RelayRows], affected)
+		g.offer(ctx, rows[membership.OfferRows], affected, distributor)
+		g.gossip(ctx, rows[membership.GossipRows], affected)
+	}
+}
+
+// distributorAddress returns the address of the planner, which distributes rows, or "" if it is
+// not known, is this node or cannot be reached.
+func (g *rowGossip) distributorAddress() string {
+	view := g.node.views.current()
+	m, ok := view.Members[view.Planner.Instance]
+	if !ok || view.Planner.Instance == g.node.config.Instance || g.node.peers.isLost(m.Address) {
+		return ""
+	}
+	return m.Address
+}
+
+// relayToAll sends rows to all nodes along a tree, and directly to the instances that they affect.
+func (g *rowGossip) relayToAll(ctx context.Context, rows []metastore.Row, affected map[string]bool) {
+	if len(rows) == 0 {
+		return
+	}
+	var targets []membership.RelayTarget
+	for _, p := range g.reachablePeers() {
+		targets = append(targets, membership.RelayTarget{Address: p.address, Zone: p.zone})
+	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	for _, address := range g.affectedAddresses(affected) {
+		go g.send(ctx, address, rowsMessage{Rows: rows, Source: membership.FromRelay})
+	}
+	for _, group := range membership.ZoneRelayGroups(targets, g.node.config.Zone, relayFanout) {
+		go g.relay(ctx, rows, group)
+	}
+}
+
+// relay sends rows to the first node of a group that answers, which passes them on to the rest.
+func (g *rowGossip) relay(ctx context.Context, rows []metastore.Row, group []string) {
+	for try := 0; try < maxRelayTries && len(group) > 0; try++ {
+		if g.send(ctx, group[0], rowsMessage{Rows: rows, Relay: group[1:], Source: membership.FromRelay}) {
+			return
 		}
-		body, err := cbor.Marshal(rowsMessage{Rows: rows})
-		if err != nil {
-			g.log.Error("rows cannot be encoded", zap.Error(err))
-			continue
+		group = group[1:]
+	}
+}
+
+// offer sends rows to the node that distributes them, and to the instances that they affect. If the
+// former does not answer, they travel by gossip.
+func (g *rowGossip) offer(ctx context.Context, rows []metastore.Row, affected map[string]bool, distributor string) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, address := range g.affectedAddresses(affected) {
+		if address != distributor {
+			go g.send(ctx, address, rowsMessage{Rows: rows, Source: membership.FromRelay})
 		}
-		for _, address := range g.targets(affected) {
-			go g.push(ctx, address, body)
+	}
+	go func() {
+		if !g.send(ctx, distributor, rowsMessage{Rows: rows, Source: membership.FromOffer}) {
+			g.gossip(ctx, rows, nil)
 		}
+	}()
+}
+
+// gossip sends rows to the instances that they affect and to some random nodes.
+func (g *rowGossip) gossip(ctx context.Context, rows []metastore.Row, affected map[string]bool) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, address := range g.targets(affected) {
+		go g.send(ctx, address, rowsMessage{Rows: rows})
 	}
 }
 
-func (g *rowGossip) push(ctx context.Context, address string, body []byte) {
+// send sends a message with rows to a node and reports whether it arrived. What does not arrive,
+// a later comparison of versions delivers.
+func (g *rowGossip) send(ctx context.Context, address string, message rowsMessage) bool {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		g.log.Error("rows cannot be encoded", zap.Error(err))
+		return true // no other node would get them either
+	}
 	if _, err := g.node.post(ctx, address, rowsPath, peerMessageTimeout, body); err != nil {
-		// A later digest comparison delivers them.
 		g.log.Debug("rows not delivered", zap.String("address", address), zap.Error(err))
+		return false
 	}
+	return true
+}
+
+// affectedAddresses returns the addresses of the affected instances that can be reached, or none if
+// there are more than maxAffectedTargets.
+func (g *rowGossip) affectedAddresses(affected map[string]bool) []string {
+	if len(affected) > maxAffectedTargets {
+		return nil
+	}
+	var out []string
+	for _, p := range g.reachablePeers() {
+		if affected[p.instance] {
+			out = append(out, p.address)
+		}
+	}
+	return out
 }
 
 // targets returns the addresses of the affected instances and of some random ones.
@@ -181,7 +297,7 @@
 
 // reachablePeer is another node that is not known to be lost.
 type reachablePeer struct {
-	instance, address string
+	instance, address, zone string
 	// sameZone is set if it is in this node's availability zone.
 	sameZone bool
 }
@@ -190,7 +306,7 @@
 	var out []reachablePeer
 	for instance, m := range g.node.views.current().Members {
 		if instance != g.node.config.Instance && !g.node.peers.isLost(m.Address) {
-			out = append(out, reachablePeer{instance, m.Address, m.Zone == g.node.config.Zone})
+			out = append(out, reachablePeer{instance, m.Address, m.Zone, m.Zone == g.node.config.Zone})
 		}
 	}
 	return out
@@ -276,7 +392,7 @@
 			newer = append(newer, key)
 		}
 	}
-	exchange.Rows = g.node.views.rowsOf(newer)
+	exchange.Rows, exchange.Source = g.node.views.rowsOf(newer), membership.FromComparison
 	if body, err = cbor.Marshal(exchange); err != nil {
 		return err
 	}
@@ -287,7 +403,7 @@
 	if err := cbor.Unmarshal(data, &got); err != nil {
 		return fmt.Errorf("decode rows: %w", err)
 	}
-	g.node.views.applyFromPeer(got.Rows...)
+	g.node.views.applyFromPeer(membership.FromComparison, got.Rows...)
 	return nil
 }
 
@@ -297,7 +413,11 @@
 	if !g.node.readCall(w, r, &message) {
 		return
 	}
-	g.node.views.applyFromPeer(message.Rows...)
+	g.node.views.applyFromPeer(message.Source, message.Rows...)
+	for _, group := range membership.RelayGroups(message.Relay, relayFanout) {
+		// The sender's request ends with the response.
+		go g.relay(context.WithoutCancel(r.Context()), message.Rows, group)
+	}
 	g.node.writeCallResponse(w, rowsMessage{Rows: g.node.views.rowsOf(message.Want)})
 }
 
--- a/internal/node/keywriter.go
+++ b/internal/node/keywriter.go
@@ -32,6 +32,14 @@
 	store metastore.WatchedTable
 	views *viewStore
 	log   *zap.Logger
+
+	// writing has room for one element, which is in it during a write, so that the writes of one
+	// node do not conflict.
+	writing chan struct{}
+}
+
+func newKeyWriter(store metastore.WatchedTable, views *viewStore, log *zap.Logger) *keyWriter {
+	return &keyWriter{store: store, views: views, log: log, writing: make(chan struct{}, 1)}
 }
 
 // update applies edit to the newest known key table and writes the result on the condition
@@ -48,6 +56,7 @@
 			return err
 		}
 		w.log.Debug("key table not written", zap.String("service", service), zap.Error(err))
+		refreshed := w.views.apply(metastore.ConflictRows(err)...)
 		sleep(ctx, jitter(backoff))
 		if !errors.Is(err, metastore.ErrConflict) {
 			backoff = min(2*backoff, keyWriteBackoffMax)
@@ -55,6 +64,9 @@
 		if ctx.Err() != nil {
 			return err
 		}
+		if refreshed {
+			continue
+		}
 		// Refresh the view: with an old row the next attempt conflicts again, and after a lost
 		// response the view must show whether the write took effect.
 		if listing, err := w.store.List(ctx, clusterTable); err == nil {
@@ -68,6 +80,12 @@
 }
 
 func (w *keyWriter) try(ctx context.Context, service string, edit keyEdit) error {
+	select {
+	case w.writing <- struct{}{}:
+		defer func() { <-w.writing }()
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", metastore.ErrUnavailable, ctx.Err())
+	}
 	space, ok := w.views.current().Keys[service]
 	if !ok {
 		space = KeySpace{Space: keyrange.NewSpace()}
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -36,6 +36,9 @@
 	// Generation is the generation of the store in which the row was written.
 	Generation uint64 `cbor:"7,keyasint,omitempty"`
 
+	// Cores is the processor share of the instance in cores; 0 if it is not known.
+	Cores float64 `cbor:"8,keyasint,omitempty"`
+
 	// version is that of the row; 0 if the store lost it.
 	version uint64
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/basilway/basilway/internal/readahead"
+	"github.com/basilway/basilway/metastore"
 )
 
 // maxRouteLabels bounds the number of distinct route labels.
@@ -108,6 +110,27 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_desired_states_total{source=%q}`, source)).Inc()
 }
 
+// countStoreCall counts a call to the store.
+func (m *nodeMetrics) countStoreCall(call, rows string, err error) {
+	outcome := "ok"
+	switch {
+	case errors.Is(err, metastore.ErrConflict):
+		outcome = "conflict"
+	case errors.Is(err, metastore.ErrHistoryLost):
+		outcome = "history_lost"
+	case err != nil:
+		outcome = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_store_calls_total{call=%q,rows=%q,outcome=%q}`, call, rows, outcome)).Inc()
+}
+
+// countMessage counts a message to another node and the bytes of its bodies.
+func (m *nodeMetrics) countMessage(path string, sent, received int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_messages_total{path=%q}`, path)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_message_bytes_total{path=%q,direction="sent"}`, path)).Add(sent)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_message_bytes_total{path=%q,direction="received"}`, path)).Add(received)
+}
+
 // countSent counts a request that is sent to the local backend server.
 func (m *nodeMetrics) countSent(t ticket) {
 	from := "client"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	backend  *backend
 	planner  *planner
 	gossip   *rowGossip
+	moves    *moveRecorder
 	desired  *desiredStateGossip
 	peers    *peers
 	demand   *demandMeter
@@ -44,7 +45,9 @@
 	pacer    *pacer
 	clients  *clientConns
 	refusals refusals
-	statuses *statuses
+	// newestRead is the newest read of the desired state by any node.
+	newestRead newestRead
+	statuses   *statuses
 	// generation is the present generation of the store.
 	generation *storeGeneration
 	// now reads the clock that leases and holds are measured with.
@@ -76,14 +79,15 @@
 	n.statuses, n.generation = newStatuses(n.now), newStoreGeneration(config.Bootstrap, n.now)
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
-	n.store = &relayStore{WatchedTable: config.Store, node: n, log: log.Named("relay")}
+	store := countedStore{config.Store, func(call, rows string, err error) { n.metrics.countStoreCall(call, rows, err) }}
+	n.store = &relayStore{WatchedTable: store, node: n, log: log.Named("relay")}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
 	n.lease = &leaseKeeper{instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: n.now}
-	n.writer = &keyWriter{store: n.store, views: n.views, log: log.Named("keys")}
+	n.writer = newKeyWriter(n.store, n.views, log.Named("keys"))
 	n.backend = newBackend(n)
 	n.planner = newPlanner(n)
 	n.lease.sample = n.planner.sample
-	n.gossip, n.desired = newRowGossip(n), newDesiredStateGossip(n)
+	n.gossip, n.desired, n.moves = newRowGossip(n), newDesiredStateGossip(n), newMoveRecorder(n)
 	n.views.onNewRows = n.gossip.enqueue
 	n.views.onGeneration = n.enterGeneration
 	n.views.settled = n.generation.settled
@@ -157,26 +161,26 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.desired.run, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.desired.run, n.moves.run, n.runHousekeeping,
 	}
 }
 
-// watchDesiredState watches the operator's desired state. Every node does, because a change
-// must take effect everywhere within seconds.
+// watchDesiredState watches the operator's desired state, if this node is to.
 func (n *Node) watchDesiredState(ctx context.Context) {
 	w := n.newTableWatcher(tableOf(n.config.Protocol.DesiredStateRow()))
-	w.shouldWatch = func() bool { return true }
+	w.shouldWatch = n.watchesDesiredState
+	w.listInterval = func() time.Duration { return relistInterval(len(n.views.current().Members)) }
 	w.watchers = func() int {
 		if n.gossip.isolated() {
 			return 1 // no other node tells this one of a change
 		}
-		return len(n.views.current().Members)
+		return min(len(n.views.current().Members), desiredStateWatchers)
 	}
 	w.run(ctx)
 }
 
 // watchCluster watches the cluster's rows if this node is the planner. Other nodes get them
-// from each other; they list the rows every relistInterval, and more often while they reach
+// from each other; they list the rows every relistInterval too, and more often while they reach
 // no other node.
 func (n *Node) watchCluster(ctx context.Context) {
 	w := n.newTableWatcher(clusterTable)
@@ -186,7 +190,7 @@
 		if n.gossip.isolated() {
 			return isolatedPollInterval
 		}
-		return relistInterval
+		return relistInterval(len(n.views.current().Members))
 	}
 	// The lease keeper lists the table when it acquires the lease.
 	for view, changed := n.views.get(); !view.Listed && ctx.Err() == nil; view, changed = n.views.get() {
@@ -358,6 +362,7 @@
 	calls.HandleFunc("POST "+digestPath, n.gossip.serveDigest)
 	calls.HandleFunc("POST "+storePath, n.store.serveStore)
 	calls.HandleFunc("POST "+desiredStatePath, n.desired.serve)
+	calls.HandleFunc("POST "+completedMovesPath, n.moves.serve)
 	calls.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return calls
 }
--- a/internal/node/peercall.go
+++ b/internal/node/peercall.go
@@ -24,6 +24,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	data, err := n.exchange(ctx, address, path, body)
+	n.metrics.countMessage(path, len(body), len(data))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -55,6 +55,8 @@
 	vouched            map[string]vouchedReport            // by instance, until they are recorded
 	firstSeen          map[string]time.Time                // when a service first had members
 	renewals           map[string]*renewalState            // by instance
+	// roleSince is when this node last got the planner role.
+	roleSince time.Time
 	// lastSample is when this node last learned the store's version.
 	lastSample    time.Time
 	lastBalance   time.Time
@@ -78,6 +80,7 @@
 	p.vouched = map[string]vouchedReport{}
 	p.firstSeen = map[string]time.Time{}
 	p.renewals = map[string]*renewalState{}
+	p.roleSince = time.Now()
 }
 
 const (
@@ -129,7 +132,15 @@
 	if len(r.Vouched) > 0 {
 		p.vouched[r.Instance] = vouchedReport{r.Generation, r.Vouched}
 	}
-	return p.recordRenewalRequest(r, now)
+	if r.DesiredReadAge != nil {
+		p.node.newestRead.record(now.Add(-time.Duration(*r.DesiredReadAge) * time.Millisecond))
+	}
+	if age, known := p.node.desiredStateReadAge(); known {
+		p.node.newestRead.record(now.Add(-age))
+	}
+	response := p.recordRenewalRequest(r, now)
+	response.DesiredReadAge = milliseconds(p.node.newestRead.age(now))
+	return response
 }
 
 // tryBecomePlanner takes the planner role if no node has it, or if the planner does not
@@ -155,9 +166,9 @@
 	})
 	if err != nil {
 		p.log.Info("planner role not taken", zap.String("planner", view.Planner.Instance), zap.Error(err))
+		p.node.views.apply(metastore.ConflictRows(err)...) // another node may have taken it
 		return
 	}
-	p.reset()
 	p.log.Info("planner role taken", zap.String("from", view.Planner.Instance), zap.Uint64("version", applied.Version))
 	p.node.views.apply(metastore.Row{Key: plannerKey, Value: value, Version: applied.Version})
 }
@@ -194,9 +205,16 @@
 
 // run plans while this node has the planner role.
 func (p *planner) run(ctx context.Context) {
+	hadRole := false
 	for ctx.Err() == nil {
 		view, changed := p.node.views.get()
-		if view.Planner.Instance == p.node.config.Instance && view.Listed && view.Routes != nil {
+		hasRole := view.Planner.Instance == p.node.config.Instance
+		if hasRole && !hadRole {
+			p.reset()
+		}
+		hadRole = hasRole
+		if hasRole && view.Listed && view.Routes != nil {
+			p.handOver(ctx)
 			p.confirmVouched(ctx)
 			p.fenceLost(ctx)
 			for _, service := range p.node.views.current().Routes.ShardedServices() {
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -143,10 +143,14 @@
 	}
 	want := Member{
 		Owner: b.tracker.Owner(), Address: b.node.config.PeerAddress, Zone: b.node.config.Zone,
-		Service: b.node.config.Service, Slots: b.lastHeartbeat.Slots, State: b.state, Generation: b.node.generation.generation(),
+		Service: b.node.config.Service, Slots: b.lastHeartbeat.Slots, State: b.state, Generation: b.node.generation.generation(), Cores: b.node.config.Cores,
 	}
 	completed := append([]grant.CompletedMove(nil), b.completed...)
 	b.mu.Unlock()
+	if b.node.moves.submit(ctx, completedMoves{Owner: want.Owner, Service: want.Service, Generation: want.Generation, Moves: completed}) {
+		b.dropCompleted(want.Owner, len(completed))
+		completed = nil
+	}
 	if err := b.writeKeys(ctx, want, completed); err != nil {
 		return err
 	}
@@ -178,12 +182,26 @@
 	}
 	b.node.views.apply(metastore.Row{Key: key, Value: value, Version: applied.Version})
 	if version == 0 {
-		// Nodes that started at the same time may have written their rows meanwhile.
-		return b.relist(ctx, nil)
+		return b.learnMembers(ctx)
 	}
 	return nil
 }
 
+// learnMembers brings the view up to date after the first write of the member row: nodes that started
+// at the same time may have written theirs meanwhile. The planner knows them; without one, the store
+// is read.
+func (b *backend) learnMembers(ctx context.Context) error {
+	if address := b.node.gossip.distributorAddress(); address != "" {
+		err := b.node.gossip.syncWith(ctx, address)
+		if err == nil {
+			b.wake()
+			return nil
+		}
+		b.log.Debug("rows not compared with the planner", zap.String("address", address), zap.Error(err))
+	}
+	return b.relist(ctx, nil)
+}
+
 // relist refreshes the view after a write whose outcome the view does not show. If that
 // fails too, it returns both errors.
 func (b *backend) relist(ctx context.Context, cause error) error {
@@ -216,10 +234,17 @@
 			return err
 		}
 	}
+	b.dropCompleted(m.Owner, len(completed))
+	return nil
+}
+
+// dropCompleted forgets the first n completed moves of an owner, which are written.
+func (b *backend) dropCompleted(owner keyrange.Owner, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.completed = b.completed[min(len(completed), len(b.completed)):]
-	return nil
+	if b.tracker != nil && b.tracker.Owner() == owner {
+		b.completed = b.completed[min(n, len(b.completed)):]
+	}
 }
 
 // editKeys returns the key table after the changes that m and completed require, and
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -48,6 +48,8 @@
 	Applied metastore.Applied `cbor:"2,keyasint,omitempty"`
 	Failure relayFailure      `cbor:"3,keyasint,omitempty"`
 	Message string            `cbor:"4,keyasint,omitempty"`
+	// Rows are those of a metastore.ConflictError.
+	Rows []metastore.Row `cbor:"5,keyasint,omitempty"`
 }
 
 // relayFailure is the kind of a store error.
@@ -78,7 +80,7 @@
 	case relayOK:
 		return nil
 	case relayConflict:
-		return fmt.Errorf("%w: %s", metastore.ErrConflict, r.Message)
+		return &metastore.ConflictError{Rows: r.Rows, Message: r.Message}
 	case relayUnavailable:
 		return fmt.Errorf("%w: %s", metastore.ErrUnavailable, r.Message)
 	default:
@@ -195,7 +197,7 @@
 		result.Listing, err = s.WatchedTable.List(ctx, call.Table)
 	}
 	if result.Failure = failureOf(err); err != nil {
-		result.Message = err.Error()
+		result.Message, result.Rows = err.Error(), metastore.ConflictRows(err)
 	}
 	s.log.Info("store call made for another node", zap.String("remote", r.RemoteAddr), zap.Bool("write", call.Txn != nil), zap.Error(err))
 	s.node.writeCallResponse(w, result)
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -29,6 +31,10 @@
 	Generation uint64         `cbor:"8,keyasint,omitempty"`
 	// Lease asks the planner to renew the node's lease together with others.
 	Lease *renewalRequest `cbor:"5,keyasint,omitempty"`
+	// DesiredReadAge is how long ago in milliseconds the node last read the desired state in the
+	// store; nil if it never did. Desired is the version in force.
+	DesiredReadAge *uint32 `cbor:"9,keyasint,omitempty"`
+	Desired        uint64  `cbor:"10,keyasint,omitempty"`
 }
 
 // reportResponse is the planner's response to a report.
@@ -40,12 +46,22 @@
 	// their own.
 	StoreVersion uint64 `cbor:"2,keyasint,omitempty"`
 	StoreNow     int64  `cbor:"3,keyasint,omitempty"`
+	// DesiredReadAge is how long ago in milliseconds any node last read the desired state in the
+	// store; nil if that is not known. Desired is the version in force at the planner.
+	DesiredReadAge *uint32 `cbor:"4,keyasint,omitempty"`
+	Desired        uint64  `cbor:"5,keyasint,omitempty"`
 }
 
 const (
-	// reportInterval is the mean time between two reports. Hot keys are detected after two
-	// or three of them.
-	reportInterval = 400 * time.Millisecond
+	// minReportInterval is the shortest mean time between two reports of a node. Hot keys are
+	// detected after two or three of them.
+	minReportInterval = 400 * time.Millisecond
+	// maxReportInterval is the longest; a lease that the planner does not renew for
+	// leaseSelfRenewAfter is renewed by its node.
+	maxReportInterval = 1200 * time.Millisecond
+	// reportsPerSecond is the rate of all reports together, within these bounds. They all reach the
+	// planner, which may run on a small machine.
+	reportsPerSecond = 300.0
 	// reportTimeout bounds one report.
 	reportTimeout = 700 * time.Millisecond
 	// maxMissedReports is the number of consecutive failed reports after which this node
@@ -57,8 +73,13 @@
 // or if it accepts no reports.
 func (n *Node) runReports(ctx context.Context) {
 	missed := 0
+	var vacantSince time.Time // zero while the planner accepts reports
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(reportInterval*4/3))
+		interval := minReportInterval
+		if missed == 0 {
+			interval = reportInterval(len(n.views.current().Members))
+		}
+		sleep(ctx, jitter(interval*4/3))
 		view := n.views.current()
 		if view.Planner.Instance == n.config.Instance {
 			n.lease.confirm(n.planner.handleReport(n.report()))
@@ -74,13 +95,26 @@
 		} else {
 			missed = 0
 		}
-		if missed >= maxMissedReports || view.Planner.Instance == "" {
+		if missed < maxMissedReports && view.Planner.Instance != "" {
+			vacantSince = time.Time{}
+			continue
+		}
+		if vacantSince.IsZero() {
+			vacantSince = time.Now()
+		}
+		if n.isCandidate(view, time.Since(vacantSince)) {
 			n.planner.tryBecomePlanner(ctx)
-			missed = 0
 		}
 	}
 }
 
+// reportInterval returns the mean time between two reports of a node in a cluster with a number of
+// members.
+func reportInterval(members int) time.Duration {
+	interval := time.Duration(float64(members) / reportsPerSecond * float64(time.Second))
+	return min(max(interval, minReportInterval), maxReportInterval)
+}
+
 func (n *Node) report() report {
 	r := report{Instance: n.config.Instance, Demand: n.demand.take(), Work: map[string]uint32{}, Lease: n.lease.requestRenewal()}
 	for route, work := range n.backend.queue.workByRoute() {
@@ -90,12 +124,49 @@
 		r.Limit = &limit
 	}
 	r.Vouched, r.Generation = n.backend.vouchedRanges()
+	r.Desired, _ = n.views.desiredState()
+	if age, known := n.desiredStateReadAge(); known {
+		r.DesiredReadAge = milliseconds(age)
+	}
 	n.backend.mu.Lock()
 	defer n.backend.mu.Unlock()
 	r.Cold = n.backend.tracker != nil && n.now().Before(n.backend.lastHeartbeatAt.Add(n.backend.lastHeartbeat.WarmUpLeft))
 	return r
 }
 
+// candidatesPerRound is the mean number of nodes that check in a report interval whether to become
+// the planner, while there is none. Each check is a priced store call.
+const candidatesPerRound = 4.0
+
+// largestFirstPeriod is how long only the largest instances try to become the planner. They may not
+// reach the store.
+const largestFirstPeriod = 1500 * time.Millisecond
+
+// isCandidate reports whether this node checks now whether to become the planner, after a time
+// without one.
+func (n *Node) isCandidate(view *View, vacant time.Duration) bool {
+	larger, equal := 0, 0
+	for _, m := range view.Members {
+		switch {
+		case n.peers.isLost(m.Address):
+		case m.Cores > n.config.Cores:
+			larger++
+		case m.Cores == n.config.Cores:
+			equal++
+		}
+	}
+	if vacant < largestFirstPeriod && larger > 0 {
+		return false
+	}
+	return rand.Float64() < candidatesPerRound/float64(max(equal, 1))
+}
+
+// milliseconds returns a duration as it is sent.
+func milliseconds(d time.Duration) *uint32 {
+	ms := uint32(min(d.Milliseconds(), math.MaxUint32))
+	return &ms
+}
+
 func (n *Node) sendReport(ctx context.Context, view *View) error {
 	m, ok := view.Members[view.Planner.Instance]
 	if !ok {
@@ -105,6 +176,7 @@
 	if err != nil {
 		return err
 	}
+	sent := time.Now()
 	data, err := n.post(ctx, m.Address, reportPath, reportTimeout, body)
 	if err != nil {
 		return err
@@ -117,6 +189,12 @@
 	if response.StoreVersion > 0 {
 		n.planner.sample(response.StoreVersion, time.Duration(response.StoreNow)*time.Millisecond)
 	}
+	if response.DesiredReadAge != nil {
+		n.newestRead.record(sent.Add(-time.Duration(*response.DesiredReadAge) * time.Millisecond))
+	}
+	if version, _ := n.views.desiredState(); response.Desired > version {
+		n.compareDesiredState(ctx, m.Address)
+	}
 	return nil
 }
 
@@ -131,5 +209,10 @@
 		http.Error(w, "this node does not plan", http.StatusConflict)
 		return
 	}
-	n.writeCallResponse(w, n.planner.handleReport(report))
+	response := n.planner.handleReport(report)
+	response.Desired, _ = n.views.desiredState()
+	if m, ok := n.views.current().Members[report.Instance]; ok && report.Desired > response.Desired {
+		go n.compareDesiredState(context.WithoutCancel(r.Context()), m.Address)
+	}
+	n.writeCallResponse(w, response)
 }
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -31,9 +31,11 @@
 	// watchCheckInterval is the interval at which a node that does not watch a table checks
 	// whether it should.
 	watchCheckInterval = 200 * time.Millisecond
-	// relistInterval is the time after which a node that does not watch a table lists it
+	// minRelistInterval is the shortest time after which a node that does not watch a table lists it
 	// again, in case the other nodes missed rows too.
-	relistInterval = 30 * time.Second
+	minRelistInterval = 30 * time.Second
+	// listingsPerSecond is the rate of these listings of all nodes together.
+	listingsPerSecond = 1.0
 )
 
 // tableWatcher watches one table of the store and applies its rows to the view.
@@ -119,6 +121,12 @@
 	}
 }
 
+// relistInterval returns the time between two listings of a node that does not watch a table, in a
+// cluster with a number of members.
+func relistInterval(members int) time.Duration {
+	return max(minRelistInterval, time.Duration(float64(members)/listingsPerSecond*float64(time.Second)))
+}
+
 // errWatchSilent means that a watch was not answered in time.
 var errWatchSilent = errors.New("watch not answered")
 
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/keyrange"
+	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/quarantine"
 )
@@ -18,9 +19,9 @@
 	protocol Protocol
 	log      *zap.Logger
 
-	// onNewRows, if not nil, is called with rows that were new and whether they came from
-	// another node. It must not block.
-	onNewRows func(rows []freshRow, forwarded bool)
+	// onNewRows, if not nil, is called with rows that were new and how they came. It must not
+	// block.
+	onNewRows func(rows []freshRow, source membership.Source)
 
 	// onDesiredState, if not nil, is called when a desired state is applied, with whether it
 	// came from another node. It must not block or call the viewStore.
@@ -72,17 +73,23 @@
 	affected []string
 }
 
-// apply merges rows that were read from the store or written by this node.
-func (s *viewStore) apply(rows ...metastore.Row) { s.mergeAndNotify(rows, false) }
+// apply merges rows that were read from the store or written by this node. It reports whether any
+// was new.
+func (s *viewStore) apply(rows ...metastore.Row) bool {
+	return s.mergeAndNotify(rows, membership.FromStore)
+}
 
 // applyFromPeer merges rows of another node.
-func (s *viewStore) applyFromPeer(rows ...metastore.Row) { s.mergeAndNotify(rows, true) }
+func (s *viewStore) applyFromPeer(source membership.Source, rows ...metastore.Row) {
+	s.mergeAndNotify(rows, source)
+}
 
-func (s *viewStore) mergeAndNotify(rows []metastore.Row, forwarded bool) {
-	fresh := s.merge(rows, forwarded)
+func (s *viewStore) mergeAndNotify(rows []metastore.Row, source membership.Source) (changed bool) {
+	fresh := s.merge(rows, source != membership.FromStore)
 	if len(fresh) > 0 && s.onNewRows != nil {
-		s.onNewRows(fresh, forwarded)
+		s.onNewRows(fresh, source)
 	}
+	return len(fresh) > 0
 }
 
 // merge applies the rows that are newer than the known ones, and returns them. forwarded is set
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -34,6 +34,29 @@
 	nodes []*virtualNode
 	// pending are the faults that have yet to end, and the backend servers.
 	pending sync.WaitGroup
+	// messages counts the messages between nodes by path, watches those of the store by table.
+	messages, watches callCounts
+}
+
+// callCounts counts calls by name. It is safe for concurrent use.
+type callCounts struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (m *callCounts) add(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.counts == nil {
+		m.counts = map[string]int{}
+	}
+	m.counts[name]++
+}
+
+func (m *callCounts) of(name string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts[name]
 }
 
 // lockedRand is a random generator for concurrent use.
@@ -105,6 +128,14 @@
 	return n
 }
 
+// addSized starts a node with a processor share.
+func (c *virtualCluster) addSized(i int, cores float64) {
+	n := c.add(fmt.Sprint("instance-", i), fmt.Sprint("peer-", i))
+	n.stop()
+	n.config.Cores = cores
+	n.start()
+}
+
 // start starts a new process, if none runs.
 func (n *virtualNode) start() {
 	n.mu.Lock()
@@ -194,6 +225,7 @@
 
 // exchange delivers a message to the process that runs at an address.
 func (n *virtualNode) exchange(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+	n.cluster.messages.add(path)
 	sleep(ctx, n.cluster.rng.between(time.Millisecond, 6*time.Millisecond))
 	var target *Node
 	for _, other := range n.cluster.nodes {
@@ -236,6 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+virtualWatchMargin)
 	defer cancel()
 	defer s.node.cutOff.onCut(cancel)()
+	s.node.cluster.watches.add(table)
 	before := s.node.silences.Load()
 	listing, err := s.WatchedTable.Watch(ctx, table, after, wait)
 	if s.node.silences.Load() != before {
--- a/metastore/memory/store.go
+++ b/metastore/memory/store.go
@@ -125,7 +125,7 @@
 	for _, c := range txn.Conditions {
 		if have := s.present(s.rows[c.Key]).Version; have != c.Version {
 			s.counts.Conflicts++
-			return fmt.Errorf("%w: row %s is at version %d, not %d", metastore.ErrConflict, c.Key, have, c.Version)
+			return &metastore.ConflictError{Rows: s.conditionRows(txn), Message: fmt.Sprintf("row %s is at version %d, not %d", c.Key, have, c.Version)}
 		}
 	}
 	s.counts.Writes++
@@ -148,6 +148,17 @@
 	return nil
 }
 
+// conditionRows returns the present rows of a transaction's conditions. s.mu must be held.
+func (s *Store) conditionRows(txn metastore.Txn) []metastore.Row {
+	var out []metastore.Row
+	for _, c := range txn.Conditions {
+		if row, ok := s.rows[c.Key]; ok {
+			out = append(out, s.present(row))
+		}
+	}
+	return out
+}
+
 // admit waits for the rate limit and injects the faults that do not affect data.
 func (s *Store) admit(ctx context.Context, limit *rate.Limiter) error {
 	s.mu.Lock()
