Ask the planner for a renewal of the lease with each report

A node asked for its next renewal only after the last was confirmed, so with a report a second its lease was up to five seconds old and it renewed the lease itself, in conflict with the planner. After the start each node listed the cluster twice, and all watched the desired state until the planner knew of a read.

Change: each report asks for a renewal; the planner writes the newest, on the version of its last one; a confirmation extends the lease from the time of the request that it names. Conflicts show the rows, so nobody lists the leases. The planner exchanges rows with new members, which don't list the cluster again. A node's own read counts as one. Pause of 0.2 s between the planner's watches.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -203,7 +203,7 @@
 		"if errors.Is(err, metastore.ErrConflict) {\n\t\tk.until = time.Time{}", "if false {\n\t\tk.until = time.Time{}", nodeTests,
 	}, {
 		"lease extended by the confirmation of another renewal", "internal/node/leasekeeper.go",
-		"|| k.requested.Row.Nonce != r.Nonce", "", nodeTests,
+		"return other.nonce == r.Nonce", "return true", nodeTests,
 	}, {
 		"lease row of another process taken for the node's own", "internal/node/leasekeeper.go",
 		"own := version != 0 && (version == k.version || slices.Contains(k.pendingNonces, nonce))", "own := version != 0 && (true || slices.Contains(k.pendingNonces, nonce))", nodeTests,
--- a/internal/node/desiredwatch.go
+++ b/internal/node/desiredwatch.go
@@ -50,8 +50,11 @@
 	if view.Planner.Instance == n.config.Instance || n.gossip.isolated() {
 		return true
 	}
-	limit := maxDesiredStateAge + reportInterval(len(view.Members))*4/3
-	if n.newestRead.age(time.Now()) > limit {
+	age := n.newestRead.age(time.Now())
+	if own, known := n.desiredStateReadAge(); known {
+		age = min(age, own)
+	}
+	if age > maxDesiredStateAge+reportInterval(len(view.Members))*4/3 {
 		return true
 	}
 	var others []string
--- a/internal/node/leasekeeper.go
+++ b/internal/node/leasekeeper.go
@@ -24,8 +24,9 @@
 	// slower than the store's.
 	leaseMaxClockDrift = 0.02
 	// leaseSelfRenewAfter is the time since the last renewal after which a node writes its
-	// lease row itself, because the planner has not renewed it.
-	leaseSelfRenewAfter = 3 * time.Second
+	// lease row itself, because the planner has not renewed it. The planner renews each lease every
+	// renewInterval, and the node learns of it with its next report.
+	leaseSelfRenewAfter = 3500 * time.Millisecond
 	// leaseRetryInterval is the pause after a failed renewal, and between checks whether a
 	// renewal is due. It doubles with each failure up to leaseRetryIntervalMax, because
 	// rejected store calls are priced too. A lease must be renewed within two seconds of the
@@ -64,9 +65,9 @@
 	// pendingNonces are the nonces written or requested since the last confirmed write; any
 	// of those writes may have taken effect.
 	pendingNonces []uint64
-	// requested is the renewal requested from the planner, first at requestedAt.
-	requested   *renewalRequest
-	requestedAt time.Time
+	// requested are the renewals requested from the planner since the last confirmed write, oldest
+	// first. The planner writes the newest that it knows.
+	requested []requestedRenewal
 	// recentNonces are the last nonces of this process. A store that went back shows one of
 	// them.
 	recentNonces []uint64
@@ -88,26 +89,27 @@
 	return k.earlierGrantsEnd
 }
 
-// requestRenewal returns the renewal to request from the planner, or nil without a lease.
-// It returns the same request until the planner confirms it or the node writes its row
-// itself.
+// requestedRenewal is a renewal that the planner was asked for at a time.
+type requestedRenewal struct {
+	nonce uint64
+	at    time.Time
+}
+
+// requestRenewal returns the renewal to request from the planner now, or nil without a lease.
 func (k *leaseKeeper) requestRenewal() *renewalRequest {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.until.IsZero() {
 		return nil
 	}
-	if k.requested == nil {
-		nonce := rand.Uint64()
-		k.addNonce(nonce)
-		k.requested = &renewalRequest{Version: k.version, Row: leaseRow{Nonce: nonce, Address: k.address, Acquired: k.acquired}}
-		k.requestedAt = k.now()
-	}
-	return k.requested
+	nonce := rand.Uint64()
+	k.addNonce(nonce)
+	k.requested = append(k.requested, requestedRenewal{nonce, k.now()})
+	return &renewalRequest{Version: k.version, Row: leaseRow{Nonce: nonce, Address: k.address, Acquired: k.acquired}}
 }
 
 // maxRecentNonces is the number of nonces that are kept; the last minute's at least.
-const maxRecentNonces = 64
+const maxRecentNonces = 256
 
 // addNonce records a nonce that is about to be written. k.mu must be held.
 func (k *leaseKeeper) addNonce(nonce uint64) {
@@ -118,19 +120,27 @@
 	}
 }
 
-// confirm extends the lease if response confirms the requested renewal. The lease counts
-// from the time at which that renewal was first requested.
+// confirm extends the lease if response confirms a requested renewal. The lease counts from the
+// time at which that renewal was requested.
 func (k *leaseKeeper) confirm(response reportResponse) {
 	r := response.Renewed
-	restored := r != nil && k.mayExtend(r.Version)
+	if r == nil {
+		return
+	}
+	restored := k.mayExtend(r.Version)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if r == nil || k.requested == nil || k.requested.Row.Nonce != r.Nonce {
+	i := slices.IndexFunc(k.requested, func(other requestedRenewal) bool { return other.nonce == r.Nonce })
+	if i < 0 {
 		return
 	}
-	k.version, k.pendingNonces, k.requested = r.Version, nil, nil
+	confirmed := k.requested[i]
+	k.version, k.requested, k.pendingNonces = r.Version, slices.Clone(k.requested[i+1:]), nil
+	for _, later := range k.requested {
+		k.pendingNonces = append(k.pendingNonces, later.nonce)
+	}
 	if restored {
-		k.extend(k.requestedAt)
+		k.extend(confirmed.at)
 	}
 }
 
@@ -189,7 +199,7 @@
 	generation := k.views.currentGeneration()
 	sent, err := k.write(ctx)
 	if errors.Is(err, metastore.ErrConflict) {
-		version, _, _, readErr := k.read(ctx)
+		version, _, _, readErr := k.rowAfterConflict(ctx, err)
 		if readErr != nil {
 			return time.Time{}, readErr
 		}
@@ -314,7 +324,7 @@
 		return time.Time{}, err
 	}
 	// An earlier write whose response was lost may have taken effect.
-	version, nonce, listed, readErr := k.read(ctx)
+	version, nonce, listed, readErr := k.rowAfterConflict(ctx, err)
 	if readErr != nil {
 		return time.Time{}, readErr
 	}
@@ -338,6 +348,21 @@
 // next write is based on it.
 var errEarlierWriteApplied = errors.New("an earlier renewal took effect, but its response was lost")
 
+// rowAfterConflict returns what read does, from the response to a failed write if that has the row.
+func (k *leaseKeeper) rowAfterConflict(ctx context.Context, conflict error) (version, nonce, listed uint64, err error) {
+	for _, row := range metastore.ConflictRows(conflict) {
+		if row.Key != leaseKey(k.instance) {
+			continue
+		}
+		var value leaseRow
+		if err := cbor.Unmarshal(row.Value, &value); err != nil {
+			return 0, 0, 0, err
+		}
+		return row.Version, value.Nonce, row.Version, nil
+	}
+	return k.read(ctx)
+}
+
 // read returns the version and nonce of the node's own row, or zeros if there is none, and the
 // version of the store.
 func (k *leaseKeeper) read(ctx context.Context) (version, nonce, listed uint64, err error) {
--- a/internal/node/leasekeeper_test.go
+++ b/internal/node/leasekeeper_test.go
@@ -153,7 +153,7 @@
 	_, err := second.write(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
 	n := New(Config{Instance: "planner", Store: store, Protocol: simProtocol{}}, zap.NewNop())
-	n.planner.renew(t.Context(), []pendingRenewal{{"a", late}})
+	n.planner.renew(t.Context(), []pendingRenewal{{"a", late, late.Version}})
 	listing, err := store.List(t.Context(), leaseTable)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(leaseVersions(listing)["a"]).To(BeNumerically(">", leaseVersions(listing)["b"]), "it was renewed last")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,7 +161,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.desired.run, n.moves.run, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runHousekeeping,
 	}
 }
 
@@ -184,6 +184,7 @@
 // no other node.
 func (n *Node) watchCluster(ctx context.Context) {
 	w := n.newTableWatcher(clusterTable)
+	w.pause = clusterWatchPause
 	w.shouldWatch = func() bool { return n.views.current().Planner.Instance == n.config.Instance }
 	w.watchers = func() int { return 1 }
 	w.listInterval = func() time.Duration {
@@ -203,6 +204,10 @@
 	w.run(ctx)
 }
 
+// clusterWatchPause is the pause between two watches of the cluster's rows. Who writes a row also sends
+// it to the planner, so the watch brings it only what was lost.
+const clusterWatchPause = 200 * time.Millisecond
+
 func (n *Node) newTableWatcher(table string) *tableWatcher {
 	return &tableWatcher{table: table, store: n.store, views: n.views, log: n.log.Named("watch"), contact: n.contact, sample: n.planner.sample}
 }
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -187,19 +187,30 @@
 	return nil
 }
 
+// plannerContactWait is how long a new member waits for the planner, which exchanges rows with new
+// members.
+const plannerContactWait = 1500 * time.Millisecond
+
 // learnMembers brings the view up to date after the first write of the member row: nodes that started
-// at the same time may have written theirs meanwhile. The planner knows them; without one, the store
+// at the same time may have written theirs meanwhile. The planner sends them; without one, the store
 // is read.
 func (b *backend) learnMembers(ctx context.Context) error {
-	if address := b.node.gossip.distributorAddress(); address != "" {
-		err := b.node.gossip.syncWith(ctx, address)
-		if err == nil {
+	timer := time.NewTimer(plannerContactWait)
+	defer timer.Stop()
+	for {
+		view, changed := b.node.views.get()
+		if _, known := view.Members[view.Planner.Instance]; known {
 			b.wake()
 			return nil
 		}
-		b.log.Debug("rows not compared with the planner", zap.String("address", address), zap.Error(err))
+		select {
+		case <-changed:
+		case <-timer.C:
+			return b.relist(ctx, nil)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	return b.relist(ctx, nil)
 }
 
 // relist refreshes the view after a write whose outcome the view does not show. If that
--- a/internal/node/renewals.go
+++ b/internal/node/renewals.go
@@ -84,6 +84,9 @@
 type pendingRenewal struct {
 	instance string
 	*renewalRequest
+	// version is that of the row before the renewal: the one that the holder knows, or that of this
+	// planner's last renewal, of which the holder may not have learned yet.
+	version uint64
 }
 
 func (p *planner) pendingRenewals() []pendingRenewal {
@@ -91,35 +94,30 @@
 	defer p.mu.Unlock()
 	var out []pendingRenewal
 	for instance, state := range p.renewals {
-		if state.request != nil {
-			out = append(out, pendingRenewal{instance, state.request})
+		if state.request == nil {
+			continue
+		}
+		version := state.request.Version
+		if state.completed != nil {
+			version = max(version, state.completed.Version)
 		}
+		out = append(out, pendingRenewal{instance, state.request, version})
 	}
 	slices.SortFunc(out, func(a, b pendingRenewal) int { return cmp.Compare(a.instance, b.instance) })
 	return out
 }
 
-// renew writes a batch of renewals. If a row's version is not the one that its holder
-// expects, the others are written without it.
+// renew writes a batch of renewals. If a row's version is not the one that is expected, the others
+// are written without it.
 func (p *planner) renew(ctx context.Context, batch []pendingRenewal) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	applied, err := p.writeRenewals(ctx, batch)
-	if errors.Is(err, metastore.ErrConflict) {
-		listing, listErr := p.node.store.List(ctx, leaseTable)
-		if listErr != nil {
-			p.log.Info("leases not renewed", zap.Int("leases", len(batch)), zap.Error(listErr))
-			return
-		}
-		versions := leaseVersions(listing)
+	for tries := 1; tries < maxRenewalTries && errors.Is(err, metastore.ErrConflict); tries++ {
 		var stale []pendingRenewal
-		batch = slices.DeleteFunc(slices.Clone(batch), func(r pendingRenewal) bool {
-			if versions[r.instance] != r.Version {
-				stale = append(stale, r)
-				return true
-			}
-			return false
-		})
+		if batch, stale, err = p.splitStale(ctx, batch, err); err != nil {
+			break
+		}
 		p.finishRenewals(stale, metastore.Applied{}, false)
 		if len(batch) == 0 {
 			return
@@ -134,6 +132,38 @@
 	p.finishRenewals(batch, applied, true)
 }
 
+// maxRenewalTries bounds the writes of one batch.
+const maxRenewalTries = 3
+
+// splitStale divides a batch that failed into the renewals that can be written and those whose rows
+// have changed. It reads the rows if the response does not show which these are.
+func (p *planner) splitStale(ctx context.Context, batch []pendingRenewal, conflict error) (current, stale []pendingRenewal, err error) {
+	versions := leaseVersions(metastore.Listing{Rows: metastore.ConflictRows(conflict)})
+	for _, r := range batch {
+		if version, shown := versions[r.instance]; shown && version != r.version {
+			stale = append(stale, r)
+		} else {
+			current = append(current, r)
+		}
+	}
+	if len(stale) > 0 {
+		return current, stale, nil
+	}
+	listing, err := p.node.store.List(ctx, leaseTable)
+	if err != nil {
+		return nil, nil, err
+	}
+	versions, current = leaseVersions(listing), nil
+	for _, r := range batch {
+		if versions[r.instance] == r.version {
+			current = append(current, r)
+		} else {
+			stale = append(stale, r)
+		}
+	}
+	return current, stale, nil
+}
+
 func (p *planner) writeRenewals(ctx context.Context, batch []pendingRenewal) (metastore.Applied, error) {
 	var txn metastore.Txn
 	for _, r := range batch {
@@ -141,7 +171,7 @@
 		if err != nil {
 			return metastore.Applied{}, err
 		}
-		txn.Conditions = append(txn.Conditions, metastore.Condition{Key: leaseKey(r.instance), Version: r.Version})
+		txn.Conditions = append(txn.Conditions, metastore.Condition{Key: leaseKey(r.instance), Version: r.version})
 		txn.Writes = append(txn.Writes, metastore.Write{Key: leaseKey(r.instance), Value: value})
 	}
 	return p.node.store.Apply(ctx, txn)
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -61,7 +61,7 @@
 	maxReportInterval = 1200 * time.Millisecond
 	// reportsPerSecond is the rate of all reports together, within these bounds. They all reach the
 	// planner, which may run on a small machine.
-	reportsPerSecond = 300.0
+	reportsPerSecond = 450.0
 	// reportTimeout bounds one report.
 	reportTimeout = 700 * time.Millisecond
 	// maxMissedReports is the number of consecutive failed reports after which this node
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -54,6 +54,9 @@
 	watchers func() int
 	// sample is called with the store's newest version and clock at each response.
 	sample func(version uint64, now time.Duration)
+	// pause is the time after a watch with changes until the next one, which collects changes that
+	// also reach the node in other ways.
+	pause time.Duration
 	// lastListed is when the table was last listed; zero if it was not.
 	lastListed time.Time
 }
@@ -80,6 +83,9 @@
 			if listing, err = w.watch(ctx, after); err == nil {
 				w.views.apply(listing.Rows...)
 				resumePause = 0
+				if len(listing.Rows) > 0 {
+					sleep(ctx, w.pause)
+				}
 			}
 		} else if listing, err = w.store.List(ctx, w.table); err == nil {
 			w.views.replace(w.table, listing)
