Bound what is read before the body of a response

Also found while looking for the operators' list: a request that is sent again on the connection where it was refused could get a late second copy of that refusal, which says that it did not run.

Change: at most 64 KiB and 16 interim responses before a body; the connection is closed there and the request may have run. A counter and a log line with the request's id.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit is what reader reads from. It bounds the bytes before a response's body.
+	limit *io.LimitedReader
+	// lastID is the id of the last request.
+	lastID string
 	// A connection that has been idle since idleSince may be reused for idleFor.
 	idleSince time.Time
 	idleFor   time.Duration
@@ -46,6 +51,38 @@
 	return err == nil && silent
 }
 
+// readFinalResponse reads a response up to its body and skips interim ones.
+func (c *conn) readFinalResponse(method string) (*http.Response, error) {
+	c.limit.N = maxResponseHeadBytes
+	defer func() { c.limit.N = math.MaxInt64 }()
+	for range maxInterimResponses + 1 {
+		first, err := c.reader.Peek(1)
+		if err != nil {
+			return nil, c.readError(err)
+		}
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			var netErr net.Error
+			if errors.As(err, &netErr) || first == nil {
+				return nil, err
+			}
+			return nil, &unexpectedBytesError{c.readError(err)}
+		}
+		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+	return nil, &unexpectedBytesError{&BoundError{boundInterim, maxInterimResponses}}
+}
+
+// readError returns the cause of a failed read of a head.
+func (c *conn) readError(err error) error {
+	if c.limit.N > 0 {
+		return err
+	}
+	return &BoundError{boundHead, maxResponseHeadBytes}
+}
+
 // send writes the request. Large and streamed bodies are written while the response is
 // read, because a server may respond before it has read the body.
 func (c *conn) send(e Exchange) error {
--- a/internal/httpclient/error.go
+++ b/internal/httpclient/error.go
@@ -34,3 +34,20 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// BoundError means that the peer sent more than a response may have before its body. The connection is
+// closed.
+type BoundError struct {
+	// Bound names what was exceeded: "head" or "interim".
+	Bound string
+	// Limit is the number of bytes of a head, or of interim responses.
+	Limit int
+}
+
+// Error implements error.
+func (e *BoundError) Error() string {
+	if e.Bound == boundHead {
+		return fmt.Sprintf("the head of the response is over %d bytes", e.Limit)
+	}
+	return fmt.Sprintf("more than %d interim responses", e.Limit)
+}
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -21,6 +22,20 @@
 // connection.
 const maxStrayResponses = 4
 
+const (
+	// maxResponseHeadBytes limits what is read before the body of a response: its status line, its
+	// header and interim responses. It is the limit for headers of requests.
+	maxResponseHeadBytes = 64 << 10
+	// maxInterimResponses limits the interim responses before a response.
+	maxInterimResponses = 16
+)
+
+// Bounds of a BoundError.
+const (
+	boundHead    = "head"
+	boundInterim = "interim"
+)
+
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT.
 const tcpUserTimeout = 0x12
 
@@ -90,7 +105,7 @@
 // error, nothing is sent. When ctx ends, the connection is closed. Errors are of type
 // *Error.
 func (p *Pool) Do(ctx context.Context, e Exchange, beforeSend func() error) (*http.Response, error) {
-	c, err := p.take(ctx)
+	c, err := p.take(ctx, e.ID)
 	if err != nil {
 		return nil, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
@@ -128,7 +143,7 @@
 		return nil, false, err
 	}
 	for range maxStrayResponses {
-		resp, err := readFinalResponse(c.reader, e.Method)
+		resp, err := c.readFinalResponse(e.Method)
 		if err != nil {
 			return nil, stray, err
 		}
@@ -148,26 +163,8 @@
 // unexpectedBytesError means that the received bytes are not a response to the request.
 type unexpectedBytesError struct{ error }
 
-// readFinalResponse reads a response and skips interim ones.
-func readFinalResponse(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		first, err := r.Peek(1)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
-		if err != nil {
-			var netErr net.Error
-			if errors.As(err, &netErr) || first == nil {
-				return nil, err
-			}
-			return nil, &unexpectedBytesError{err}
-		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-}
+// Unwrap returns the cause.
+func (e *unexpectedBytesError) Unwrap() error { return e.error }
 
 func classify(err error) *Error {
 	out := &Error{Stage: Sent, Err: err}
@@ -178,8 +175,10 @@
 	return out
 }
 
-// take returns an idle connection that can be reused, or a new one.
-func (p *Pool) take(ctx context.Context) (*conn, error) {
+// take returns an idle connection that can be reused, or a new one. A connection on which a request
+// with the same id was sent is not reused, because a second copy of that response could not be told
+// from the one to this request.
+func (p *Pool) take(ctx context.Context, id string) (*conn, error) {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -192,7 +191,8 @@
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if now.Sub(c.idleSince) < c.idleFor && c.clean() {
+		if now.Sub(c.idleSince) < c.idleFor && (id == "" || c.lastID != id) && c.clean() {
+			c.lastID = id
 			p.updateStats(func(s *Stats) { s.Reused++ })
 			return c, nil
 		}
@@ -202,7 +202,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, p.config.ReadBuffer)}, nil
+	c := &conn{Conn: raw, lastID: id, limit: &io.LimitedReader{R: raw, N: math.MaxInt64}}
+	c.reader = bufio.NewReaderSize(c.limit, p.config.ReadBuffer)
+	return c, nil
 }
 
 // put adds a connection to the idle ones. It first closes the oldest idle connections as
--- a/internal/httpclient/silence_test.go
+++ b/internal/httpclient/silence_test.go
@@ -18,7 +18,7 @@
 	defer l.Close()
 	for _, limit := range []time.Duration{2 * time.Second, 4 * time.Second} {
 		p := NewPool(l.Addr().String(), Config{DialTimeout: time.Second, SilenceTimeout: limit})
-		c, err := p.take(t.Context())
+		c, err := p.take(t.Context(), "")
 		g.Expect(err).NotTo(HaveOccurred())
 		raw, err := c.Conn.(syscall.Conn).SyscallConn()
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -68,6 +68,7 @@
 	simDisconnect          // runs, and the connection closes without a response
 	simTruncate            // runs, and the connection closes within the response
 	simDecline             // declined without running
+	simEndless             // runs, and sends a header without end until the connection closes
 )
 
 // backendSim is a simulated backend server. It sends heartbeats and serves the keys that it
@@ -264,6 +265,9 @@
 	s.mu.Unlock()
 	w.Header().Set(simSeal, s.id)
 	switch fault {
+	case simEndless:
+		s.sendEndlessHeader(w)
+		return
 	case simDisconnect:
 		panic(http.ErrAbortHandler)
 	case simTruncate:
@@ -275,6 +279,19 @@
 	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
 }
 
+// sendEndlessHeader sends header lines until the connection closes.
+func (s *backendSim) sendEndlessHeader(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+	for err == nil {
+		_, err = io.WriteString(c, "X-Fill: 0123456789012345678901234567890123456789\r\n")
+	}
+}
+
 // writeSignals sets the headers that state a limit or a leave. s.mu must be held.
 func (s *backendSim) writeSignals(h http.Header) {
 	if s.limit != "" {
--- a/internal/node/gates_test.go
+++ b/internal/node/gates_test.go
@@ -207,7 +207,7 @@
 	g := NewWithT(t)
 	n := single(t)
 	for stage, want := range map[httpclient.Stage]verdict.Verdict{httpclient.NotSent: verdict.NotRun, httpclient.Sent: verdict.MayHaveRun} {
-		out := n.Node.backend.failedOutcome(context.Background(), bookingTicket, &httpclient.Error{Stage: stage, Err: errors.New("connection reset")})
+		out := n.Node.backend.failedOutcome(context.Background(), bookingTicket, "id", &httpclient.Error{Stage: stage, Err: errors.New("connection reset")})
 		g.Expect(out.err.Verdict).To(Equal(want))
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -110,6 +110,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_desired_states_total{source=%q}`, source)).Inc()
 }
 
+// countResponseOverBound counts a response of the local backend server that was cut off at a bound.
+func (m *nodeMetrics) countResponseOverBound(bound string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_responses_over_bound_total{bound=%q}`, bound)).Inc()
+}
+
 // countStoreCall counts a call to the store.
 func (m *nodeMetrics) countStoreCall(call, rows string, err error) {
 	outcome := "ok"
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -273,7 +273,7 @@
 		return outcome{err: refused}
 	}
 	if err != nil {
-		return b.failedOutcome(ctx, t, err)
+		return b.failedOutcome(ctx, t, e.ID, err)
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
 		b.node.observeResponse(owner.Incarnation, e.ID, resp, sentAt)
@@ -301,11 +301,17 @@
 const declinedRetryAfter = 50 * time.Millisecond
 
 // failedOutcome classifies an exchange without a response.
-func (b *backend) failedOutcome(ctx context.Context, t ticket, err error) outcome {
+func (b *backend) failedOutcome(ctx context.Context, t ticket, id string, err error) outcome {
 	var failure *httpclient.Error
 	if !errors.As(err, &failure) {
 		return outcome{err: verdict.From(err), arrived: true}
 	}
+	var bound *httpclient.BoundError
+	if errors.As(err, &bound) {
+		b.node.metrics.countResponseOverBound(bound.Bound)
+		b.node.events.request("response over a bound", id, zap.String("route", t.route), zap.String("backend", b.owner().Incarnation),
+			zap.String("bound", bound.Bound), zap.Int("limit", bound.Limit))
+	}
 	if failure.Refused || failure.Closed {
 		// The backend server also closes connections over its limit; only a closed port shows
 		// that it ended.
