Leave moves to their owner's node that the planner's table does not show

After the store went back, an owner's node knew a newer key table than the planner. The planner found no such move in its table, took it for completed and said that it was recorded; the owner's node forgot it.

Change: the planner records moves only if its table shows all of them as open; otherwise the owner's node writes them, whose table shows them.

--- a/internal/node/moverecorder.go
+++ b/internal/node/moverecorder.go
@@ -157,9 +157,10 @@
 	}
 }
 
-// releaseMoves completes moves that their owner's node has reported. Moves that are no longer open
-// are left out. It returns false if only that node can tell whether the keys are the owner's, because
-// the store went back.
+// releaseMoves completes moves that their owner's node has reported. It returns false if the table does
+// not show all of them as open: they may be completed already, or the table may be older than the one
+// that the owner's node knows. It does so too if only that node can tell whether the keys are the
+// owner's, because the store went back.
 func releaseMoves(t *keyrange.Space, m completedMoves, generation uint64) (*keyrange.Space, bool) {
 	if m.Generation != generation {
 		return nil, false
@@ -167,15 +168,12 @@
 	next := t
 	for _, move := range m.Moves {
 		r := t.Find(move.From)
-		if r.Owner != m.Owner || r.Fence != move.Fence || !r.Moving() {
-			continue
-		}
-		if !t.SettledIn(generation, move.From) {
+		if r.Owner != m.Owner || r.Fence != move.Fence || !r.Moving() || !t.SettledIn(generation, move.From) {
 			return nil, false
 		}
 		released, err := next.Release(move.Span, m.Owner, move.Handover)
 		if err != nil {
-			continue // the table has changed since
+			return nil, false
 		}
 		next = released
 	}
