--- a/internal/node/desiredwatch.go
+++ b/internal/node/desiredwatch.go
@@ -42,6 +42,20 @@
 	return now.Sub(r.at)
 }
 
+// watchDesiredState watches the operator's desired state, if this node is to.
+func (n *Node) watchDesiredState(ctx context.Context) {
+	w := n.newTableWatcher(tableOf(n.config.Protocol.DesiredStateRow()))
+	w.shouldWatch = n.watchesDesiredState
+	w.listInterval = func() time.Duration { return relistInterval(len(n.views.current().Members)) }
+	w.watchers = func() int {
+		if n.gossip.isolated() {
+			return 1 // no other node tells this one of a change
+		}
+		return min(len(n.views.current().Members), desiredStateWatchers)
+	}
+	w.run(ctx)
+}
+
 // watchesDesiredState reports whether this node watches the desired state. A few nodes and the planner
 // do. Others learn of a change from these, and with each report to the planner that the store has been
 // read lately; without that they watch too.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,20 +165,6 @@
 	}
 }
 
-// watchDesiredState watches the operator's desired state, if this node is to.
-func (n *Node) watchDesiredState(ctx context.Context) {
-	w := n.newTableWatcher(tableOf(n.config.Protocol.DesiredStateRow()))
-	w.shouldWatch = n.watchesDesiredState
-	w.listInterval = func() time.Duration { return relistInterval(len(n.views.current().Members)) }
-	w.watchers = func() int {
-		if n.gossip.isolated() {
-			return 1 // no other node tells this one of a change
-		}
-		return min(len(n.views.current().Members), desiredStateWatchers)
-	}
-	w.run(ctx)
-}
-
 // watchCluster watches the cluster's rows if this node is the planner. Other nodes get them
 // from each other; they list the rows every relistInterval too, and more often while they reach
 // no other node.
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -155,22 +156,31 @@
 	if view.Planner.Instance != "" && !p.plannerGone(ctx, view.Planner.Instance) {
 		return
 	}
-	value, err := cbor.Marshal(PlannerRow{Instance: p.node.config.Instance})
+	version, err := p.writePlanner(ctx, view, p.node.config.Instance)
 	if err != nil {
-		p.log.Error("planner row cannot be encoded", zap.Error(err))
+		p.log.Info("planner role not taken", zap.String("planner", view.Planner.Instance), zap.Error(err))
 		return
 	}
+	p.log.Info("planner role taken", zap.String("from", view.Planner.Instance), zap.Uint64("version", version))
+}
+
+// writePlanner gives the planner role to an instance, on the condition that the view shows who has it.
+// The view shows the result; after a conflict, it shows who has the role.
+func (p *planner) writePlanner(ctx context.Context, view *View, instance string) (version uint64, err error) {
+	value, err := cbor.Marshal(PlannerRow{Instance: instance})
+	if err != nil {
+		return 0, fmt.Errorf("encode planner row: %w", err)
+	}
 	applied, err := p.node.store.Apply(ctx, metastore.Txn{
 		Conditions: []metastore.Condition{{Key: plannerKey, Version: view.Planner.Version}},
 		Writes:     []metastore.Write{{Key: plannerKey, Value: value}},
 	})
 	if err != nil {
-		p.log.Info("planner role not taken", zap.String("planner", view.Planner.Instance), zap.Error(err))
-		p.node.views.apply(metastore.ConflictRows(err)...) // another node may have taken it
-		return
+		p.node.views.apply(metastore.ConflictRows(err)...)
+		return 0, err
 	}
-	p.log.Info("planner role taken", zap.String("from", view.Planner.Instance), zap.Uint64("version", applied.Version))
 	p.node.views.apply(metastore.Row{Key: plannerKey, Value: value, Version: applied.Version})
+	return applied.Version, nil
 }
 
 // plannerGone reports whether the planner has no lease row or did not renew it for
--- a/internal/node/plannerhandover.go
+++ b/internal/node/plannerhandover.go
@@ -6,10 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
-
-	"github.com/basilway/basilway/metastore"
 )
 
 const (
@@ -28,23 +25,13 @@
 	if !ok {
 		return
 	}
-	value, err := cbor.Marshal(PlannerRow{Instance: successor.Owner.Instance})
-	if err != nil {
-		p.log.Error("planner row cannot be encoded", zap.Error(err))
-		return
-	}
-	applied, err := p.node.store.Apply(ctx, metastore.Txn{
-		Conditions: []metastore.Condition{{Key: plannerKey, Version: view.Planner.Version}},
-		Writes:     []metastore.Write{{Key: plannerKey, Value: value}},
-	})
+	version, err := p.writePlanner(ctx, view, successor.Owner.Instance)
 	if err != nil {
 		p.log.Info("planner role not handed over", zap.String("to", successor.Owner.Instance), zap.Error(err))
-		p.node.views.apply(metastore.ConflictRows(err)...)
 		return
 	}
 	p.log.Info("planner role handed over to a larger instance", zap.String("to", successor.Owner.Instance),
-		zap.Float64("cores", successor.Cores), zap.Float64("own cores", p.node.config.Cores), zap.Uint64("version", applied.Version))
-	p.node.views.apply(metastore.Row{Key: plannerKey, Value: value, Version: applied.Version})
+		zap.Float64("cores", successor.Cores), zap.Float64("own cores", p.node.config.Cores), zap.Uint64("version", version))
 }
 
 // largerMember returns the largest ready member that has reported lately, if it is clearly larger than
