--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -179,3 +179,11 @@
 	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{body}, make([]byte, copyBufferSize))
 	return err == nil
 }
+
+// logUnserved logs a request forwarded by another node that this node did not serve.
+func (n *Node) logUnserved(t ticket, id string, out outcome) {
+	load := n.backend.queue.load()
+	n.events.request("forwarded request not served", id, zap.String("route", t.route), zap.Uint16("key", t.key),
+		zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)), zap.String("cause", out.err.Message),
+		zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -398,11 +398,3 @@
 	}
 	done.Wait()
 }
-
-// logUnserved logs a request forwarded by another node that this node did not serve.
-func (n *Node) logUnserved(t ticket, id string, out outcome) {
-	load := n.backend.queue.load()
-	n.events.request("forwarded request not served", id, zap.String("route", t.route), zap.Uint16("key", t.key),
-		zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)), zap.String("cause", out.err.Message),
-		zap.Int("running", load.running), zap.Int("waiting", load.waiting), zap.Int("slots", load.slots))
-}
--- a/internal/node/plannerhandover_test.go
+++ b/internal/node/plannerhandover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,14 @@
 	"github.com/basilway/basilway/metastore/memory"
 )
 
+// addSized starts a node with a processor share.
+func (c *virtualCluster) addSized(i int, cores float64) {
+	n := c.add(fmt.Sprint("instance-", i), fmt.Sprint("peer-", i))
+	n.stop()
+	n.config.Cores = cores
+	n.start()
+}
+
 // Guards against a planner on a small machine, which has no time left for requests when hundreds of
 // nodes report to it: the role goes to a large machine soon after the start, and after a loss of the one
 // that had it, without two holders of a key.
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -107,14 +107,6 @@
 	return n
 }
 
-// addSized starts a node with a processor share.
-func (c *virtualCluster) addSized(i int, cores float64) {
-	n := c.add(fmt.Sprint("instance-", i), fmt.Sprint("peer-", i))
-	n.stop()
-	n.config.Cores = cores
-	n.start()
-}
-
 // start starts a new process, if none runs.
 func (n *virtualNode) start() {
 	n.mu.Lock()
