--- a/internal/node/desiredmodel_test.go
+++ b/internal/node/desiredmodel_test.go
@@ -132,34 +132,34 @@
 // nodes away and one that goes back.
 func TestModelKeepsTheDesiredStateInForce(t *testing.T) {
 	for _, seed := range rollbackSeeds() {
-		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				// In every fourth play not all nodes watch the store.
-				size := 7
-				if seed%4 == 0 {
-					size = desiredStateWatchers + 6
-				}
-				c := newVirtualCluster(t, seed, size, memory.Rates{})
-				defer c.stop()
-				_, ok := c.waitServed(30 * time.Second)
-				g.Expect(ok).To(BeTrue())
-				m := &desiredModel{virtualCluster: c, outOfTouch: map[string]time.Time{}, highest: map[*Node]uint64{}}
-				for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
-					if m.rng.intN(3) == 0 {
-						m.injectFault()
-					}
-					if m.rng.intN(3) == 0 {
-						m.change()
-					}
-					for wait := m.rng.between(0, 2*time.Second); wait > 0; wait -= 20 * time.Millisecond {
-						m.check()
-						time.Sleep(20 * time.Millisecond)
-					}
-				}
-				g.Expect(m.broken).To(BeEmpty())
-			})
-		})
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { runDesiredModel(t, seed, 7) })
+		if seed%4 == 0 { // not all nodes watch the store
+			t.Run(fmt.Sprint("seed_", seed, "_large"), func(t *testing.T) { runDesiredModel(t, seed, desiredStateWatchers+6) })
+		}
 	}
 }
+
+func runDesiredModel(t *testing.T, seed uint64, size int) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newVirtualCluster(t, seed, size, memory.Rates{})
+		defer c.stop()
+		_, ok := c.waitServed(30 * time.Second)
+		g.Expect(ok).To(BeTrue())
+		m := &desiredModel{virtualCluster: c, outOfTouch: map[string]time.Time{}, highest: map[*Node]uint64{}}
+		for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
+			if m.rng.intN(3) == 0 {
+				m.injectFault()
+			}
+			if m.rng.intN(3) == 0 {
+				m.change()
+			}
+			for wait := m.rng.between(0, 2*time.Second); wait > 0; wait -= 20 * time.Millisecond {
+				m.check()
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		g.Expect(m.broken).To(BeEmpty())
+	})
+}
