Decode what a service tolerates while its backend servers are cold

Cause: the desired state and the settings state how many requests a second a cold backend server may get, and the node ignored it.

Change: httproute.Service has ColdStart and ColdPerSecond, node.Bounds has ColdOverage and ColdSlack.

Tests: ./platform, ./httproute pass.

--- a/httproute/service.go
+++ b/httproute/service.go
@@ -14,4 +14,9 @@
 	Sharded bool
 	// WarmUp is how long keys are slow on an owner that got them without a handover.
 	WarmUp time.Duration
+	// ColdStart is how long a backend server is cold after its start.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests per second that a cold backend server tolerates; 0
+	// means no limit.
+	ColdPerSecond float64
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -66,6 +66,10 @@
 	RetryShare  float64
 	RetryWindow time.Duration
 	RetryExtra  int
+	// ColdOverage and ColdSlack bound the requests to a cold backend server: in any second, at
+	// most ColdOverage times the rate that its service tolerates plus ColdSlack. A ColdOverage
+	// of 0 means no bound.
+	ColdOverage, ColdSlack float64
 }
 
 // drainPercent is the percentage of the drain timeout after which a leaving backend server
