Limit the requests to a cold backend server in any second

Cause: a cold backend server crashes at a request rate well above the stated one, and the request queue knew only limits that backend servers state.

Change: the rate limit of waitqueue holds two limits, of which the lower one applies: the stated one as before, and a sliding window of 1.1 s with a token bucket that spreads it. Requests count while the backend server is warm, too, because the node learns late that it has become cold, and a full window is assumed when the process starts. A class without a request for 500 ms goes first once.

--- a/waitqueue/decision.go
+++ b/waitqueue/decision.go
@@ -25,4 +25,6 @@
 	// RateLimited is set with Refuse if the backend server's limit in requests per second is
 	// used up.
 	RateLimited bool
+	// Cold is set with RateLimited if the backend server is, or may be, cold.
+	Cold bool
 }
--- a/waitqueue/priority.go
+++ b/waitqueue/priority.go
@@ -14,6 +14,10 @@
 
 func (it Item) priorityClass() priorityClass { return priorityClass{it.Nested, it.Priority} }
 
+// starvedClass is the class of a request whose own class has had none on a cold backend server for
+// classStarvedAfter.
+var starvedClass = priorityClass{nested: true, priority: math.MinInt}
+
 // precedes reports whether requests of c run before those of o.
 func (c priorityClass) precedes(o priorityClass) bool {
 	if c.nested != o.nested {
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -10,8 +10,12 @@
 type waiting struct {
 	Item
 	work time.Duration
+	// class is the priority class that the request is treated as.
+	class priorityClass
 }
 
+func (w waiting) priorityClass() priorityClass { return w.class }
+
 // meetsTarget reports whether the request is answered by its target if it starts at now.
 func (w waiting) meetsTarget(now time.Time) bool { return !now.Add(w.work).After(w.Target) }
 
@@ -81,11 +85,14 @@
 // follow from the time that has passed.
 func (q *Queue) Offer(it Item, now time.Time) (Decision, []Decision) {
 	others := q.Advance(now)
-	w := waiting{Item: it, work: q.Work(it.Route)}
+	w := waiting{Item: it, work: q.Work(it.Route), class: it.priorityClass()}
+	if q.rate.cold.starved(w.class, now) {
+		w.class = starvedClass
+	}
 	ahead := q.aheadInRate(w, now)
 	kept := q.rate.turns.claim(it.Fingerprint, now)
 	if !q.rate.admits(w.priorityClass(), ahead, kept, now) {
-		return q.refuseForRate(it, ahead, now), others
+		return q.refuseForRate(w, ahead, now), others
 	}
 	free := len(q.running) < q.slots && len(q.waiting) == 0
 	wait := time.Duration(0)
@@ -102,6 +109,7 @@
 		q.arrivals[it.priorityClass()] = r
 	}
 	r.add(w.work, now)
+	q.rate.cold.recordServed(it.priorityClass(), now)
 	if free && q.rate.take(now) {
 		q.start(w, now)
 		return Decision{ID: it.ID, Action: Run}, others
@@ -169,6 +177,7 @@
 }
 
 func (q *Queue) start(w waiting, now time.Time) {
+	q.rate.cold.record(w.ID, now)
 	q.running[w.ID] = running{route: w.Route, started: now, work: w.work}
 }
 
--- a/waitqueue/ratelimit.go
+++ b/waitqueue/ratelimit.go
@@ -7,10 +7,12 @@
 	"golang.org/x/time/rate"
 )
 
-// rateLimit limits how many requests a second are sent to the backend server. The zero value
-// limits nothing.
+// rateLimit limits how many requests a second are sent to the backend server: by the limit that it
+// states, and while it is cold. The lower one applies. The zero value limits nothing.
 type rateLimit struct {
+	// bucket is the limit that the backend server states; nil if it states none.
 	bucket *rate.Limiter
+	cold   coldWindow
 	// turns are the places of refused requests that can wait for them.
 	turns turns
 	// lastTold is the latest time at which a refused request without a place was told to come
@@ -30,33 +32,89 @@
 		r.bucket.SetLimitAt(now, rate.Limit(perSecond))
 		return
 	}
-	r.bucket, r.lastTold, r.turns = rate.NewLimiter(rate.Limit(perSecond), burst), now, turns{}
-	r.offered = map[priorityClass]time.Time{}
+	if !r.limited() {
+		r.begin(now)
+	}
+	r.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
 	r.bucket.AllowN(now, burst-1)
 }
 
-func (r *rateLimit) remove() { r.bucket, r.turns = nil, turns{} }
+// begin starts without places.
+func (r *rateLimit) begin(now time.Time) {
+	r.lastTold, r.turns, r.offered = now, turns{}, map[priorityClass]time.Time{}
+}
+
+func (r *rateLimit) remove() {
+	r.bucket = nil
+	if !r.limited() {
+		r.turns = turns{}
+	}
+}
+
+func (r *rateLimit) limited() bool { return r.bucket != nil || r.cold.active() }
 
 // available returns how many requests may be sent at now.
 func (r *rateLimit) available(now time.Time) float64 {
 	if r.bucket == nil {
-		return math.Inf(1)
+		return r.cold.available(now)
 	}
-	return r.bucket.TokensAt(now)
+	return min(r.bucket.TokensAt(now), r.cold.available(now))
 }
 
-// take counts a request that is sent at now, and reports whether the limit allows it.
-func (r *rateLimit) take(now time.Time) bool { return r.bucket == nil || r.bucket.AllowN(now, 1) }
+// take counts a request that is sent at now, and reports whether the limits allow it.
+func (r *rateLimit) take(now time.Time) bool {
+	if r.cold.available(now) < 1-roundingTokens || r.bucket != nil && !r.bucket.AllowN(now, 1) {
+		return false
+	}
+	if r.cold.active() {
+		r.cold.bucket.ReserveN(now, 1)
+	}
+	return true
+}
 
-// interval is the time that the limit puts between two requests.
+// perSecond is the lower limit in requests per second.
+func (r *rateLimit) perSecond() float64 {
+	lowest := math.Inf(1)
+	if r.bucket != nil {
+		lowest = float64(r.bucket.Limit())
+	}
+	if r.cold.active() {
+		lowest = min(lowest, r.cold.perSecond())
+	}
+	return lowest
+}
+
+// burst is the number of requests that may be sent at once.
+func (r *rateLimit) burst() int {
+	least := math.MaxInt
+	if r.bucket != nil {
+		least = r.bucket.Burst()
+	}
+	if r.cold.active() {
+		least = min(least, r.cold.bucket.Burst())
+	}
+	return least
+}
+
+// interval is the time that the limits put between two requests.
 func (r *rateLimit) interval() time.Duration {
-	return time.Duration(float64(time.Second) / float64(r.bucket.Limit()))
+	return time.Duration(float64(time.Second) / r.perSecond())
+}
+
+// wait returns the time until n requests may be sent.
+func (r *rateLimit) wait(n float64, now time.Time) time.Duration {
+	wait := r.cold.wait(n, now)
+	if r.bucket != nil {
+		interval := float64(time.Second) / float64(r.bucket.Limit())
+		wait = max(wait, time.Duration(max(0, n-r.bucket.TokensAt(now))*interval))
+	}
+	return wait
 }
 
 // admits reports whether a request of a class may be sent at now, if ahead others and the places
 // in kept go first. A place counts for the share of requests that come back at their turn.
 func (r *rateLimit) admits(class priorityClass, ahead float64, kept []turn, now time.Time) bool {
-	if r.bucket == nil {
+	if !r.limited() {
 		return true
 	}
 	left := r.available(now) - ahead - 1
@@ -69,7 +127,7 @@
 			continue
 		}
 		if t.at.After(last) {
-			left = min(float64(r.bucket.Burst()), left+t.at.Sub(last).Seconds()*float64(r.bucket.Limit()))
+			left = min(float64(r.burst()), left+t.at.Sub(last).Seconds()*r.perSecond())
 			last = t.at
 		}
 		left -= 1 - r.turns.missed
@@ -84,14 +142,16 @@
 // that go first. A request that can wait for its turn gets a place. Others are told different
 // times, so that they don't come back together; these are at most longest, or the time that the
 // limit puts between two requests.
-func (r *rateLimit) nextTurn(it Item, ahead float64, config Config, now time.Time) time.Duration {
+func (r *rateLimit) nextTurn(it waiting, ahead float64, config Config, now time.Time) time.Duration {
 	interval := r.interval()
-	missing := max(0, 1+ahead-r.available(now))
-	at := r.turns.after(now.Add(time.Duration(missing*float64(interval))), it.priorityClass(), interval)
+	at := r.turns.after(now.Add(r.wait(1+ahead, now)), it.class, interval)
 	at = later(at, now.Add(config.MinRetryAfter))
 	stay := time.Duration(config.ReturnShare * float64(it.Deadline.Sub(now)))
 	if it.Fingerprint != 0 && at.Sub(now) <= stay {
-		r.turns.add(turn{it.Fingerprint, it.priorityClass(), at})
+		r.turns.add(turn{it.Fingerprint, it.class, at})
+		if it.class == starvedClass {
+			r.cold.recordServed(it.Item.priorityClass(), now)
+		}
 		return at.Sub(now)
 	}
 	at = later(at, r.lastTold.Add(interval))
@@ -125,17 +185,17 @@
 // aheadInRate returns the number of requests that the limit must leave room for before w is
 // sent: those that wait for a slot, and one of a higher priority if such requests arrive.
 func (q *Queue) aheadInRate(w waiting, now time.Time) float64 {
-	if q.rate.bucket == nil {
+	if !q.rate.limited() {
 		return 0
 	}
 	q.rate.turns.expire(now)
-	ahead, own := float64(len(q.waiting)), w.priorityClass()
-	q.rate.offered[own] = now
-	if q.rate.bucket.Burst() < 2 {
+	ahead := float64(len(q.waiting))
+	q.rate.offered[w.Item.priorityClass()] = now
+	if q.rate.burst() < 2 {
 		return ahead
 	}
 	for class, last := range q.rate.offered {
-		if class.precedes(own) && now.Sub(last) < classActiveFor {
+		if class.precedes(w.class) && now.Sub(last) < classActiveFor {
 			return ahead + 1
 		}
 	}
@@ -153,12 +213,13 @@
 	kept := max(0, int(room))
 	var out []Decision
 	for _, w := range q.waiting[kept:] {
-		out = append(out, q.refuseForRate(w.Item, float64(kept), now))
+		out = append(out, q.refuseForRate(w, float64(kept), now))
 	}
 	q.waiting = q.waiting[:kept]
 	return out
 }
 
-func (q *Queue) refuseForRate(it Item, ahead float64, now time.Time) Decision {
-	return Decision{ID: it.ID, Action: Refuse, RetryAfter: q.rate.nextTurn(it, ahead, q.config, now), RateLimited: true}
+func (q *Queue) refuseForRate(w waiting, ahead float64, now time.Time) Decision {
+	after := q.rate.nextTurn(w, ahead, q.config, now)
+	return Decision{ID: w.ID, Action: Refuse, RetryAfter: after, RateLimited: true, Cold: q.rate.cold.active()}
 }
