Give refused requests of a cold backend server times at which there is room

Cause: the window frees places in lumps after a burst, while the Retry-After counted on an even rate, so that 13 % of those that came back as told at 1.1 times the limit were refused again.

Change: a new request is admitted only if the window has room for it and for each kept place at its time, and a place is given at the first time at which the window has room. The test of turns runs for both limits.

--- a/waitqueue/coldwindow.go
+++ b/waitqueue/coldwindow.go
@@ -90,6 +90,47 @@
 	return max(0, w.most-len(w.sent))
 }
 
+// freeAt returns how many more requests may be sent by a time if none is sent until then.
+func (w *coldWindow) freeAt(t time.Time) float64 {
+	if !w.active() {
+		return math.Inf(1)
+	}
+	left := w.most
+	for _, s := range w.sent {
+		if t.Sub(s.at) < coldWindowLength {
+			left--
+		}
+	}
+	return float64(left)
+}
+
+// firstFree returns the first time from at on at which the window has room for a request beside
+// those in it and those that have a place.
+func (w *coldWindow) firstFree(at time.Time, kept turns) time.Time {
+	for w.active() {
+		used, oldest := 0, at
+		count := func(t time.Time) {
+			if since := at.Sub(t); since >= 0 && since < coldWindowLength {
+				used++
+				if t.Before(oldest) {
+					oldest = t
+				}
+			}
+		}
+		for _, s := range w.sent {
+			count(s.at)
+		}
+		for _, t := range kept.places {
+			count(t.at)
+		}
+		if used < w.most {
+			break
+		}
+		at = oldest.Add(coldWindowLength)
+	}
+	return at
+}
+
 // available returns how many requests may be sent at now.
 func (w *coldWindow) available(now time.Time) float64 {
 	if !w.active() {
--- a/waitqueue/ratelimit.go
+++ b/waitqueue/ratelimit.go
@@ -61,6 +61,19 @@
 	return min(r.bucket.TokensAt(now), r.cold.available(now))
 }
 
+// tokens returns how many requests may be sent at now if no window of a cold backend server has used
+// them up.
+func (r *rateLimit) tokens(now time.Time) float64 {
+	least := math.Inf(1)
+	if r.bucket != nil {
+		least = r.bucket.TokensAt(now)
+	}
+	if r.cold.active() {
+		least = min(least, r.cold.bucket.TokensAt(now))
+	}
+	return least
+}
+
 // take counts a request that is sent at now, and reports whether the limits allow it.
 func (r *rateLimit) take(now time.Time) bool {
 	if r.cold.available(now) < 1-roundingTokens || r.bucket != nil && !r.bucket.AllowN(now, 1) {
@@ -117,10 +130,11 @@
 	if !r.limited() {
 		return true
 	}
-	left := r.available(now) - ahead - 1
+	left, taken := r.tokens(now)-ahead-1, ahead+1
+	fits := left >= -roundingTokens && r.cold.freeAt(now) >= taken-roundingTokens
 	last := now
 	for _, t := range kept {
-		if left < 0 {
+		if !fits {
 			break
 		}
 		if class.precedes(t.class) {
@@ -130,9 +144,10 @@
 			left = min(float64(r.burst()), left+t.at.Sub(last).Seconds()*r.perSecond())
 			last = t.at
 		}
-		left -= 1 - r.turns.missed
+		left, taken = left-(1-r.turns.missed), taken+1-r.turns.missed
+		fits = left >= -roundingTokens && r.cold.freeAt(t.at) >= taken-roundingTokens
 	}
-	return left >= -roundingTokens
+	return fits
 }
 
 // roundingTokens is the share of a request by which the bucket may miss one at its turn.
@@ -140,12 +155,12 @@
 
 // nextTurn returns how long a refused request should stay away; ahead is the number of requests
 // that go first. A request that can wait for its turn gets a place. Others are told different
-// times, so that they don't come back together; these are at most longest, or the time that the
-// limit puts between two requests.
+// times, so that they don't come back together; these are at most MaxRetryAfter, the time that
+// the limit puts between two requests, or the time until a cold backend server takes any.
 func (r *rateLimit) nextTurn(it waiting, ahead float64, config Config, now time.Time) time.Duration {
 	interval := r.interval()
 	at := r.turns.after(now.Add(r.wait(1+ahead, now)), it.class, interval)
-	at = later(at, now.Add(config.MinRetryAfter))
+	at = r.cold.firstFree(later(at, now.Add(config.MinRetryAfter)), r.turns)
 	stay := time.Duration(config.ReturnShare * float64(it.Deadline.Sub(now)))
 	if it.Fingerprint != 0 && at.Sub(now) <= stay {
 		r.turns.add(turn{it.Fingerprint, it.class, at})
@@ -155,7 +170,7 @@
 		return at.Sub(now)
 	}
 	at = later(at, r.lastTold.Add(interval))
-	if longest := max(config.MaxRetryAfter, interval); at.Sub(now) > longest {
+	if longest := max(config.MaxRetryAfter, interval, r.cold.wait(1, now)); at.Sub(now) > longest {
 		return longest
 	}
 	r.lastTold = at
--- a/waitqueue/turns_test.go
+++ b/waitqueue/turns_test.go
@@ -33,13 +33,19 @@
 // testLimit is the limit in requests a second.
 const testLimit = 18
 
-// offerRefusable offers requests at a rate of load times the limit. Refused ones come back once if
-// comeBack is set. It returns how many did so at the time that they were told, and how many of
+// stateLimit makes the queue keep a limit that the backend server states.
+func stateLimit(s *limitSim) { s.queue.SetRateLimit(testLimit, s.now) }
+
+// becomeCold makes the queue keep about the same limit because the backend server is cold.
+func becomeCold(s *limitSim) { s.queue.SetColdLimit(testLimit*1.1+0.5, true, s.now) }
+
+// offerRefusable offers requests at a rate of load times the limit that limit sets. Refused ones come
+// back once if comeBack is set. It returns how many did so at the time that they were told, and how many of
 // these were served.
-func offerRefusable(load float64, comeBack bool) (s *limitSim, told, served int, took time.Duration) {
+func offerRefusable(limit func(*limitSim), load float64, comeBack bool) (s *limitSim, told, served int, took time.Duration) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	s = newLimitSim(6)
-	s.queue.SetRateLimit(testLimit, s.now)
+	limit(s)
 	var arriving callers
 	at := s.now
 	for i := range 10_000 {
@@ -77,19 +83,21 @@
 // told to come back, so that these are refused again.
 func TestRefusedRequestsAreServedAtTheirTurn(t *testing.T) {
 	for _, load := range []float64{1.1, 1.3, 2, 4} {
-		g := NewWithT(t)
-		s, told, served, took := offerRefusable(load, true)
-		g.Expect(told).To(BeNumerically(">", 100))
-		g.Expect(served).To(BeNumerically(">=", told*95/100), "of %d at load %v", told, load)
-		g.Expect(s.sentIn(took)).To(BeNumerically(">=", 0.95*testLimit), "the limit is used")
-		g.Expect(s.mostWithin(4 * time.Second)).To(BeNumerically("<=", int(1.5*4*testLimit)+5))
+		for _, limit := range []func(*limitSim){stateLimit, becomeCold} {
+			g := NewWithT(t)
+			s, told, served, took := offerRefusable(limit, load, true)
+			g.Expect(told).To(BeNumerically(">", 100))
+			g.Expect(served).To(BeNumerically(">=", told*95/100), "of %d at load %v", told, load)
+			g.Expect(s.sentIn(took)).To(BeNumerically(">=", 0.95*testLimit), "the limit is used")
+			g.Expect(s.mostWithin(4 * time.Second)).To(BeNumerically("<=", int(1.5*4*testLimit)+5))
+		}
 	}
 }
 
 // Guards against places in the limit that are lost because their requests do not come back.
 func TestPlacesOfRequestsThatStayAwayAreGivenToOthers(t *testing.T) {
 	for _, load := range []float64{1.3, 2, 4} {
-		s, _, _, took := offerRefusable(load, false)
+		s, _, _, took := offerRefusable(stateLimit, load, false)
 		NewWithT(t).Expect(s.sentIn(took)).To(BeNumerically(">=", 0.95*testLimit), "at load %v", load)
 	}
 }
