Count a bound below one request a second as one

Cause: a bound of a cold backend server below 1 was cut to 0, which means no limit.

Change: it counts as 1 in a window, so that a response can tell that the backend server is warm.

Tests: ./waitqueue passes.

--- a/waitqueue/coldwindow.go
+++ b/waitqueue/coldwindow.go
@@ -212,10 +212,14 @@
 func (q *Queue) AssumeFullWindow(at time.Time) { q.rate.cold.uncountedAt = at }
 
 // SetColdLimit limits the requests in any second while the backend server is cold. Requests count
-// while it is warm too, as long as bound is above 0. It returns the decisions that follow.
+// while it is warm too, as long as bound is above 0. A bound below 1 counts as 1, because responses
+// tell when the backend server is warm. It returns the decisions that follow.
 func (q *Queue) SetColdLimit(bound float64, cold bool, now time.Time) []Decision {
-	limited := q.rate.limited()
-	if !q.rate.cold.set(int(bound), cold && bound >= 1, q.config, now) {
+	limited, most := q.rate.limited(), 0
+	if bound > 0 {
+		most = max(1, int(bound))
+	}
+	if !q.rate.cold.set(most, cold, q.config, now) {
 		if limited && !q.rate.limited() {
 			q.rate.turns = turns{}
 			return q.Advance(now)
--- a/waitqueue/coldwindow_test.go
+++ b/waitqueue/coldwindow_test.go
@@ -124,4 +124,9 @@
 	for range 30 {
 		g.Expect(s.offer(0).Action).To(Equal(Run), "warm")
 	}
+	s.queue.SetColdLimit(0, true, s.now)
+	g.Expect(s.offer(0).Action).To(Equal(Run), "no limit is configured")
+	s = newLimitSim(40)
+	s.queue.SetColdLimit(0.4, true, s.now)
+	g.Expect([]Action{s.offer(0).Action, s.offer(0).Action}).To(Equal([]Action{Run, Refuse}))
 }
