Weigh unkeyed backend servers by the rate that they report

Cause: a cold backend server takes far fewer requests than its slots and the work suggest, and got its usual share of requests.

Change: placement.Candidate has the reported rate; a slot counts as free only as often as the rate allows, in the weights and in the queue ahead. A rate that is older than 2 s does not count.

Tests: ./placement passes.

--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -21,6 +21,22 @@
 	Overhead time.Duration
 	// FailureRate is the fraction of recent requests that failed there, from 0 to 1.
 	FailureRate float64
+	// Rate is the number of requests per second that the backend server takes from all nodes, as it
+	// reported with Reported; 0 if it is not limited. It is limited while it is cold.
+	Rate float64
+}
+
+// rateValidFor is the age up to which a reported Rate counts. A limited backend server answers few
+// requests of any one node, so reports of it are old.
+const rateValidFor = 2 * time.Second
+
+// slotTime returns the time after which a slot takes the next request: the work, or the longer
+// time that a limit leaves between two requests.
+func (c Candidate) slotTime() time.Duration {
+	if c.Rate == 0 || c.Age > rateValidFor {
+		return c.Work
+	}
+	return max(c.Work, time.Duration(float64(max(c.Slots, 1))/c.Rate*float64(time.Second)))
 }
 
 // reportHalfLife is the age at which half of a reported backlog is assumed to be gone. It is
@@ -44,5 +60,5 @@
 	}
 	// A fraction of the work time for each busy slot breaks ties in favour of idle servers.
 	wait += backlog / float64(max(c.Slots, 1)) / 4
-	return c.Overhead + c.Work + time.Duration(wait*float64(c.Work)) + time.Duration(c.FailureRate*float64(failurePenalty))
+	return c.Overhead + c.Work + time.Duration(wait*float64(c.slotTime())) + time.Duration(c.FailureRate*float64(failurePenalty))
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -42,7 +42,7 @@
 // weight returns the number of requests per second that the backend server can run, reduced
 // by the overhead.
 func (c Candidate) weight() float64 {
-	return float64(max(c.Slots, 1)) / max((c.Work+c.Overhead).Seconds(), 1e-3)
+	return float64(max(c.Slots, 1)) / max((c.slotTime()+c.Overhead).Seconds(), 1e-3)
 }
 
 // drawByWeight returns the index of a random candidate other than excluded, with a
--- a/placement/choose_test.go
+++ b/placement/choose_test.go
@@ -68,6 +68,20 @@
 	return busiest, float64(late) / float64(count)
 }
 
+// Guards against a cold server that gets its usual share of requests and refuses them: among many it
+// is drawn in proportion to the rate that it takes, among few it must not look as if its queue were
+// served at full speed.
+func TestLimitedServersGetWhatTheyTake(t *testing.T) {
+	g := NewWithT(t)
+	cold := Candidate{Slots: 5, Work: 15 * time.Millisecond, Reported: 6, Age: time.Millisecond, Rate: 33}
+	warm := cold
+	warm.Rate, warm.Reported = 0, 9
+	g.Expect(cold.weight() / warm.weight()).To(BeNumerically("~", 33.0/333, 0.01))
+	g.Expect(cold.Completion()).To(BeNumerically(">", warm.Completion()))
+	cold.Age, warm.Age = 2*rateValidFor, 2*rateValidFor
+	g.Expect(cold.weight()).To(Equal(warm.weight()), "an old report")
+}
+
 // Guards against many senders overloading the servers that look best to them, which happens
 // if each takes the earliest expected completion among all servers. The imbalance under
 // steady load must be at most 1.25.
