Keep cold backend servers within their bound

Cause: a node sent a cold backend server as many requests as it has slots for.

Change: the node beside the backend server learns from heartbeats and from the header of health checks how long it stays cold, treats an unknown state as cold, and sets the limit of the request queue. A window counts as used up when the process starts. Nothing is sent before the desired state with the bound is known, and a request that waited for its connection is checked again before its first byte. Basilway-Load has named fields after its list, of which cold_rate is the first; earlier nodes skip them.

The test of the gate before the first byte passes the slot that send needs now; what it checks is unchanged.

Tests: ./internal/node (130 s), ./platform, ./waitqueue, ./coldstate pass.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -84,6 +84,15 @@
 	}, {
 		"limit of a backend server not known after a restart of its node", "internal/node/forward.go",
 		"n.applyLimitHint(r.Header)", "r.Header.Del(limitHintHeader)", nodeTests,
+	}, {
+		"request to a cold backend server after its place in the limit", "internal/node/serve.go",
+		"if refused = s.sending(); refused != nil {", "if refused != nil {", nodeTests,
+	}, {
+		"cold backend server sent a full window beside that of an earlier process", "waitqueue/coldwindow.go",
+		"w.sent = slices.Repeat([]sentRequest{{at: w.uncountedAt}}, most)", "w.sent = slices.Repeat([]sentRequest{{at: w.uncountedAt}}, 0)", limitTests,
+	}, {
+		"request to a backend server before it is known what a cold one may get", "internal/node/serve.go",
+		"case b.node.config.Bounds.ColdOverage > 0 && b.node.views.current().Routes == nil:", "case false:", nodeTests,
 	}, {
 		"limit ended by a response that was overtaken", "backendstatus/table.go",
 		"case s.report.Limited && !sentAt.Before(s.limitNamedAt):", "case s.report.Limited:", statusTests,
--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -64,6 +64,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, backendDialTimeout)
 	defer cancel()
+	sentAt := b.node.now()
 	resp, err := b.pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: path, Host: b.pool.Address(), Header: http.Header{}}, nil)
 	if err != nil {
 		b.log.Info("no response to health check", zap.Error(err))
@@ -74,6 +75,7 @@
 	if resp.Header.Get(b.node.headers.Backend) != grant.IncarnationID(incarnation) {
 		return false
 	}
+	b.observeColdState(resp.Header, sentAt)
 	b.node.observeHeader(incarnation, "health check", resp.Header, time.Time{})
 	return resp.StatusCode == http.StatusOK
 }
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/keyrange"
@@ -69,6 +70,10 @@
 	// disconnected are the requests whose connection was closed without a response, by
 	// fingerprint, with the time.
 	disconnected map[uint64]time.Time
+	// cold is what is known of whether the backend server is cold, by Node.now, and coldShown what
+	// was logged last.
+	cold      *coldstate.Tracker
+	coldShown coldstate.State
 	// started is when this process started, by Node.now.
 	started time.Time
 	// portRefused reports whether nothing listens on the backend server's address any more.
@@ -82,7 +87,7 @@
 			DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, MaxIdle: 16, ReadBuffer: 4096,
 		}),
 		strikes: quarantine.New(quarantine.Config{Session: n.session, MaxAhead: maxClockSkew}),
-		running: map[uint64]int{}, disconnected: map[uint64]time.Time{}, started: n.now(),
+		running: map[uint64]int{}, disconnected: map[uint64]time.Time{}, started: n.now(), cold: coldstate.NewTracker(coldstate.DefaultConfig()),
 	}
 	b.portRefused = b.probePort
 	return b
@@ -126,6 +131,8 @@
 		b.trackIncarnation(hb, known)
 	}
 	b.lastHeartbeat, b.lastHeartbeatAt, b.portClosedAt = hb, now, time.Time{}
+	b.cold.Heartbeat(hb.WarmUpLeft, now)
+	b.applyColdLimit(now)
 	next := BackendReady
 	if hb.State == grant.Draining || !b.leaveAcked.IsZero() {
 		next = BackendDraining
--- a/internal/node/backenddown.go
+++ b/internal/node/backenddown.go
@@ -23,6 +23,7 @@
 	defer b.mu.Unlock()
 	if b.portClosedAt.IsZero() && b.state != BackendDown {
 		b.portClosedAt = b.node.now()
+		b.cold.Forget()
 		b.log.Info("backend server port closed", zap.Int("in flight", len(b.running)), zap.Bool("leaving", !b.leaveAcked.IsZero()))
 	}
 	b.wake()
@@ -55,6 +56,7 @@
 	b.log.Warn("backend server down", zap.String("backend", owner.Incarnation), zap.String("reason", reason),
 		zap.Duration("last heartbeat", b.node.now().Sub(b.lastHeartbeatAt)), zap.Int("in flight", len(b.running)), zap.Int("cut", len(b.disconnected)))
 	b.state = BackendDown
+	b.cold.Forget()
 	var crashed []quarantine.Fingerprint
 	for f := range b.running {
 		crashed = append(crashed, quarantine.Fingerprint(f))
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -29,13 +29,14 @@
 	simSeal     = "X-Seal"
 	simLimit    = "X-Limit"
 	simLeaving  = "X-Leaving"
+	simCold     = "X-Cold"
 )
 
 // simProtocol is a Protocol with announcements, replies and desired state in JSON.
 type simProtocol struct{}
 
 func (simProtocol) Headers() Headers {
-	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Backend: "X-Backend", Limit: simLimit, Leaving: simLeaving, FractionalRetryAfter: true}
+	return Headers{RequestID: simID, DeadlineMS: simDeadline, ExpectBackend: simExpect, NotRun: simNotRun, Caller: simCaller, Key: simKey, Backend: "X-Backend", Limit: simLimit, Leaving: simLeaving, ColdMS: simCold, FractionalRetryAfter: true}
 }
 
 func (simProtocol) DesiredState(data []byte) (httproute.Snapshot, error) {
@@ -100,6 +101,8 @@
 	silentHealth bool
 	// leaving is set if its responses say that it is leaving.
 	leaving bool
+	// coldMS, if not empty, is how long its health check says that it stays cold.
+	coldMS string
 	// arrivals are the times at which requests arrived.
 	arrivals []time.Time
 	// faults are injected into the next requests, one each.
@@ -218,6 +221,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		w.Header().Set("X-Backend", s.id)
+		if s.coldMS != "" {
+			w.Header().Set(simCold, s.coldMS)
+		}
 		if !s.silentHealth {
 			s.writeSignals(w.Header())
 		}
--- a/internal/node/gates_test.go
+++ b/internal/node/gates_test.go
@@ -82,7 +82,7 @@
 	n.withBackend(func(b *backend) { b.state = BackendDown })
 	booking := bookingTicket
 	booking.deadline = time.Now().Add(time.Second)
-	out := n.Node.backend.send(t.Context(), booking, newTestExchange("late"))
+	out := n.Node.backend.send(t.Context(), booking, newTestExchange("late"), slot{queue: n.Node.backend.queue})
 	g.Expect(out.err).To(HaveField("Verdict", verdict.NotRun))
 	g.Expect(out.arrived).To(BeFalse())
 	g.Expect(n.sim.ran("late")).To(BeZero())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/metastore"
 )
@@ -50,6 +51,8 @@
 		limit, _ := n.statuses.limit(n.backend.owner().Incarnation)
 		return limit
 	})
+	m.set.NewGauge("basilway_node_backend_cold_rate", func() float64 { return n.backend.queue.load().coldRate })
+	m.set.NewGauge("basilway_node_backend_sent_within_second", func() float64 { return float64(n.backend.queue.sentWithin()) })
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
 	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
@@ -148,6 +151,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_backend_sent_total{from=%q,retry="%t"}`, from, t.retry)).Inc()
 }
 
+// countColdQuestion counts a question to the local backend server whether it is cold.
+func (m *nodeMetrics) countColdQuestion(sign coldstate.Sign) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_cold_questions_total{reason=%q}`, sign)).Inc()
+}
+
+// countColdRefusal counts a request that was refused because the local backend server is cold.
+func (m *nodeMetrics) countColdRefusal() {
+	m.set.GetOrCreateCounter("basilway_node_cold_refusals_total").Inc()
+}
+
 // countDroppedLine counts a log line that sampling dropped.
 func (m *nodeMetrics) countDroppedLine() {
 	m.set.GetOrCreateCounter("basilway_node_log_lines_dropped_total").Inc()
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -35,20 +35,39 @@
 	queued time.Duration
 	// incarnation is that of the backend server that responded; empty if none did.
 	incarnation string
+	// coldRate is how many requests per second a cold backend server is sent from all nodes; 0 if it
+	// is not limited for being cold.
+	coldRate float64
 }
 
+// coldRateField names the field of the load header with peerLoad.coldRate.
+const coldRateField = "cold_rate"
+
+// encode returns the wire form: a list of positions, then named fields, each after a space. Nodes
+// skip the names that they don't know, and those of earlier versions skip all.
 func (l peerLoad) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%d,%s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation)
+	s := fmt.Sprintf("%d,%d,%d,%d,%d,%s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation)
+	if l.coldRate > 0 {
+		s += fmt.Sprintf(" %s=%.1f", coldRateField, l.coldRate)
+	}
+	return s
 }
 
 func decodePeerLoad(s string) peerLoad {
 	var l peerLoad
+	s, named, _ := strings.Cut(s, " ")
 	var work, queued int64
 	// Nodes of earlier versions do not send the last fields.
 	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d,%s", &l.running, &l.waiting, &l.slots, &work, &queued, &l.incarnation); err != nil && n < 4 {
 		return peerLoad{}
 	}
 	l.known, l.work, l.queued = true, time.Duration(work)*time.Microsecond, time.Duration(queued)*time.Microsecond
+	for _, field := range strings.Fields(named) {
+		name, value, _ := strings.Cut(field, "=")
+		if number, err := strconv.ParseFloat(value, 64); err == nil && name == coldRateField && validLimit(number) {
+			l.coldRate = number
+		}
+	}
 	return l
 }
 
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -29,6 +29,9 @@
 	Limit string
 	// Leaving is 1 in the responses of a backend server that is leaving.
 	Leaving string
+	// ColdMS is how many milliseconds longer the backend server that responds is cold. It is in
+	// responses to health checks.
+	ColdMS string
 	// FractionalRetryAfter is set if clients read fractions of a second in Retry-After.
 	// RFC 9110 knows whole seconds only.
 	FractionalRetryAfter bool
--- a/internal/node/requestqueue.go
+++ b/internal/node/requestqueue.go
@@ -19,12 +19,15 @@
 }
 
 func newRequestQueue() *requestQueue {
-	return &requestQueue{queue: waitqueue.New(waitqueue.DefaultConfig()), waiters: map[waitqueue.ID]chan waitqueue.Decision{}}
+	q := &requestQueue{queue: waitqueue.New(waitqueue.DefaultConfig()), waiters: map[waitqueue.ID]chan waitqueue.Decision{}}
+	// An earlier process may have sent requests until this one started.
+	q.queue.AssumeFullWindow(time.Now())
+	return q
 }
 
-// acquire blocks until the request has a slot or is refused. The caller must call done with
-// the result when the request has ended.
-func (q *requestQueue) acquire(ctx context.Context, it waitqueue.Item) (done func(waitqueue.Result), refused *verdict.Error) {
+// acquire blocks until the request has a slot or is refused. The caller must call
+// slot.done with the result when the request has ended.
+func (q *requestQueue) acquire(ctx context.Context, it waitqueue.Item) (slot, *verdict.Error) {
 	q.mu.Lock()
 	q.nextID++
 	it.ID = q.nextID
@@ -37,19 +40,23 @@
 	q.deliver(others)
 	q.mu.Unlock()
 	if ch != nil {
+		var refused *verdict.Error
 		decision, refused = q.awaitDecision(ctx, it, ch)
 		if refused != nil {
-			return nil, refused
+			return slot{}, refused
 		}
 	}
 	if decision.Action == waitqueue.Refuse {
 		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "expected wait %v", decision.Expected)
-		if decision.RateLimited {
+		switch {
+		case decision.Cold:
+			err = coldRefusal()
+		case decision.RateLimited:
 			err = verdict.New(verdict.NotRun, verdict.ReasonRateLimited, "the limit that the backend server named is used up")
 		}
-		return nil, err.WithRetryAfter(decision.RetryAfter)
+		return slot{}, err.WithRetryAfter(decision.RetryAfter)
 	}
-	return func(result waitqueue.Result) { q.release(it.ID, result) }, nil
+	return slot{q, it.ID}, nil
 }
 
 func (q *requestQueue) awaitDecision(ctx context.Context, it waitqueue.Item, ch chan waitqueue.Decision) (waitqueue.Decision, *verdict.Error) {
@@ -116,13 +123,32 @@
 	q.queue.RemoveRateLimit()
 }
 
-// queueLoad is the number of running and queued requests and of slots.
-type queueLoad struct{ running, waiting, slots int }
+// setColdLimit bounds the requests in any second while the backend server is cold; a bound of 0
+// means no limit.
+func (q *requestQueue) setColdLimit(bound float64, cold bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.queue.SetColdLimit(bound, cold, time.Now()))
+}
+
+// sentWithin returns the number of requests in the window of the limit for cold backend servers.
+func (q *requestQueue) sentWithin() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.SentWithin(time.Now())
+}
+
+// queueLoad is the number of running and queued requests and of slots, and the requests per second
+// that a cold backend server is sent at most (0: no limit).
+type queueLoad struct {
+	running, waiting, slots int
+	coldRate                float64
+}
 
 func (q *requestQueue) load() queueLoad {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return queueLoad{q.queue.Running(), q.queue.Waiting(), q.queue.Slots()}
+	return queueLoad{q.queue.Running(), q.queue.Waiting(), q.queue.Slots(), q.queue.ColdRate()}
 }
 
 // expectedWork returns the expected time of the route's requests on the backend server.
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -178,7 +178,7 @@
 		c := n.peers.candidate(m.Address, work, req.route.Kind == httproute.Download, time.Now())
 		if m.Owner.Instance == n.config.Instance {
 			load := n.backend.queue.load()
-			c.Reported, c.Age = load.running+load.waiting, 0
+			c.Reported, c.Age, c.Rate = load.running+load.waiting, 0, load.coldRate
 		}
 		c.Slots = max(m.Slots, 1)
 		if m.Zone != n.config.Zone {
@@ -215,6 +215,7 @@
 	s := p.getLocked(address)
 	c := placement.Candidate{Work: work, Outstanding: s.outstanding, FailureRate: s.failureRate, Overhead: s.overheads[large].value(now)}
 	if s.load.known {
+		c.Rate = s.load.coldRate
 		c.Reported, c.Age = s.load.running+s.load.waiting, now.Sub(s.loadAt)
 	}
 	if s.slowness > 0 {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/pacing"
@@ -37,8 +38,11 @@
 func (b *backend) serve(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
 	out := b.tryServe(ctx, t, e)
 	load := b.queue.load()
+	if out.err != nil && out.err.Reason == verdict.ReasonRateLimited && load.coldRate > 0 {
+		b.node.metrics.countColdRefusal()
+	}
 	out.load.known = true
-	out.load.running, out.load.waiting, out.load.slots = load.running, load.waiting, load.slots
+	out.load.running, out.load.waiting, out.load.slots, out.load.coldRate = load.running, load.waiting, load.slots, load.coldRate
 	return out
 }
 
@@ -101,7 +105,8 @@
 // run sends the request once it has a slot of the backend server.
 func (b *backend) run(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
 	offered := time.Now()
-	done, refused := b.queue.acquire(ctx, waitqueue.Item{
+	b.refreshColdLimit()
+	slot, refused := b.queue.acquire(ctx, waitqueue.Item{
 		Route: t.route, Fingerprint: t.fingerprint, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
 	})
 	if refused != nil {
@@ -109,14 +114,15 @@
 	}
 	end, refused := b.beginRun(ctx, t)
 	if refused != nil {
-		done(waitqueue.Failed)
+		slot.done(waitqueue.Failed)
 		return outcome{err: refused}
 	}
-	started := time.Now()
-	out := b.send(ctx, t, e)
+	started, expected := time.Now(), b.queue.expectedWork(t.route)
+	out := b.send(ctx, t, e, slot)
 	end()
-	done(queueResult(out))
+	slot.done(queueResult(out))
 	if out.resp != nil {
+		b.observeTook(time.Since(started), expected)
 		out.load.work, out.load.queued = time.Since(started), started.Sub(offered)
 	}
 	return out
@@ -145,6 +151,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
 	case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.leaveGrace():
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the backend server leaves").WithRetryAfter(notReadyRetryAfter)
+	case b.node.config.Bounds.ColdOverage > 0 && b.node.views.current().Routes == nil:
+		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "what the backend server takes while it is cold is not known yet").WithRetryAfter(notReadyRetryAfter)
 	case b.tracker == nil && b.adoptionAllows(t):
 		return nil
 	case b.tracker == nil:
@@ -250,7 +258,7 @@
 }
 
 // send sends the request to the backend server and classifies the result.
-func (b *backend) send(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
+func (b *backend) send(ctx context.Context, t ticket, e httpclient.Exchange, s slot) outcome {
 	headers := b.node.headers
 	left := time.Until(t.deadline).Milliseconds()
 	if left < 1 {
@@ -266,6 +274,9 @@
 		if refused = b.gate(t); refused != nil {
 			return refused
 		}
+		if refused = s.sending(); refused != nil {
+			return refused
+		}
 		b.node.metrics.countSent(t)
 		return nil
 	})
@@ -277,6 +288,7 @@
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
 		b.node.observeResponse(owner.Incarnation, e.ID, resp, sentAt)
+		b.observeColdState(resp.Header, sentAt)
 	}
 	if resp.Header.Get(headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return b.declinedOutcome(resp)
@@ -317,6 +329,7 @@
 		// that it ended.
 		if failure.Stage == httpclient.Sent && failure.Closed {
 			b.recordDisconnect(t.fingerprint)
+			b.noticeSign(coldstate.Disconnected)
 		}
 		if failure.Refused || b.portRefused(context.WithoutCancel(ctx)) {
 			b.recordPortClosed()
