Move keys of far overloaded members sooner

Plans then followed every 0.9 s with 12 moves each.

A member at 1.2 and 1.5 times the mean now shortens both: the load has to be observed for 0.5 s, and plans follow every 0.3 s. Services with fewer than ten members keep their pace. The time of the last such plan is kept by service; with one time for all, a second service with keys would have waited for the first.

--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -19,8 +19,6 @@
 const (
 	// planInterval is the longest time between two planning rounds.
 	planInterval = 400 * time.Millisecond
-	// balanceInterval is the shortest time between two plans that move keys to balance load.
-	balanceInterval = 900 * time.Millisecond
 	// leasePollInterval is the time between two reads of all leases while a member is
 	// silent, and leaseIdlePollInterval the time between them while all members report. Each
 	// read is a priced call.
@@ -60,7 +58,7 @@
 	roleSince time.Time
 	// lastSample is when this node last learned the store's version.
 	lastSample    time.Time
-	lastBalance   time.Time
+	lastBalance   map[string]time.Time // by service
 	lastLeasePoll time.Time
 }
 
@@ -80,6 +78,7 @@
 	p.cold, p.limits = map[string]bool{}, map[string]*float64{}
 	p.vouched = map[string]vouchedReport{}
 	p.firstSeen = map[string]time.Time{}
+	p.lastBalance = map[string]time.Time{}
 	p.renewals = map[string]*renewalState{}
 	p.roleSince = time.Now()
 }
@@ -284,15 +283,17 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	config, members := placement.DefaultConfig(), view.ServiceMembers(service)
 	in := placement.Input{Space: table, Loads: map[uint16]float64{}}
 	if d := p.demand[service]; d != nil {
 		in.Loads = d.Loads(now)
+		if !d.WarmedUp(now) && len(members) >= config.UrgentMinMembers {
+			in.Loads = d.EarlyLoads(now)
+		}
 		if slow := p.slowDemand[service]; slow.WarmedUp(now) {
 			in.SlowLoads = slow.Loads(now)
 		}
-		in.Balance = d.WarmedUp(now) && now.Sub(p.lastBalance) >= balanceInterval
 	}
-	members := view.ServiceMembers(service)
 	var meanWork time.Duration
 	if d := p.demand[service]; d != nil {
 		meanWork = d.MeanWork(now)
@@ -318,10 +319,13 @@
 	if len(table.Owners()) == 0 && now.Sub(p.firstSeen[service]) < firstAssignWait {
 		return nil
 	}
-	changes := p.withoutUnsettled(table, placement.Plan(in, placement.DefaultConfig()))
+	if d := p.demand[service]; d != nil {
+		in.Balance = config.BalanceDue(in, d.Age(now), now.Sub(p.lastBalance[service]))
+	}
+	changes := p.withoutUnsettled(table, placement.Plan(in, config))
 	if in.Balance {
 		p.log.Info("load", zap.Strings("members", placement.Describe(in)), zap.Int("changes", len(changes)))
-		p.lastBalance = now
+		p.lastBalance[service] = now
 	}
 	return changes
 }
--- a/placement/config.go
+++ b/placement/config.go
@@ -36,6 +36,16 @@
 	// but lasting differences. SlowTrigger and SlowTarget are its Trigger and Target.
 	SlowWindow              time.Duration
 	SlowTrigger, SlowTarget float64
+	// BalanceInterval is the shortest time between two plans that move keys for balance.
+	BalanceInterval time.Duration
+	// UrgentInterval replaces BalanceInterval, and UrgentWarmUp replaces Window as the time for
+	// which the load has to be observed first, while the utilization of a member is at least
+	// UrgentUtilization and UrgentRatio times the mean. Services with fewer than
+	// UrgentMinMembers members are left out: their members are busier on average, and single
+	// requests weigh more in their estimates.
+	UrgentInterval, UrgentWarmUp   time.Duration
+	UrgentUtilization, UrgentRatio float64
+	UrgentMinMembers               int
 }
 
 // DefaultConfig returns the configuration that the daemon uses.
@@ -44,5 +54,7 @@
 		BaseLoad: 0.05, Trigger: 0.18, Target: 0.06, MinUtilization: 0.45, FullUtilization: 1,
 		MaxMoves: 12, MaxOpenMoves: 24, MovesPerMember: 0.2, OpenMovesPerMember: 0.4, HeavyCapacityRatio: 1.25, MinMoveLoad: 0.15, Window: 1500 * time.Millisecond,
 		SlowWindow: 6 * time.Second, SlowTrigger: 0.07, SlowTarget: 0.03,
+		BalanceInterval: 900 * time.Millisecond, UrgentInterval: 300 * time.Millisecond, UrgentWarmUp: 500 * time.Millisecond,
+		UrgentUtilization: 1.2, UrgentRatio: 1.5, UrgentMinMembers: 10,
 	}
 }
