Decide what the evacuation of an availability zone means

Operators evacuate a zone with a row in the store; within a bound its backend servers must get no more requests, and a quarter of all keys has to be elsewhere by then.

--- a/placement/member.go
+++ b/placement/member.go
@@ -14,10 +14,16 @@
 	Limited bool
 	// Draining members give all their keys away and get none.
 	Draining bool
+	// Evacuated members are in an evacuated availability zone. They are like draining ones, within a
+	// limit of open moves.
+	Evacuated bool
 	// Cold members are still warming up and get no keys for balance.
 	Cold bool
 }
 
+// leaving reports whether the member gives all its keys away.
+func (m Member) leaving() bool { return m.Draining || m.Evacuated }
+
 // minCapacity keeps utilizations finite.
 const minCapacity = 0.1
 
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -21,7 +21,7 @@
 }
 
 // Plan returns the changes to make next, or none. It assigns keys without an owner, moves
-// keys away from draining members, and then moves keys from the busiest members to the least
+// keys away from draining members and evacuated zones, and then moves keys from the busiest members to the least
 // busy ones. Each step fills members up to the mean utilization.
 //
 // A range of neighbouring keys can become hot within a second. Plan therefore splits ranges by
@@ -33,6 +33,7 @@
 	}
 	p.assignUnowned()
 	p.drainMembers()
+	p.evacuateMembers()
 	if in.Balance {
 		p.placeHeavy()
 		p.balance(config.Trigger, config.Target)
@@ -76,7 +77,7 @@
 	for _, m := range in.Members {
 		b := &bin{Member: m}
 		p.bins[m.Owner] = b
-		if !m.Draining {
+		if !m.leaving() {
 			p.ready = append(p.ready, b)
 			total += m.capacity()
 		}
@@ -144,6 +145,34 @@
 	}
 }
 
+// evacuateMembers moves keys away from members in evacuated availability zones, the heaviest ranges
+// first, so that requests find their keys elsewhere once these members get none.
+func (p *plan) evacuateMembers() {
+	open := 0
+	var ranges []keyrange.Range
+	for _, r := range p.in.Space.Ranges() {
+		b := p.bins[r.Owner]
+		if b == nil || !b.Evacuated || b.Draining {
+			continue
+		}
+		if r.Moving() {
+			open++
+		} else {
+			ranges = append(ranges, r)
+		}
+	}
+	slices.SortStableFunc(ranges, func(a, b keyrange.Range) int { return cmp.Compare(p.load(b.Span), p.load(a.Span)) })
+	limit := max(p.config.MaxEvacuationMoves, int(p.config.EvacuationMovesPerMember*float64(len(p.ready))))
+	for _, r := range ranges {
+		if open >= limit {
+			return
+		}
+		before := len(p.changes)
+		p.distribute(r.Span, r.Owner)
+		open += len(p.changes) - before
+	}
+}
+
 // distribute splits s over the ready members with the most spare capacity.
 func (p *plan) distribute(s keyrange.Span, from keyrange.Owner) {
 	mean := p.mean()
@@ -200,7 +229,7 @@
 	for _, key := range p.keys {
 		r := p.in.Space.Find(key)
 		from := p.bins[r.Owner]
-		if from == nil || from.Draining || r.Moving() || !p.heavy(key) {
+		if from == nil || from.leaving() || r.Moving() || !p.heavy(key) {
 			continue
 		}
 		best := p.largestWithoutHeavyKey()
