Evacuate availability zones

An operator's row evacuate/ZONE had no effect: rows of the operators' table other than the desired state were ignored.

All nodes learn the evacuated zones from the watchers of the table, the planner's rows and reports, offers and comparisons between nodes, and from a listing when they start. The planner moves keys away and gives none to servers that start there. If all zones of a service are evacuated, requests are refused at once. At reinstatement the backend server counts as possibly cold until a heartbeat. Rows that the store lost when it went back stay in force until that is settled. Rows of other parts of a table are ignored. Metrics basilway_node_evacuated_zones and basilway_node_evacuations_total, and /status. Without evacuate_ms in the settings' bounds nothing changes.

--- a/internal/httpprotocol/protocol.go
+++ b/internal/httpprotocol/protocol.go
@@ -56,6 +56,9 @@
 // DesiredStateRow implements node.Protocol.
 func (Protocol) DesiredStateRow() string { return routestore.Row }
 
+// EvacuationRows implements node.Protocol. Deployments outside the users' platform have none.
+func (Protocol) EvacuationRows() string { return "" }
+
 // DesiredState implements node.Protocol.
 func (Protocol) DesiredState(data []byte) (httproute.Snapshot, error) {
 	document, err := httproute.ParseDocument(data)
--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -44,6 +44,10 @@
 	if !ok || m.State != BackendReady || view.Routes == nil {
 		return
 	}
+	if view.Evacuated.Leaving(b.node.config.Zone) {
+		b.log.Info("recorded backend server not checked for adoption: its availability zone is evacuated", zap.String("backend", m.Owner.Incarnation))
+		return
+	}
 	service, _ := view.Routes.Service(m.Service)
 	healthy := b.checkHealth(ctx, service.HealthPath, m.Owner.Incarnation)
 	b.log.Info("recorded backend server checked for adoption", zap.String("backend", m.Owner.Incarnation), zap.Bool("taken over", healthy))
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -63,6 +63,11 @@
 	mergedStrikes    int                 // number of View.strikes that are in strikes
 	unwrittenStrikes []quarantine.Record // strikes not yet written to the store
 	running          map[uint64]int      // requests in flight by fingerprint
+	// evacuated is set from the begin of an evacuation of the node's availability zone until the
+	// backend server may get requests again.
+	evacuated bool
+	// coldUnknown is set while it is not known whether the backend server is cold.
+	coldUnknown bool
 	// portClosedAt is when the backend server's port was found closed, by Node.now; zero
 	// while it is open.
 	portClosedAt time.Time
@@ -125,7 +130,7 @@
 	if first {
 		b.trackIncarnation(hb, known)
 	}
-	b.lastHeartbeat, b.lastHeartbeatAt, b.portClosedAt = hb, now, time.Time{}
+	b.lastHeartbeat, b.lastHeartbeatAt, b.portClosedAt, b.coldUnknown = hb, now, time.Time{}, false
 	next := BackendReady
 	if hb.State == grant.Draining || !b.leaveAcked.IsZero() {
 		next = BackendDraining
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -46,6 +46,8 @@
 
 func (simProtocol) DesiredStateRow() string { return "desired/state" }
 
+func (simProtocol) EvacuationRows() string { return "desired/evacuate/" }
+
 func (simProtocol) ReadyPath() string { return "GET /ready" }
 
 func (simProtocol) Announcement(r *http.Request) (grant.Heartbeat, bool, error) {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -39,6 +39,12 @@
 	log   *zap.Logger
 	// desired is the initial desired state.
 	desired httproute.Snapshot
+	// zones are the availability zones that new nodes are in, in turn; without any all are in one.
+	zones []string
+	// regions are the regions of the zones.
+	regions map[string]string
+	// evacuate is the nodes' bound for evacuations.
+	evacuate time.Duration
 }
 
 // setLimits publishes a desired state with other limits for clients.
@@ -86,11 +92,15 @@
 
 // add starts a node with a backend server.
 func (c *testCluster) add(instance string) *testNode {
+	zone := "z"
+	if len(c.zones) > 0 {
+		zone = c.zones[len(c.nodes)%len(c.zones)]
+	}
 	config := Config{
-		Instance: instance, Zone: "z", Service: "booking",
+		Instance: instance, Zone: zone, Region: c.regions[zone], Zones: c.regions, Service: "booking",
 		ClientAddress: testport.Reserve(c.t), ReadyAddress: testport.Reserve(c.t), HeartbeatAddress: testport.Reserve(c.t), PeerAddress: testport.Reserve(c.t),
 		Store: c.store, Protocol: simProtocol{},
-		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60},
+		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60, Evacuate: c.evacuate},
 	}
 	n := &testNode{cluster: c, config: config, sim: newBackendSim(c.t, "b-"+instance, "booking", config.HeartbeatAddress)}
 	n.config.BackendAddress = n.sim.address()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -15,6 +15,10 @@
 type Config struct {
 	// Instance is the unique name of this instance, Zone its availability zone.
 	Instance, Zone string
+	// Region is the region of this instance, and Zones the regions of availability zones by name,
+	// for routes with AllowedRegions; empty if they are not known.
+	Region string
+	Zones  map[string]string
 	// Service is the service of the backend server beside the node.
 	Service string
 	// BackendAddress is where the backend server listens.
@@ -66,6 +70,9 @@
 	RetryShare  float64
 	RetryWindow time.Duration
 	RetryExtra  int
+	// Evacuate is how long after an operator evacuated an availability zone its backend servers
+	// may get requests; 0 if the deployment has no evacuations.
+	Evacuate time.Duration
 }
 
 // drainPercent is the percentage of the drain timeout after which a leaving backend server
--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -26,7 +26,7 @@
 // offersPerRound is the number of nodes that a new desired state is offered to at once.
 const offersPerRound = 3
 
-// desiredStateGossip brings new desired states to nodes that the store does not answer.
+// desiredStateGossip brings new desired states and evacuations of availability zones to nodes that the store does not answer.
 type desiredStateGossip struct {
 	node   *Node
 	log    *zap.Logger
@@ -43,9 +43,11 @@
 	Version uint64 `cbor:"1,keyasint"`
 	// Row is sent if the other node is known to have an earlier version.
 	Row *metastore.Row `cbor:"2,keyasint,omitempty"`
+	// Evacuations are the evacuated availability zones that the node knows.
+	Evacuations *evacuationMessage `cbor:"3,keyasint,omitempty"`
 }
 
-// notify starts the offers of a new desired state. It does not block.
+// notify starts the offers of a new desired state or of changed evacuations. It does not block.
 func (g *desiredStateGossip) notify() {
 	select {
 	case g.wakeup <- struct{}{}:
@@ -112,10 +114,11 @@
 // compare makes sure that this node and the one at address have the newer desired state of both.
 func (g *desiredStateGossip) compare(ctx context.Context, address string) error {
 	version, row := g.node.views.desiredState()
-	theirs, err := g.send(ctx, address, desiredStateMessage{Version: version})
+	theirs, err := g.send(ctx, address, desiredStateMessage{Version: version, Evacuations: g.node.views.evacuationMessage()})
 	if err != nil {
 		return err
 	}
+	g.node.views.mergeEvacuationMessage(theirs.Evacuations)
 	if theirs.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *theirs.Row)
 	}
@@ -146,10 +149,10 @@
 	if !g.node.readCall(w, r, &message) {
 		return
 	}
+	response := desiredStateMessage{Evacuations: g.node.views.answerEvacuations(message.Evacuations)}
 	if message.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *message.Row)
 	}
-	var response desiredStateMessage
 	version, row := g.node.views.desiredState()
 	if response.Version = version; version > message.Version {
 		response.Row = &row
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -36,6 +36,9 @@
 	if err := n.leavingGate(m); err != nil {
 		return outcome{err: err}
 	}
+	if err := n.evacuatedGate(n.views.current(), m, t); err != nil {
+		return outcome{err: err}
+	}
 	if m.Owner.Instance == n.config.Instance {
 		out := n.backend.serve(ctx, t, e)
 		n.peers.recordLocalRoom(m.Address, out)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -88,6 +88,8 @@
 	// Desired is the version of the desired state in force. After the store went back, nodes may
 	// have different ones at the same version of its row.
 	Desired uint64 `cbor:"3,keyasint,omitempty"`
+	// Evacuations are the evacuated availability zones that the node knows.
+	Evacuations *evacuationMessage `cbor:"4,keyasint,omitempty"`
 	// Versions of all rows by key; only in responses to a different sum.
 	Versions map[string]uint64 `cbor:"2,keyasint,omitempty"`
 }
@@ -240,7 +242,7 @@
 func (g *rowGossip) syncWith(ctx context.Context, address string) error {
 	sum, versions := g.node.views.digest()
 	desired, _ := g.node.views.desiredState()
-	body, err := cbor.Marshal(digestMessage{Sum: sum, Desired: desired})
+	body, err := cbor.Marshal(digestMessage{Sum: sum, Desired: desired, Evacuations: g.node.views.evacuationMessage()})
 	if err != nil {
 		return err
 	}
@@ -252,6 +254,7 @@
 	if err := cbor.Unmarshal(data, &theirs); err != nil {
 		return fmt.Errorf("decode digest: %w", err)
 	}
+	g.node.views.mergeEvacuationMessage(theirs.Evacuations)
 	if theirs.Desired != desired {
 		if err := g.node.desired.compare(ctx, address); err != nil {
 			// A node of an earlier release does not know the message.
@@ -308,12 +311,13 @@
 	if !g.node.readCall(w, r, &message) {
 		return
 	}
+	evacuations := g.node.views.answerEvacuations(message.Evacuations)
 	sum, versions := g.node.views.digest()
 	if sum == message.Sum {
 		versions = nil
 	}
 	desired, _ := g.node.views.desiredState()
-	g.node.writeCallResponse(w, digestMessage{Sum: sum, Desired: desired, Versions: versions})
+	g.node.writeCallResponse(w, digestMessage{Sum: sum, Desired: desired, Evacuations: evacuations, Versions: versions})
 }
 
 // digest returns a sum over all rows, which is equal on nodes that have the same versions,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -62,6 +62,9 @@
 	m.set.NewGauge("basilway_node_desired_state_read_age_seconds", func() float64 {
 		return n.contact.age(tableOf(n.config.Protocol.DesiredStateRow())).Seconds()
 	})
+	if n.evacuation.Enabled() {
+		m.set.NewGauge("basilway_node_evacuated_zones", func() float64 { return float64(len(n.evacuatedZones())) })
+	}
 	if n.config.DroppedLines != nil {
 		m.set.NewGauge("basilway_node_log_lines_blocked_total", func() float64 { return float64(n.config.DroppedLines()) })
 	}
@@ -148,6 +151,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_backend_sent_total{from=%q,retry="%t"}`, from, t.retry)).Inc()
 }
 
+// countEvacuation counts the begin or end of the evacuation of an availability zone.
+func (m *nodeMetrics) countEvacuation(event string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_evacuations_total{event=%q}`, event)).Inc()
+}
+
 // countDroppedLine counts a log line that sampling dropped.
 func (m *nodeMetrics) countDroppedLine() {
 	m.set.GetOrCreateCounter("basilway_node_log_lines_dropped_total").Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/evacuation"
 	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/pipeline"
 	"github.com/basilway/basilway/retry"
@@ -48,6 +49,8 @@
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
 	statuses   *statuses
+	// evacuation decides what evacuated availability zones mean.
+	evacuation evacuation.Policy
 	// generation is the present generation of the store.
 	generation *storeGeneration
 	// now reads the clock that leases and holds are measured with.
@@ -76,6 +79,7 @@
 		n.now = boottimeNow
 	}
 	n.exchange = n.exchangeHTTP
+	n.evacuation = evacuation.Policy{Bound: config.Bounds.Evacuate}
 	n.statuses, n.generation = newStatuses(n.now), newStoreGeneration(config.Bootstrap, n.now)
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
@@ -91,6 +95,8 @@
 	n.views.onNewRows = n.gossip.enqueue
 	n.views.onGeneration = n.enterGeneration
 	n.views.settled = n.generation.settled
+	n.views.evacuations.policy, n.views.evacuations.prefix, n.views.evacuations.now = n.evacuation, config.Protocol.EvacuationRows(), n.now
+	n.views.onEvacuation = n.desired.notify
 	n.lease.restored, n.lease.onLapse = n.restored, n.generation.stopVouching
 	n.metrics = newMetrics(n)
 	n.views.onDesiredState = func(forwarded bool) {
@@ -161,7 +167,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runEvacuations, n.runHousekeeping,
 	}
 }
 
@@ -252,6 +258,7 @@
 	ready.HandleFunc(n.config.Protocol.ReadyPath(), n.serveReady)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
+	metricsMux.HandleFunc("GET /status", n.serveStatus)
 	var out []boundServer
 	for _, s := range []struct {
 		name, address string
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -302,7 +302,8 @@
 			continue
 		}
 		member := placement.Member{
-			Owner: m.Owner, Slots: m.Slots, Speed: p.speed(members, m), Draining: m.State == BackendDraining, Cold: p.cold[m.Owner.Instance],
+			Owner: m.Owner, Slots: m.Slots, Speed: p.speed(members, m), Draining: m.State == BackendDraining,
+			Evacuated: view.Evacuated.Leaving(m.Zone), Cold: p.cold[m.Owner.Instance],
 		}
 		if limit := p.limits[m.Owner.Instance]; limit != nil {
 			member.Limited, member.MaxLoad = true, *limit*meanWork.Seconds()
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -41,6 +41,10 @@
 	DesiredState(data []byte) (httproute.Snapshot, error)
 	// DesiredStateRow returns the key of the store's row that holds the desired state.
 	DesiredStateRow() string
+	// EvacuationRows returns the prefix of the keys of the rows with which operators evacuate
+	// availability zones, whose names follow it. They are in the table of the desired state. It is
+	// empty if there are none.
+	EvacuationRows() string
 	// Announcement decodes a call of the backend server. leave is set if the call ends the
 	// backend server's membership; otherwise it is a heartbeat.
 	Announcement(r *http.Request) (hb grant.Heartbeat, leave bool, err error)
--- a/internal/node/reconcile.go
+++ b/internal/node/reconcile.go
@@ -26,7 +26,10 @@
 // that it released or lost, and strikes. It compares the actual state with the stored one,
 // so a failed write is repeated at a later tick.
 func (b *backend) runReconcile(ctx context.Context) {
-	for view, changed := b.node.views.get(); (!view.Listed || view.Routes == nil) && ctx.Err() == nil; view, changed = b.node.views.get() {
+	starting := func(v *View) bool {
+		return !v.Listed || v.Routes == nil || b.node.evacuation.Enabled() && !v.EvacuationsKnown
+	}
+	for view, changed := b.node.views.get(); starting(view) && ctx.Err() == nil; view, changed = b.node.views.get() {
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -35,6 +35,8 @@
 	// store; nil if it never did. Desired is the version in force.
 	DesiredReadAge *uint32 `cbor:"9,keyasint,omitempty"`
 	Desired        uint64  `cbor:"10,keyasint,omitempty"`
+	// Evacuations are the evacuated availability zones that the node knows.
+	Evacuations *evacuationMessage `cbor:"11,keyasint,omitempty"`
 }
 
 // reportResponse is the planner's response to a report.
@@ -50,6 +52,8 @@
 	// store; nil if that is not known. Desired is the version in force at the planner.
 	DesiredReadAge *uint32 `cbor:"4,keyasint,omitempty"`
 	Desired        uint64  `cbor:"5,keyasint,omitempty"`
+	// Evacuations are those that the planner knows, if the node does not.
+	Evacuations *evacuationMessage `cbor:"6,keyasint,omitempty"`
 }
 
 const (
@@ -125,12 +129,13 @@
 	}
 	r.Vouched, r.Generation = n.backend.vouchedRanges()
 	r.Desired, _ = n.views.desiredState()
+	r.Evacuations = n.views.evacuationMessage()
 	if age, known := n.desiredStateReadAge(); known {
 		r.DesiredReadAge = milliseconds(age)
 	}
 	n.backend.mu.Lock()
 	defer n.backend.mu.Unlock()
-	r.Cold = n.backend.tracker != nil && n.now().Before(n.backend.lastHeartbeatAt.Add(n.backend.lastHeartbeat.WarmUpLeft))
+	r.Cold = n.backend.coldUnknown || n.backend.tracker != nil && n.now().Before(n.backend.lastHeartbeatAt.Add(n.backend.lastHeartbeat.WarmUpLeft))
 	return r
 }
 
@@ -186,6 +191,7 @@
 		return fmt.Errorf("decode the planner's response: %w", err)
 	}
 	n.lease.confirm(response)
+	n.views.mergeEvacuationMessage(response.Evacuations)
 	if response.StoreVersion > 0 {
 		n.planner.sample(response.StoreVersion, time.Duration(response.StoreNow)*time.Millisecond)
 	}
@@ -211,6 +217,7 @@
 	}
 	response := n.planner.handleReport(report)
 	response.Desired, _ = n.views.desiredState()
+	response.Evacuations = n.views.answerEvacuations(report.Evacuations)
 	if m, ok := n.views.current().Members[report.Instance]; ok && report.Desired > response.Desired {
 		go n.compareDesiredState(context.WithoutCancel(r.Context()), m.Address)
 	}
--- a/internal/node/restore.go
+++ b/internal/node/restore.go
@@ -51,6 +51,7 @@
 			settled.Reset(settleTime)
 		case <-settled.C:
 			n.views.dropLostMembers()
+			n.views.dropLostEvacuations()
 			continue
 		case <-ctx.Done():
 			return
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -110,6 +110,9 @@
 
 // chooseMember returns the member to send the request to.
 func (n *Node) chooseMember(req *request) (Member, *verdict.Error) {
+	if err := n.evacuatedService(n.views.current(), req.ticket.service); err != nil {
+		return Member{}, err
+	}
 	if req.ticket.sharded {
 		return n.ownerOf(req.ticket)
 	}
@@ -132,6 +135,9 @@
 	if owner.IsZero() || !ok {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "key %d has no owner", t.key).WithRetryAfter(notReadyRetryAfter)
 	}
+	if err := n.evacuatedGate(view, m, t); err != nil {
+		return m, err
+	}
 	if m.Owner.Instance != n.config.Instance && n.peers.isLost(m.Address) {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "%s, which owns key %d, cannot be reached", m.Owner.Instance, t.key).WithRetryAfter(lostRetryAfter)
 	}
@@ -143,7 +149,11 @@
 // others, and lost ones only if there are none of these either.
 func (n *Node) candidates(req *request) []Member {
 	var ready, full, lost []Member
-	for _, m := range n.views.current().ServiceMembers(req.ticket.service) {
+	view, now := n.views.current(), n.now()
+	for _, m := range view.ServiceMembers(req.ticket.service) {
+		if !n.evacuation.MaySend(view.Evacuated, m.Zone, false, now) {
+			continue
+		}
 		_, leaving := n.statuses.leavingFor(m.Owner.Incarnation)
 		if m.State != BackendReady || leaving || slices.Contains(req.visited, m.Owner.Instance) {
 			continue
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -140,6 +140,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.node.now()
+	if err := b.zoneGate(t); err != nil {
+		return err
+	}
 	switch {
 	case b.state == BackendDown || !b.portClosedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
@@ -170,7 +173,7 @@
 		if err == nil {
 			return nil
 		}
-		if err.Reason == verdict.ReasonBackendDown || err.Reason == verdict.ReasonDraining || !t.sharded && err.Reason != verdict.ReasonStarting {
+		if err.Reason == verdict.ReasonBackendDown || err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonEvacuated || !t.sharded && err.Reason != verdict.ReasonStarting {
 			return err
 		}
 		if table, ok := view.Keys[t.service]; t.sharded && ok && table.Find(t.key).Owner.Instance != b.node.config.Instance {
--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -54,6 +54,12 @@
 	watchers func() int
 	// sample is called with the store's newest version and clock at each response.
 	sample func(version uint64, now time.Duration)
+	// onListing, if not nil, is called with each listing before it is applied, and with when its
+	// read began. onWatch, if not nil, is called after the rows of a watch are applied.
+	onListing func(listing metastore.Listing, started time.Time)
+	onWatch   func(version uint64)
+	// now is the clock of onListing; nil without one.
+	now func() time.Time
 	// pause is the time after a watch with changes until the next one, which collects changes that
 	// also reach the node in other ways.
 	pause time.Duration
@@ -82,12 +88,15 @@
 		if watching {
 			if listing, err = w.watch(ctx, after); err == nil {
 				w.views.apply(listing.Rows...)
+				if w.onWatch != nil {
+					w.onWatch(listing.Version)
+				}
 				resumePause = 0
 				if len(listing.Rows) > 0 {
 					sleep(ctx, w.pause)
 				}
 			}
-		} else if listing, err = w.store.List(ctx, w.table); err == nil {
+		} else if listing, err = w.list(ctx); err == nil {
 			w.views.replace(w.table, listing)
 			watching, w.lastListed = w.shouldWatch(), time.Now()
 		}
@@ -127,6 +136,19 @@
 	}
 }
 
+// list reads the whole table.
+func (w *tableWatcher) list(ctx context.Context) (metastore.Listing, error) {
+	if w.onListing == nil {
+		return w.store.List(ctx, w.table)
+	}
+	started := w.now()
+	listing, err := w.store.List(ctx, w.table)
+	if err == nil {
+		w.onListing(listing, started)
+	}
+	return listing, err
+}
+
 // relistInterval returns the time between two listings of a node that does not watch a table, in a
 // cluster with a number of members.
 func relistInterval(members int) time.Duration {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/basilway/basilway/evacuation"
 	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/keyrange"
 	"github.com/basilway/basilway/quarantine"
@@ -19,6 +20,10 @@
 	Keys map[string]KeySpace
 	// Planner names the instance that has the planner role; its Instance is empty if none has.
 	Planner PlannerRow
+	// Evacuated are the evacuated availability zones.
+	Evacuated evacuation.Zones
+	// EvacuationsKnown is set once the operators' rows have been read, here or by another node.
+	EvacuationsKnown bool
 	// Listed is true once the cluster's rows have been listed.
 	Listed bool
 
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 	"sync"
 
@@ -27,6 +28,10 @@
 	// came from another node. It must not block or call the viewStore.
 	onDesiredState func(forwarded bool)
 
+	// onEvacuation, if not nil, is called when the evacuated availability zones change. It must not
+	// block or call the viewStore.
+	onEvacuation func()
+
 	// onGeneration, if not nil, is called with the view before rows of a later generation of
 	// the store are applied. It must not block or call the viewStore.
 	onGeneration func(generation uint64, before *View)
@@ -43,13 +48,15 @@
 	// remembered are the key tables of earlier generations that may have been lost, by key of
 	// their rows.
 	remembered map[string]rememberedTable
-	changed    chan struct{} // closed at the next change
+	// evacuations are the evacuated availability zones; its settings are not changed once in use.
+	evacuations evacuationState
+	changed     chan struct{} // closed at the next change
 }
 
 func newViewStore(protocol Protocol, log *zap.Logger) *viewStore {
 	return &viewStore{
 		protocol: protocol, log: log, rows: map[string]metastore.Row{}, remembered: map[string]rememberedTable{},
-		changed: make(chan struct{}), entered: make(chan struct{}),
+		changed: make(chan struct{}), entered: make(chan struct{}), evacuations: newEvacuationState(),
 		view: &View{Members: map[string]Member{}, Keys: map[string]KeySpace{}},
 	}
 }
@@ -89,6 +96,10 @@
 	if len(fresh) > 0 && s.onNewRows != nil {
 		s.onNewRows(fresh, source)
 	}
+	evacuation := func(row freshRow) bool { return s.evacuations.isRow(row.Key) }
+	if s.onEvacuation != nil && slices.ContainsFunc(fresh, evacuation) {
+		s.onEvacuation()
+	}
 	return len(fresh) > 0
 }
 
@@ -109,6 +120,12 @@
 			}
 			continue
 		}
+		if s.evacuations.isRow(row.Key) {
+			for _, changed := range s.mergeEvacuationRow(next, row) {
+				fresh = append(fresh, freshRow{Row: changed})
+			}
+			continue
+		}
 		known := s.rows[row.Key].Version
 		if row.Version <= known {
 			continue
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -36,6 +36,10 @@
 	pending sync.WaitGroup
 	// messages counts the messages between nodes by path, watches those of the store by table.
 	messages, watches callCounts
+	// zones are the availability zones that new nodes are in, in turn; without any all are in one.
+	zones []string
+	// evacuate is the nodes' bound for evacuations.
+	evacuate time.Duration
 }
 
 // lockedRand is a random generator for concurrent use.
@@ -96,9 +100,13 @@
 
 // add starts a node at an address.
 func (c *virtualCluster) add(instance, address string) *virtualNode {
+	zone := "z"
+	if len(c.zones) > 0 {
+		zone = c.zones[len(c.nodes)%len(c.zones)]
+	}
 	n := &virtualNode{cluster: c, config: Config{
-		Instance: instance, Zone: "z", Service: "booking", PeerAddress: address, Protocol: simProtocol{}, Now: time.Now,
-		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60},
+		Instance: instance, Zone: zone, Service: "booking", PeerAddress: address, Protocol: simProtocol{}, Now: time.Now,
+		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60, Evacuate: c.evacuate},
 	}}
 	n.config.Store = virtualStore{c.store, n}
 	c.nodes = append(c.nodes, n)
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -15,6 +15,7 @@
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonDraining       Reason = "draining"
+	ReasonEvacuated      Reason = "zone_evacuated"
 	ReasonStarting       Reason = "starting"
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonRepeated       Reason = "repeated_request"
