Keep requests of a route in its allowed regions

Routes may list the regions that may run their requests, and the list was ignored.

A node offers such a request, and with it the body, only to backend servers whose availability zone is in an allowed region by the settings zones.ZONE and region. A request whose key is owned elsewhere, or whose service has no backend server there, is refused at once with the reason region_not_allowed. A zone without a known region is not allowed. An absent or empty list allows all.

--- a/httproute/route.go
+++ b/httproute/route.go
@@ -1,6 +1,9 @@
 package httproute
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Destination is a service that gets a share of a route's requests.
 type Destination struct {
@@ -27,6 +30,15 @@
 	MaxAttempts int
 	// Destinations has at least one element.
 	Destinations []Destination
+	// AllowedRegions are the regions whose backend servers may get the route's requests; empty if
+	// all may.
+	AllowedRegions []string
+}
+
+// Allows reports whether backend servers in a region may get the route's requests. The region is
+// empty if it is not known.
+func (r *Route) Allows(region string) bool {
+	return len(r.AllowedRegions) == 0 || region != "" && slices.Contains(r.AllowedRegions, region)
 }
 
 // Pick returns the service for the n-th request of the route. It follows the golden-ratio
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -114,18 +114,21 @@
 		return Member{}, err
 	}
 	if req.ticket.sharded {
-		return n.ownerOf(req.ticket)
+		return n.ownerOf(req)
 	}
 	candidates := n.candidates(req)
 	if len(candidates) == 0 {
+		if err := n.regionsOf(req); err != nil {
+			return Member{}, err
+		}
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "no backend server of %s can be reached", req.ticket.service).WithRetryAfter(notReadyRetryAfter)
 	}
 	return n.chooseCandidate(req, candidates), nil
 }
 
 // ownerOf returns the member that owns the key.
-func (n *Node) ownerOf(t ticket) (Member, *verdict.Error) {
-	view := n.views.current()
+func (n *Node) ownerOf(req *request) (Member, *verdict.Error) {
+	t, view := req.ticket, n.views.current()
 	table, ok := view.Keys[t.service]
 	if !ok {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "the keys of %s are not assigned yet", t.service).WithRetryAfter(notReadyRetryAfter)
@@ -135,6 +138,9 @@
 	if owner.IsZero() || !ok {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "key %d has no owner", t.key).WithRetryAfter(notReadyRetryAfter)
 	}
+	if err := n.regionGate(req.route, m); err != nil {
+		return m, err
+	}
 	if err := n.evacuatedGate(view, m, t); err != nil {
 		return m, err
 	}
@@ -151,7 +157,7 @@
 	var ready, full, lost []Member
 	view, now := n.views.current(), n.now()
 	for _, m := range view.ServiceMembers(req.ticket.service) {
-		if !n.evacuation.MaySend(view.Evacuated, m.Zone, false, now) {
+		if !n.evacuation.MaySend(view.Evacuated, m.Zone, false, now) || n.regionGate(req.route, m) != nil {
 			continue
 		}
 		_, leaving := n.statuses.leavingFor(m.Owner.Incarnation)
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -16,6 +16,7 @@
 	ReasonCancelled      Reason = "cancelled"
 	ReasonDraining       Reason = "draining"
 	ReasonEvacuated      Reason = "zone_evacuated"
+	ReasonRegion         Reason = "region_not_allowed"
 	ReasonStarting       Reason = "starting"
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonRepeated       Reason = "repeated_request"
