--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -15,6 +15,8 @@
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonDraining       Reason = "draining"
+	ReasonEvacuated      Reason = "zone_evacuated"
+	ReasonRegion         Reason = "region_not_allowed"
 	ReasonStarting       Reason = "starting"
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonRepeated       Reason = "repeated_request"
