Keep requests without a key in their availability zone while it answers in time

Cause: two servers are drawn from all, so more than half of the requests without a key leave their availability zone, also at half of the capacity. Where links are short and bytes between zones are the largest cost, that is not needed. Change: with node.Config.PreferZone, placement.ChooseNear draws from the own zone first and from all zones only if the drawn server is not expected to answer within 65 % of the time until the target or refused recently. Metric basilway_node_unkeyed_sent_total, two log lines. Tests of placement, platform, internal/daemoncli and internal/node pass.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -50,6 +50,10 @@
 	DroppedLines func() uint64
 	// Bounds are the platform's limits on the node's timing and retries.
 	Bounds Bounds
+	// PreferZone keeps requests without a key on the backend servers of the node's availability
+	// zone as long as one of them is expected to answer within the request's target. It is set
+	// where bytes between availability zones matter.
+	PreferZone bool
 }
 
 // Bounds are limits that the platform's operators expect the node to keep.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -136,6 +136,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_message_bytes_total{path=%q,direction="received"}`, path)).Add(received)
 }
 
+// countZone counts a request without a key by the availability zone that it is sent to.
+func (m *nodeMetrics) countZone(service string, same bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_unkeyed_sent_total{service=%q,zone=%q}`, service, zoneLabel(same))).Inc()
+}
+
+// zoneLabel returns the label of what stays in the node's availability zone and of what leaves it.
+func zoneLabel(same bool) string {
+	if same {
+		return "same"
+	}
+	return "other"
+}
+
 // countSent counts a request that is sent to the local backend server.
 func (m *nodeMetrics) countSent(t ticket) {
 	from := "client"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,23 +28,24 @@
 	metrics *nodeMetrics
 	session cluster.Session
 
-	store    *relayStore
-	views    *viewStore
-	lease    *leaseKeeper
-	writer   *keyWriter
-	backend  *backend
-	planner  *planner
-	gossip   *rowGossip
-	moves    *moveRecorder
-	desired  *desiredStateGossip
-	peers    *peers
-	demand   *demandMeter
-	meanWork workMeter
-	contact  *storeContact
-	sizes    responseSizes
-	pacer    *pacer
-	clients  *clientConns
-	refusals refusals
+	store     *relayStore
+	views     *viewStore
+	lease     *leaseKeeper
+	writer    *keyWriter
+	backend   *backend
+	planner   *planner
+	gossip    *rowGossip
+	moves     *moveRecorder
+	desired   *desiredStateGossip
+	peers     *peers
+	demand    *demandMeter
+	meanWork  workMeter
+	contact   *storeContact
+	sizes     responseSizes
+	pacer     *pacer
+	clients   *clientConns
+	refusals  refusals
+	zoneExits zoneExits
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
 	statuses   *statuses
@@ -69,7 +70,7 @@
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
 		demand:  newDemandMeter(), contact: newStoreContact(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
-		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}},
+		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}}, zoneExits: zoneExits{services: map[string]*zoneExit{}},
 		now: config.Now,
 	}
 	if n.now == nil {
@@ -125,7 +126,8 @@
 // Run serves until ctx ends and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("starting", zap.String("zone", n.config.Zone), zap.String("service", n.config.Service), zap.String("clients", n.config.ClientAddress),
-		zap.String("peers", n.config.PeerAddress), zap.String("backend", n.config.BackendAddress))
+		zap.String("peers", n.config.PeerAddress), zap.String("backend", n.config.BackendAddress),
+		zap.Bool("prefer zone", n.config.PreferZone))
 	servers, err := n.listen()
 	if err != nil {
 		return err
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/placement"
 	"github.com/basilway/basilway/throttle"
 	"github.com/basilway/basilway/verdict"
 )
@@ -54,6 +55,8 @@
 	// slowness is the time of requests on the backend server relative to the mean of their
 	// route over all backend servers; 0 if it is not known.
 	slowness float64
+	// refusals are the recent refusals of the backend server because of overload.
+	refusals placement.Refusals
 	// roomAt is when the backend server expects to be able to take a request within the limit
 	// that it named.
 	roomAt time.Time
@@ -154,8 +157,11 @@
 	}
 }
 
-// recordRoom records whether a request was refused because of the backend server's limit.
+// recordRoom records whether a request was refused because of overload or the backend server's
+// limit.
 func (s *peerState) recordRoom(o outcome, now time.Time) {
+	overloaded := o.err != nil && (o.err.Reason == verdict.ReasonOverloaded || o.err.Reason == verdict.ReasonRateLimited)
+	s.refusals.Observe(overloaded, now)
 	if o.err != nil && o.err.Reason == verdict.ReasonRateLimited {
 		s.roomAt = now.Add(min(o.err.RetryAfter, maxRoomWait))
 	}
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -167,7 +167,8 @@
 }
 
 // chooseCandidate returns the member to send the request to. Downloads stay in the
-// node's availability zone as long as it has candidates.
+// node's availability zone as long as it has candidates. With PreferZone, other requests stay
+// there as long as one of them is expected to answer in time.
 func (n *Node) chooseCandidate(req *request, members []Member) Member {
 	if near := n.inZone(members); req.route.Kind == httproute.Download && len(near) > 0 {
 		members = near
@@ -181,12 +182,33 @@
 			c.Reported, c.Age = load.running+load.waiting, 0
 		}
 		c.Slots = max(m.Slots, 1)
-		if m.Zone != n.config.Zone {
+		c.Near = m.Zone == n.config.Zone
+		if !c.Near && !n.config.PreferZone {
 			c.Overhead += crossZoneCost
 		}
 		candidates[i] = c
 	}
-	return members[placement.Choose(candidates, rand.New(rand.NewPCG(rand.Uint64(), 0)))]
+	rng := rand.New(rand.NewPCG(rand.Uint64(), 0))
+	if !n.config.PreferZone {
+		return members[placement.Choose(candidates, rng)]
+	}
+	chosen := placement.ChooseNear(candidates, time.Until(req.ticket.target), rng)
+	n.countZone(req.ticket.service, candidates, chosen)
+	return members[chosen]
+}
+
+// countZone counts the choice of a candidate by its availability zone and logs when requests
+// begin and end to leave the node's.
+func (n *Node) countZone(service string, candidates []placement.Candidate, chosen int) {
+	n.metrics.countZone(service, candidates[chosen].Near)
+	hasNear := slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.Near })
+	left := hasNear && !candidates[chosen].Near
+	switch change, count := n.zoneExits.observe(service, left, time.Now()); change {
+	case exitsBegan:
+		n.log.Info("requests leave the availability zone", zap.String("service", service), zap.Int("candidates", len(candidates)))
+	case exitsEnded:
+		n.log.Info("requests stay in the availability zone again", zap.String("service", service), zap.Int("left", count))
+	}
 }
 
 // inZone returns the members in the node's availability zone.
@@ -213,7 +235,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.getLocked(address)
-	c := placement.Candidate{Work: work, Outstanding: s.outstanding, FailureRate: s.failureRate, Overhead: s.overheads[large].value(now)}
+	c := placement.Candidate{
+		Work: work, Outstanding: s.outstanding, FailureRate: s.failureRate, Overhead: s.overheads[large].value(now),
+		RefusalRate: s.refusals.Rate(now),
+	}
 	if s.load.known {
 		c.Reported, c.Age = s.load.running+s.load.waiting, now.Sub(s.loadAt)
 	}
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -21,6 +21,11 @@
 	Overhead time.Duration
 	// FailureRate is the fraction of recent requests that failed there, from 0 to 1.
 	FailureRate float64
+	// RefusalRate is the fraction of recent requests that were refused there because of
+	// overload, from 0 to 1.
+	RefusalRate float64
+	// Near is set if the backend server is in the availability zone of this node.
+	Near bool
 }
 
 // reportHalfLife is the age at which half of a reported backlog is assumed to be gone. It is
