--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -64,6 +64,9 @@
 	mergedStrikes    int                 // number of View.strikes that are in strikes
 	unwrittenStrikes []quarantine.Record // strikes not yet written to the store
 	running          map[uint64]int      // requests in flight by fingerprint
+	// evacuated is set from the begin of an evacuation of the node's availability zone until the
+	// backend server may get requests again.
+	evacuated bool
 	// portClosedAt is when the backend server's port was found closed, by Node.now; zero
 	// while it is open.
 	portClosedAt time.Time
--- a/internal/node/coldserver.go
+++ b/internal/node/coldserver.go
@@ -128,3 +128,10 @@
 	b.mu.Unlock()
 	b.noticeSign(coldstate.Reinstated)
 }
+
+// mayBeCold reports whether the local backend server has not said whether it is cold, on a deployment
+// where it may become cold while it runs. backend.mu must be held.
+func (n *Node) mayBeCold() bool {
+	mayChange := n.config.Bounds.ColdOverage > 0 || n.evacuation.Enabled()
+	return mayChange && n.backend.cold.State(n.now()) == coldstate.Unknown
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -15,6 +15,10 @@
 type Config struct {
 	// Instance is the unique name of this instance, Zone its availability zone.
 	Instance, Zone string
+	// Region is the region of this instance, and Zones the regions of availability zones by name,
+	// for routes with AllowedRegions; empty if they are not known.
+	Region string
+	Zones  map[string]string
 	// Service is the service of the backend server beside the node.
 	Service string
 	// BackendAddress is where the backend server listens.
@@ -50,6 +54,10 @@
 	DroppedLines func() uint64
 	// Bounds are the platform's limits on the node's timing and retries.
 	Bounds Bounds
+	// PreferZone keeps requests without a key on the backend servers of the node's availability
+	// zone as long as one of them is expected to answer within the request's target. It is set
+	// where bytes between availability zones matter.
+	PreferZone bool
 }
 
 // Bounds are limits that the platform's operators expect the node to keep.
@@ -70,6 +78,9 @@
 	// most ColdOverage times the rate that its service tolerates plus ColdSlack. A ColdOverage
 	// of 0 means no bound.
 	ColdOverage, ColdSlack float64
+	// Evacuate is how long after an operator evacuated an availability zone its backend servers
+	// may get requests; 0 if the deployment has no evacuations.
+	Evacuate time.Duration
 }
 
 // drainPercent is the percentage of the drain timeout after which a leaving backend server
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -65,6 +65,9 @@
 	m.set.NewGauge("basilway_node_desired_state_read_age_seconds", func() float64 {
 		return n.contact.age(tableOf(n.config.Protocol.DesiredStateRow())).Seconds()
 	})
+	if n.evacuation.Enabled() {
+		m.set.NewGauge("basilway_node_evacuated_zones", func() float64 { return float64(len(n.evacuatedZones())) })
+	}
 	if n.config.DroppedLines != nil {
 		m.set.NewGauge("basilway_node_log_lines_blocked_total", func() float64 { return float64(n.config.DroppedLines()) })
 	}
@@ -139,6 +142,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_message_bytes_total{path=%q,direction="received"}`, path)).Add(received)
 }
 
+// countZone counts a request without a key by the availability zone that it is sent to.
+func (m *nodeMetrics) countZone(service string, same bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_unkeyed_sent_total{service=%q,zone=%q}`, service, zoneLabel(same))).Inc()
+}
+
+// zoneLabel returns the label of what stays in the node's availability zone and of what leaves it.
+func zoneLabel(same bool) string {
+	if same {
+		return "same"
+	}
+	return "other"
+}
+
 // countSent counts a request that is sent to the local backend server.
 func (m *nodeMetrics) countSent(t ticket) {
 	from := "client"
@@ -161,6 +177,11 @@
 	m.set.GetOrCreateCounter("basilway_node_cold_refusals_total").Inc()
 }
 
+// countEvacuation counts the begin or end of the evacuation of an availability zone.
+func (m *nodeMetrics) countEvacuation(event string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_evacuations_total{event=%q}`, event)).Inc()
+}
+
 // countDroppedLine counts a log line that sampling dropped.
 func (m *nodeMetrics) countDroppedLine() {
 	m.set.GetOrCreateCounter("basilway_node_log_lines_dropped_total").Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/cluster"
+	"github.com/basilway/basilway/evacuation"
 	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/pipeline"
 	"github.com/basilway/basilway/retry"
@@ -28,26 +29,29 @@
 	metrics *nodeMetrics
 	session cluster.Session
 
-	store    *relayStore
-	views    *viewStore
-	lease    *leaseKeeper
-	writer   *keyWriter
-	backend  *backend
-	planner  *planner
-	gossip   *rowGossip
-	moves    *moveRecorder
-	desired  *desiredStateGossip
-	peers    *peers
-	demand   *demandMeter
-	meanWork workMeter
-	contact  *storeContact
-	sizes    responseSizes
-	pacer    *pacer
-	clients  *clientConns
-	refusals refusals
+	store     *relayStore
+	views     *viewStore
+	lease     *leaseKeeper
+	writer    *keyWriter
+	backend   *backend
+	planner   *planner
+	gossip    *rowGossip
+	moves     *moveRecorder
+	desired   *desiredStateGossip
+	peers     *peers
+	demand    *demandMeter
+	meanWork  workMeter
+	contact   *storeContact
+	sizes     responseSizes
+	pacer     *pacer
+	clients   *clientConns
+	refusals  refusals
+	zoneExits zoneExits
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
 	statuses   *statuses
+	// evacuation decides what evacuated availability zones mean.
+	evacuation evacuation.Policy
 	// generation is the present generation of the store.
 	generation *storeGeneration
 	// now reads the clock that leases and holds are measured with.
@@ -69,13 +73,14 @@
 		session: cluster.Session{Instance: config.Instance, Incarnation: rand.Uint64()},
 		demand:  newDemandMeter(), contact: newStoreContact(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
-		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}},
+		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}}, zoneExits: zoneExits{services: map[string]*zoneExit{}},
 		now: config.Now,
 	}
 	if n.now == nil {
 		n.now = boottimeNow
 	}
 	n.exchange = n.exchangeHTTP
+	n.evacuation = evacuation.Policy{Bound: config.Bounds.Evacuate}
 	n.statuses, n.generation = newStatuses(n.now), newStoreGeneration(config.Bootstrap, n.now)
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
@@ -91,6 +96,8 @@
 	n.views.onNewRows = n.gossip.enqueue
 	n.views.onGeneration = n.enterGeneration
 	n.views.settled = n.generation.settled
+	n.views.evacuations.policy, n.views.evacuations.prefix, n.views.evacuations.now = n.evacuation, config.Protocol.EvacuationRows(), n.now
+	n.views.onEvacuation = n.desired.notify
 	n.lease.restored, n.lease.onLapse = n.restored, n.generation.stopVouching
 	n.metrics = newMetrics(n)
 	n.views.onDesiredState = func(forwarded bool) {
@@ -125,7 +132,8 @@
 // Run serves until ctx ends and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("starting", zap.String("zone", n.config.Zone), zap.String("service", n.config.Service), zap.String("clients", n.config.ClientAddress),
-		zap.String("peers", n.config.PeerAddress), zap.String("backend", n.config.BackendAddress))
+		zap.String("peers", n.config.PeerAddress), zap.String("backend", n.config.BackendAddress),
+		zap.Bool("prefer zone", n.config.PreferZone))
 	servers, err := n.listen()
 	if err != nil {
 		return err
@@ -161,7 +169,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runEvacuations, n.runHousekeeping,
 	}
 }
 
@@ -252,6 +260,7 @@
 	ready.HandleFunc(n.config.Protocol.ReadyPath(), n.serveReady)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics)
+	metricsMux.HandleFunc("GET /status", n.serveStatus)
 	var out []boundServer
 	for _, s := range []struct {
 		name, address string
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -110,19 +110,25 @@
 
 // chooseMember returns the member to send the request to.
 func (n *Node) chooseMember(req *request) (Member, *verdict.Error) {
+	if err := n.evacuatedService(n.views.current(), req.ticket.service); err != nil {
+		return Member{}, err
+	}
 	if req.ticket.sharded {
-		return n.ownerOf(req.ticket)
+		return n.ownerOf(req)
 	}
 	candidates := n.candidates(req)
 	if len(candidates) == 0 {
+		if err := n.regionsOf(req); err != nil {
+			return Member{}, err
+		}
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "no backend server of %s can be reached", req.ticket.service).WithRetryAfter(notReadyRetryAfter)
 	}
 	return n.chooseCandidate(req, candidates), nil
 }
 
 // ownerOf returns the member that owns the key.
-func (n *Node) ownerOf(t ticket) (Member, *verdict.Error) {
-	view := n.views.current()
+func (n *Node) ownerOf(req *request) (Member, *verdict.Error) {
+	t, view := req.ticket, n.views.current()
 	table, ok := view.Keys[t.service]
 	if !ok {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "the keys of %s are not assigned yet", t.service).WithRetryAfter(notReadyRetryAfter)
@@ -132,6 +138,12 @@
 	if owner.IsZero() || !ok {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonNoOwner, "key %d has no owner", t.key).WithRetryAfter(notReadyRetryAfter)
 	}
+	if err := n.regionGate(req.route, m); err != nil {
+		return m, err
+	}
+	if err := n.evacuatedGate(view, m, t); err != nil {
+		return m, err
+	}
 	if m.Owner.Instance != n.config.Instance && n.peers.isLost(m.Address) {
 		return Member{}, verdict.New(verdict.NotRun, verdict.ReasonPeerLost, "%s, which owns key %d, cannot be reached", m.Owner.Instance, t.key).WithRetryAfter(lostRetryAfter)
 	}
@@ -143,7 +155,11 @@
 // others, and lost ones only if there are none of these either.
 func (n *Node) candidates(req *request) []Member {
 	var ready, full, lost []Member
-	for _, m := range n.views.current().ServiceMembers(req.ticket.service) {
+	view, now := n.views.current(), n.now()
+	for _, m := range view.ServiceMembers(req.ticket.service) {
+		if !n.evacuation.MaySend(view.Evacuated, m.Zone, false, now) || n.regionGate(req.route, m) != nil {
+			continue
+		}
 		_, leaving := n.statuses.leavingFor(m.Owner.Incarnation)
 		if m.State != BackendReady || leaving || slices.Contains(req.visited, m.Owner.Instance) {
 			continue
@@ -167,7 +183,8 @@
 }
 
 // chooseCandidate returns the member to send the request to. Downloads stay in the
-// node's availability zone as long as it has candidates.
+// node's availability zone as long as it has candidates. With PreferZone, other requests stay
+// there as long as one of them is expected to answer in time.
 func (n *Node) chooseCandidate(req *request, members []Member) Member {
 	if near := n.inZone(members); req.route.Kind == httproute.Download && len(near) > 0 {
 		members = near
@@ -181,12 +198,33 @@
 			c.Reported, c.Age, c.Rate = load.running+load.waiting, 0, load.coldRate
 		}
 		c.Slots = max(m.Slots, 1)
-		if m.Zone != n.config.Zone {
+		c.Near = m.Zone == n.config.Zone
+		if !c.Near && !n.config.PreferZone {
 			c.Overhead += crossZoneCost
 		}
 		candidates[i] = c
 	}
-	return members[placement.Choose(candidates, rand.New(rand.NewPCG(rand.Uint64(), 0)))]
+	rng := rand.New(rand.NewPCG(rand.Uint64(), 0))
+	if !n.config.PreferZone {
+		return members[placement.Choose(candidates, rng)]
+	}
+	chosen := placement.ChooseNear(candidates, time.Until(req.ticket.target), rng)
+	n.countZone(req.ticket.service, candidates, chosen)
+	return members[chosen]
+}
+
+// countZone counts the choice of a candidate by its availability zone and logs when requests
+// begin and end to leave the node's.
+func (n *Node) countZone(service string, candidates []placement.Candidate, chosen int) {
+	n.metrics.countZone(service, candidates[chosen].Near)
+	hasNear := slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return c.Near })
+	left := hasNear && !candidates[chosen].Near
+	switch change, count := n.zoneExits.observe(service, left, time.Now()); change {
+	case exitsBegan:
+		n.log.Info("requests leave the availability zone", zap.String("service", service), zap.Int("candidates", len(candidates)))
+	case exitsEnded:
+		n.log.Info("requests stay in the availability zone again", zap.String("service", service), zap.Int("left", count))
+	}
 }
 
 // inZone returns the members in the node's availability zone.
@@ -213,7 +251,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.getLocked(address)
-	c := placement.Candidate{Work: work, Outstanding: s.outstanding, FailureRate: s.failureRate, Overhead: s.overheads[large].value(now)}
+	c := placement.Candidate{
+		Work: work, Outstanding: s.outstanding, FailureRate: s.failureRate, Overhead: s.overheads[large].value(now),
+		RefusalRate: s.refusals.Rate(now),
+	}
 	if s.load.known {
 		c.Rate = s.load.coldRate
 		c.Reported, c.Age = s.load.running+s.load.waiting, now.Sub(s.loadAt)
