--- a/internal/node/coldserver_test.go
+++ b/internal/node/coldserver_test.go
@@ -118,13 +118,22 @@
 func TestLoadHeaderIsReadByEarlierAndLaterNodes(t *testing.T) {
 	g := NewWithT(t)
 	load := peerLoad{known: true, running: 3, waiting: 2, slots: 5, work: time.Millisecond, incarnation: "b@7", coldRate: 32.7}
-	g.Expect(decodePeerLoad(load.encode())).To(Equal(load))
-	g.Expect(decodePeerLoad(load.encode() + " later=5")).To(Equal(load))
+	decoded, compact := decodePeerLoad(load.encode())
+	g.Expect(decoded).To(Equal(load))
+	g.Expect(compact).To(BeTrue())
+	later := struct {
+		namedLoad
+		Later int `cbor:"99,keyasint"`
+	}{load.named(), 5}
+	decoded, _ = decodePeerLoad("0,0,0,0,0,x " + encodeCompact(later))
+	g.Expect(decoded).To(Equal(load), "a field of a later version")
 	var l peerLoad
 	var work, queued int64
 	_, err := fmt.Sscanf(load.encode(), "%d,%d,%d,%d,%d,%s", &l.running, &l.waiting, &l.slots, &work, &queued, &l.incarnation)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(l.incarnation).To(Equal("b@7"), "as earlier versions read it")
 	load.coldRate = 0
-	g.Expect(decodePeerLoad("3,2,5,1000,0,b@7")).To(Equal(load))
+	decoded, compact = decodePeerLoad("3,2,5,1000,0,b@7")
+	g.Expect(decoded).To(Equal(load), "from an earlier version")
+	g.Expect(compact).To(BeFalse())
 }
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -40,34 +40,33 @@
 	coldRate float64
 }
 
-// coldRateField names the field of the load header with peerLoad.coldRate.
-const coldRateField = "cold_rate"
-
-// encode returns the wire form: a list of positions, then named fields, each after a space. Nodes
-// skip the names that they don't know, and those of earlier versions skip all.
+// encode returns the text form of the load. Nodes of earlier versions read it up to the space;
+// the named fields behind it tell that this node understands compact messages.
 func (l peerLoad) encode() string {
-	s := fmt.Sprintf("%d,%d,%d,%d,%d,%s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation)
-	if l.coldRate > 0 {
-		s += fmt.Sprintf(" %s=%.1f", coldRateField, l.coldRate)
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%s %s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation,
+		encodeCompact(l.named()))
+}
+
+// decodePeerLoad decodes the text form of a load. compact is set if its sender understands
+// compact messages.
+func decodePeerLoad(s string) (l peerLoad, compact bool) {
+	if _, named, ok := strings.Cut(s, " "); ok {
+		var fields namedLoad
+		if err := decodeCompact(named, &fields); err == nil {
+			return fields.load(), true
+		}
 	}
-	return s
+	return decodeOldPeerLoad(s), false
 }
 
-func decodePeerLoad(s string) peerLoad {
+func decodeOldPeerLoad(s string) peerLoad {
 	var l peerLoad
-	s, named, _ := strings.Cut(s, " ")
 	var work, queued int64
 	// Nodes of earlier versions do not send the last fields.
 	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d,%s", &l.running, &l.waiting, &l.slots, &work, &queued, &l.incarnation); err != nil && n < 4 {
 		return peerLoad{}
 	}
 	l.known, l.work, l.queued = true, time.Duration(work)*time.Microsecond, time.Duration(queued)*time.Microsecond
-	for _, field := range strings.Fields(named) {
-		name, value, _ := strings.Cut(field, "=")
-		if number, err := strconv.ParseFloat(value, 64); err == nil && name == coldRateField && validLimit(number) {
-			l.coldRate = number
-		}
-	}
 	return l
 }
 
