End a stopping process in time whatever it waits for

Cause: on a deployment of 62 instances, 8 to 14 processes were still there 6 s after SIGTERM around a power outage or a restart. Read from the signal to the end: one path holds up a stop. http.Server.Shutdown waits up to 5 s for connections on which nothing has arrived, as HTTP clients keep them after a dial that was slower than another connection. A process with one took 5.3 s (5.4 s when it runs for 16 % of the time), of 6 s. The same call drops a request that arrives on an accepted connection after it began. Nothing bounded the end of a process: a task that does not end holds it forever. Change: the servers other than that of the clients (which did not wait for such connections) close their listener, give accepted connections 250 ms to deliver a request, close those without one, and then shut down. 0.3 s before the end of the stop timeout, counted from the signal, a process that is still there logs the stacks of its goroutines and ends with exit code 3. "stopped" says how long it took.

--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -54,10 +54,10 @@
 	defer func() { _ = log.Sync() }()
 	settings.Node.DroppedLines = dropped
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go checkSettingsOnHangup(log, path)
-	err = node.New(settings.Node, log).Run(ctx)
+	err = runUntilSignal(log, settings.Node.Bounds.StopTimeout, func(ctx context.Context) error {
+		return node.New(settings.Node, log).Run(ctx)
+	})
 	if err != nil {
 		log.Error("ended", zap.Error(err))
 	}
--- a/internal/daemoncli/router.go
+++ b/internal/daemoncli/router.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"net"
 	"net/url"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -128,7 +126,5 @@
 	defer client.Close()
 	config.DroppedLines = dropped
 	config.Store = polled.New(client, routerPollInterval)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	return node.New(config, log).Run(ctx)
+	return runUntilSignal(log, config.Bounds.StopTimeout, func(ctx context.Context) error { return node.New(config, log).Run(ctx) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,11 +149,12 @@
 		return err
 	case <-ctx.Done():
 	}
+	started := time.Now()
 	n.stop(servers)
 	stopTasks()
 	running.Wait()
 	n.peers.close()
-	n.log.Info("stopped")
+	n.log.Info("stopped", zap.Duration("took", time.Since(started)))
 	return nil
 }
 
@@ -222,7 +223,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// server is an http.Server or the server of client connections.
+// server is a plainServer or the server of client connections.
 type server interface {
 	Serve(net.Listener) error
 	Shutdown(context.Context) error
@@ -283,9 +284,9 @@
 			out = append(out, boundServer{s.name, readahead.NewServer(n.clientServerConfig(s.handler), errorLog), l})
 			continue
 		}
-		out = append(out, boundServer{s.name, &http.Server{
+		out = append(out, boundServer{s.name, newPlainServer(&http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultClientIdle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		}, l})
+		}), l})
 	}
 	return out, nil
 }
