--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -169,7 +169,7 @@
 		"connection reused before its request was fully written", "internal/httpclient/pool.go",
 		"|| !c.written()", "", clientTests,
 	}, {
-		"truncated response passed on as complete", "internal/node/entry.go",
+		"truncated response passed on as complete", "internal/node/responsebuffers.go",
 		"if err != nil && !errors.Is(err, io.EOF) {", "if false {", nodeTests,
 	}, {
 		"truncated stream passed on as complete", "internal/node/forward.go",
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -68,6 +68,10 @@
 			}
 			return nil, &unexpectedBytesError{c.readError(err)}
 		}
+		if resp.StatusCode < 100 {
+			// net/http takes it as a response, but can't pass it on to a client.
+			return nil, &unexpectedBytesError{fmt.Errorf("status %03d", resp.StatusCode)}
+		}
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -64,11 +64,13 @@
 type simFault uint8
 
 const (
-	simNone       simFault = iota
-	simDisconnect          // runs, and the connection closes without a response
-	simTruncate            // runs, and the connection closes within the response
-	simDecline             // declined without running
-	simEndless             // runs, and sends a header without end until the connection closes
+	simNone        simFault = iota
+	simDisconnect           // runs, and the connection closes without a response
+	simTruncate             // runs, and the connection closes within the response
+	simDecline              // declined without running
+	simEndless              // runs, and sends a header without end until the connection closes
+	simDribbleHead          // runs, and sends a header without end, a byte at a time
+	simDribbleBody          // runs, and sends a body without end, a byte at a time
 )
 
 // backendSim is a simulated backend server. It sends heartbeats and serves the keys that it
@@ -102,6 +104,10 @@
 	leaving bool
 	// arrivals are the times at which requests arrived.
 	arrivals []time.Time
+	// body, if not nil, is the body of the responses.
+	body []byte
+	// endlessEnded counts the endless responses whose connection was closed.
+	endlessEnded int
 	// faults are injected into the next requests, one each.
 	faults []simFault
 	stop   chan struct{}
@@ -253,7 +259,7 @@
 	}
 	s.running++
 	s.runs[id]++
-	work := s.work
+	work, fixedBody := s.work, s.body
 	s.mu.Unlock()
 	select {
 	case <-time.After(work):
@@ -266,7 +272,13 @@
 	w.Header().Set(simSeal, s.id)
 	switch fault {
 	case simEndless:
-		s.sendEndlessHeader(w)
+		s.sendEndless(w, "HTTP/1.1 200 OK\r\n", "X-Fill: 0123456789012345678901234567890123456789\r\n", 0)
+		return
+	case simDribbleHead:
+		s.sendEndless(w, "HTTP/1.1 200 OK\r\nX-Fill: ", "x", time.Millisecond)
+		return
+	case simDribbleBody:
+		s.sendEndless(w, "HTTP/1.1 200 OK\r\n"+simID+": "+id+"\r\n"+simSeal+": "+s.id+"\r\nContent-Length: 500000\r\n\r\n", "x", time.Millisecond)
 		return
 	case simDisconnect:
 		panic(http.ErrAbortHandler)
@@ -276,20 +288,28 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if fixedBody != nil {
+		_, _ = w.Write(fixedBody)
+		return
+	}
 	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
 }
 
-// sendEndlessHeader sends header lines until the connection closes.
-func (s *backendSim) sendEndlessHeader(w http.ResponseWriter) {
+// sendEndless sends start, and then next again and again with pauses until the connection closes.
+func (s *backendSim) sendEndless(w http.ResponseWriter, start, next string, pause time.Duration) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err)
 	}
 	defer c.Close()
-	_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+	_, err = io.WriteString(c, start)
 	for err == nil {
-		_, err = io.WriteString(c, "X-Fill: 0123456789012345678901234567890123456789\r\n")
+		time.Sleep(pause)
+		_, err = io.WriteString(c, next)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endlessEnded++
 }
 
 // writeSignals sets the headers that state a limit or a leave. s.mu must be held.
--- a/internal/node/bounds_test.go
+++ b/internal/node/bounds_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net"
 	"net/http"
 	"runtime"
 	"testing"
@@ -41,3 +43,107 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(status).To(Equal(http.StatusOK))
 }
+
+// Guards against a request that is never answered, and memory that is kept, because its backend server
+// sends single bytes without end: the deadline bounds it, the connection is closed, and others are served.
+func TestResponseInSingleBytesEndsAtTheDeadline(t *testing.T) {
+	for name, fault := range map[string]simFault{"head": simDribbleHead, "body": simDribbleBody} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newTestCluster(t, 1) // not beside other tests, for the memory
+			c.waitSettled()
+			n := c.nodes[0]
+			const requests = 3 // fewer than the backend server has slots
+			n.sim.injectFaults(fault, fault, fault)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			type result struct {
+				status int
+				err    error
+				took   time.Duration
+			}
+			results := make(chan result, requests)
+			for i := range requests {
+				go func() {
+					started := time.Now()
+					status, _, _, err := send(t.Context(), http.MethodPost, n.config.ClientAddress, "/book/dribble", fmt.Sprint("dribble", i), 7, "x")
+					results <- result{status, err, time.Since(started)}
+				}()
+			}
+			g.Eventually(func() int { return n.sim.ran("dribble0") + n.sim.ran("dribble1") + n.sim.ran("dribble2") }, 2*time.Second).Should(Equal(requests))
+			status, _, _, err := send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/a", "a", 7, "")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status).To(Equal(http.StatusOK), "a slot is free")
+			for range requests {
+				r := <-results
+				g.Expect(r.err).NotTo(HaveOccurred())
+				g.Expect(r.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout), "the request ran")
+				g.Expect(r.took).To(BeNumerically("<", 3*time.Second), "the deadline is 2 s")
+			}
+			runtime.ReadMemStats(&after)
+			// The body's buffer has its stated length; little of what is allocated is in use.
+			g.Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", requests*(4<<20)))
+			g.Eventually(func() int {
+				n.sim.mu.Lock()
+				defer n.sim.mu.Unlock()
+				return n.sim.endlessEnded
+			}, 5*time.Second).Should(Equal(requests), "the connections to the backend server are closed")
+			g.Expect(n.sim.maxRuns()).To(Equal(1))
+		})
+	}
+}
+
+// Guards against memory of the node that grows with clients that send requests and don't read the
+// responses, and against other requests that wait for them. readahead closes these connections after
+// clientWriteTimeout; see TestClientThatDoesNotReadIsDisconnected there.
+func TestClientsThatDoNotReadHoldLittleMemory(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestCluster(t, 1) // not beside other tests, for the memory
+	c.waitSettled()
+	n := c.nodes[0]
+	const clients = 8
+	n.sim.mu.Lock()
+	n.sim.body, n.sim.slots = make([]byte, 512<<10), clients*16 // what the connections may run at a time
+	n.sim.mu.Unlock()
+	n.Node.backend.queue.setSlots(clients * 16)
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range clients {
+		c, err := net.Dial("tcp", n.config.ClientAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		g.Expect(c.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+		go func() { // blocks once the node stops reading
+			for k := 0; ; k++ {
+				if _, err := fmt.Fprintf(c, "GET /lookup/x HTTP/1.1\r\nHost: shop.example\r\n%s: u%d-%d\r\n%s: 7\r\n%s: 2000\r\n\r\n", simID, i, k, simKey, simDeadline); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	arrivals := func() int { return n.sim.arrivedSince(time.Time{}) }
+	g.Eventually(func() bool { // until the clients' buffers are full
+		had := arrivals()
+		time.Sleep(500 * time.Millisecond)
+		return arrivals() == had
+	}, 40*time.Second, time.Millisecond).Should(BeTrue())
+	g.Expect(arrivals()).To(BeNumerically(">", clients))
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	held := int64(during.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d clients, %d requests ran, %d bytes held", clients, arrivals(), held)
+	// Without a bound, each request that runs may hold its response, 64 MiB together and up to twice
+	// that with the room of their buffers. The rest is for the buffers of connections on all sides.
+	g.Expect(held).To(BeNumerically("<", maxReadAhead+maxBufferedBytes+clients*16*(160<<10)))
+	n.sim.mu.Lock()
+	n.sim.body = nil
+	n.sim.mu.Unlock()
+	for i := range 20 {
+		started := time.Now()
+		status, _, _, err := send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/a", fmt.Sprint("a", i), 7, "")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -26,9 +25,6 @@
 	// deadlineReserve is how long before the client's deadline a request without a response
 	// is given up, so that the error still reaches the client in time.
 	deadlineReserve = 20 * time.Millisecond
-	// maxBufferedResponse is the size in bytes up to which a response is read whole before
-	// it is sent to the client, so that a truncated one can be replaced by a retry.
-	maxBufferedResponse = 640 << 10
 )
 
 // request is one request of a client.
@@ -202,30 +198,3 @@
 	}
 	http.Error(w, out.err.Error(), status)
 }
-
-// bufferResponse reads up to maxBufferedResponse bytes of a response. If it is truncated
-// within them, the result is an error, so that the request can be retried.
-func bufferResponse(out outcome) outcome {
-	resp := out.resp
-	var buffered bytes.Buffer
-	if resp.ContentLength > 0 && resp.ContentLength <= maxBufferedResponse {
-		buffered.Grow(int(resp.ContentLength))
-	}
-	_, err := io.CopyN(&buffered, resp.Body, maxBufferedResponse)
-	if err != nil && !errors.Is(err, io.EOF) {
-		resp.Body.Close()
-		return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "answer broke off after %d bytes: %v", buffered.Len(), err), arrived: true, load: out.load}
-	}
-	rest := resp.Body
-	if errors.Is(err, io.EOF) {
-		rest.Close()
-		resp.ContentLength = int64(buffered.Len())
-		resp.Body = io.NopCloser(&buffered)
-		return out
-	}
-	resp.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(&buffered, rest), rest}
-	return out
-}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -150,7 +150,7 @@
 	if out.transfer != 0 {
 		defer n.pacer.remove(out.transfer)
 		// Buffer the response, so that the backend server does not wait for the link.
-		out = bufferResponse(out)
+		out = n.buffers.buffer(out)
 	}
 	h := w.Header()
 	h.Set(loadHeader, out.load.encode())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -52,6 +52,7 @@
 	})
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
+	m.set.NewGauge("basilway_node_response_buffer_bytes", func() float64 { return float64(n.buffers.bytes.Load()) })
 	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
 	m.set.NewGauge("basilway_node_desired_state_version", func() float64 {
 		if routes := n.views.current().Routes; routes != nil {
@@ -115,6 +116,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_responses_over_bound_total{bound=%q}`, bound)).Inc()
 }
 
+// countSlowReader counts a client connection that was closed because the client does not read.
+func (m *nodeMetrics) countSlowReader() {
+	m.set.GetOrCreateCounter("basilway_node_client_write_timeouts_total").Inc()
+}
+
 // countStoreCall counts a call to the store.
 func (m *nodeMetrics) countStoreCall(call, rows string, err error) {
 	outcome := "ok"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	meanWork workMeter
 	contact  *storeContact
 	sizes    responseSizes
+	buffers  responseBuffers
 	pacer    *pacer
 	clients  *clientConns
 	refusals refusals
@@ -244,6 +245,9 @@
 	// defaultClientIdle is how long an idle client connection is kept if the operator's
 	// limit is not known. A longer limit of the operator has no effect.
 	defaultClientIdle = 90 * time.Second
+	// clientWriteTimeout is how long a client may take to read 16 KiB of a response. It is longer than
+	// any deadline, because responses that are ready are delivered even if late.
+	clientWriteTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 64 << 10
 )
@@ -313,11 +317,17 @@
 	return readahead.Config{
 		Handler: handler, Idempotent: n.isIdempotent, Bounds: pipeline.DefaultConfig(),
 		MaxHeldBytes: maxHeldResponse, MaxInstanceBytes: maxReadAhead, MaxHeaderBytes: maxHeaderBytes,
-		HeaderTimeout: n.clientHeaderLimit, IdleTimeout: defaultClientIdle,
+		HeaderTimeout: n.clientHeaderLimit, IdleTimeout: defaultClientIdle, WriteTimeout: clientWriteTimeout, WriteTimedOut: n.countSlowReader,
 		ConnState: n.clients.connState, ObserveWait: n.metrics.observeConnWait,
 	}
 }
 
+// countSlowReader is called when a client connection is closed because the client does not read.
+func (n *Node) countSlowReader() {
+	n.metrics.countSlowReader()
+	n.events.log.Info("client connection closed, the client does not read its response", zap.Duration("write timeout", clientWriteTimeout))
+}
+
 // isIdempotent reports whether a client's request may run beside others of its connection.
 func (n *Node) isIdempotent(r *http.Request) bool {
 	routes := n.views.current().Routes
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -48,7 +48,10 @@
 	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d,%s", &l.running, &l.waiting, &l.slots, &work, &queued, &l.incarnation); err != nil && n < 4 {
 		return peerLoad{}
 	}
-	l.known, l.work, l.queued = true, time.Duration(work)*time.Microsecond, time.Duration(queued)*time.Microsecond
+	if min(l.running, l.waiting, l.slots) < 0 || min(work, queued) < 0 {
+		return peerLoad{}
+	}
+	l.known, l.work, l.queued = true, wireDuration(work), wireDuration(queued)
 	return l
 }
 
@@ -75,5 +78,5 @@
 		return outcome{}, err
 	}
 	failure := verdict.New(verdict.Verdict(v), verdict.Reason(f[1]), "%s", f[4])
-	return outcome{err: failure.WithRetryAfter(time.Duration(retryAfter) * time.Microsecond), arrived: f[3] == "true"}, nil
+	return outcome{err: failure.WithRetryAfter(max(wireDuration(retryAfter), 0)), arrived: f[3] == "true"}, nil
 }
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -208,7 +208,9 @@
 func leaseVersions(listing metastore.Listing) map[string]uint64 {
 	out := map[string]uint64{}
 	for _, row := range listing.Rows {
-		out[row.Key[len(leaseTable)+1:]] = row.Version
+		if instance, ok := leaseHolder(row.Key); ok {
+			out[instance] = row.Version
+		}
 	}
 	return out
 }
--- a/internal/node/plannerfence.go
+++ b/internal/node/plannerfence.go
@@ -79,10 +79,11 @@
 	var out []expiry.Lost
 	for _, row := range listing.Rows {
 		var value leaseRow
-		if err := cbor.Unmarshal(row.Value, &value); err != nil || value.Address == "" {
+		instance, ok := leaseHolder(row.Key)
+		if err := cbor.Unmarshal(row.Value, &value); err != nil || value.Address == "" || !ok {
 			continue // such a row expires by its age
 		}
-		h := holder{row.Key[len(leaseTable)+1:], row.Version, value.acquiredAt(row.Version)}
+		h := holder{instance, row.Version, value.acquiredAt(row.Version)}
 		older, taken := newest[value.Address]
 		if taken && older.acquired > h.acquired {
 			older, h = h, older
--- a/internal/node/rows.go
+++ b/internal/node/rows.go
@@ -47,3 +47,9 @@
 	table, _, _ := strings.Cut(key, "/")
 	return table
 }
+
+// leaseHolder returns the instance whose lease a row is, and false if it is another row: listings may
+// come from another node.
+func leaseHolder(key string) (instance string, ok bool) {
+	return strings.CutPrefix(key, leaseTable+"/")
+}
--- a/internal/node/ticket.go
+++ b/internal/node/ticket.go
@@ -41,7 +41,12 @@
 	fingerprint uint64
 }
 
-const ticketFields = 12
+const (
+	ticketFields = 12
+	// maxWireTime bounds the times in the headers between nodes: how far those of a ticket are from now,
+	// and the durations in a response. Farther ones count as this.
+	maxWireTime = 24 * time.Hour
+)
 
 // encode returns the wire form of the ticket, sent at now.
 func (t ticket) encode(now time.Time) string {
@@ -64,13 +69,18 @@
 		ints[i] = n
 	}
 	fingerprint, err := strconv.ParseUint(f[10], 16, 64)
-	if err != nil || ints[1] < 0 || ints[1] > 65535 {
+	if err != nil || ints[1] < 0 || ints[1] > 65535 || ints[0] < 0 || ints[0] > int64(httproute.Download) {
 		return ticket{}, fmt.Errorf("ticket %q", s)
 	}
 	return ticket{
 		instance: f[11], service: f[0], route: f[1], kind: httproute.Kind(ints[0]), sharded: f[3] == "true", key: uint16(ints[1]),
 		priority: int(ints[2]), nested: f[6] == "true", retry: f[7] == "true",
-		target:   now.Add(time.Duration(ints[3]) * time.Microsecond),
-		deadline: now.Add(time.Duration(ints[4]) * time.Microsecond), fingerprint: fingerprint,
+		target: now.Add(wireDuration(ints[3])), deadline: now.Add(wireDuration(ints[4])), fingerprint: fingerprint,
 	}, nil
 }
+
+// wireDuration returns a duration that was sent in microseconds.
+func wireDuration(micros int64) time.Duration {
+	limit := maxWireTime.Microseconds()
+	return time.Duration(min(max(micros, -limit), limit)) * time.Microsecond
+}
--- a/internal/readahead/actions.go
+++ b/internal/readahead/actions.go
@@ -64,7 +64,7 @@
 		held := st.held
 		st.held = nil
 		c.mu.Unlock()
-		_, err := c.raw.Write(held)
+		_, err := c.write(held)
 		c.server.heldBytes.Add(-int64(len(held)))
 		c.mu.Lock()
 		if err != nil {
--- a/internal/readahead/config.go
+++ b/internal/readahead/config.go
@@ -29,6 +29,11 @@
 	HeaderTimeout func() time.Duration
 	// IdleTimeout is how long a connection without requests is kept.
 	IdleTimeout time.Duration
+	// WriteTimeout is how long a client may take to read maxWritePiece bytes of a response. Its
+	// connection is closed then; 0 means no limit.
+	WriteTimeout time.Duration
+	// WriteTimedOut is called for each connection that is closed for it; nil if nobody needs it.
+	WriteTimedOut func()
 	// MaxHeaderBytes bounds the size of a header.
 	MaxHeaderBytes int
 	// ConnState is called when a client connection changes its state, as in http.Server; nil
@@ -51,6 +56,10 @@
 // The server reads larger ones from the connection itself, one after the other.
 const maxBufferedRequest = 128 << 10
 
+// maxWritePiece is the number of bytes that are written to a client at once. It bounds what a client
+// must read within the write timeout, also if a response is written in one piece.
+const maxWritePiece = 16 << 10
+
 // lingerTimeout is how long a closed connection is still read, so that the client gets the
 // last response before a reset.
 const lingerTimeout = 500 * time.Millisecond
--- a/internal/readahead/conn.go
+++ b/internal/readahead/conn.go
@@ -127,6 +127,16 @@
 	c.apply(func() []pipeline.Action { return c.state.Abort() })
 }
 
+// write writes a part of a response to the client. If that fails, also because the client does not read,
+// the connection is closed: a client that does not read may leave it open forever.
+func (c *conn) write(p []byte) (int, error) {
+	n, err := c.server.config.writePieces(c.raw, p)
+	if err != nil {
+		c.raw.Close()
+	}
+	return n, err
+}
+
 // drain reads and discards what the client still sends while the last responses are written,
 // so that it is noticed if the client leaves. After the end it goes on for a moment: closing a
 // connection with unread bytes resets it, and the client could lose the last response.
@@ -148,7 +158,7 @@
 	rest := c.handedOver
 	c.mu.Unlock()
 	tcp, ok := c.raw.(*net.TCPConn)
-	if rest && ok && c.server.streams.hand(&restConn{TCPConn: tcp, raw: c.raw, unread: c.capture.rest()}) {
+	if rest && ok && c.server.streams.hand(&restConn{TCPConn: tcp, raw: c.raw, unread: c.capture.rest(), config: &c.server.config}) {
 		c.server.remove(c)
 		return
 	}
--- a/internal/readahead/limits_test.go
+++ b/internal/readahead/limits_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +81,57 @@
 	_, err := c.reader.ReadByte()
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+// Guards against clients that don't read their responses, each of which keeps a connection and its memory
+// until it leaves, and against other clients that wait for them.
+func TestClientThatDoesNotReadIsDisconnected(t *testing.T) {
+	const size = 24 << 20 // more than the systems' buffers hold
+	for name, sent := range map[string]string{
+		"one response":       get(fmt.Sprint("/large/", size)),
+		"held responses":     get("/slow") + strings.Repeat(get("/large/4000"), 60) + get(fmt.Sprint("/large/", size)),
+		"rest of connection": "POST /large/" + fmt.Sprint(size) + " HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("b", 200000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var timedOut atomic.Int64
+			s := newTestServer(t, func(c *Config) {
+				c.WriteTimeout, c.WriteTimedOut = 300*time.Millisecond, func() { timedOut.Add(1) }
+			})
+			open := s.gate("/slow")
+			defer open()
+			c := dial(t, s.address)
+			c.send(sent)
+			if name == "held responses" {
+				g.Eventually(s.heldBytes.Load, waitLimit).Should(BeNumerically(">", 0))
+				open()
+			}
+			g.Eventually(s.states.Load, waitLimit).Should(BeEquivalentTo(1))
+			other := dial(t, s.address)
+			other.send(get("/other"))
+			body, _ := other.receive()
+			g.Expect(body).To(Equal("GET /other "))
+			other.Close()
+			g.Eventually(s.states.Load, waitLimit).Should(BeZero(), "the client has not left")
+			g.Expect(timedOut.Load()).To(BeNumerically(">", 0))
+			g.Eventually(s.heldBytes.Load, waitLimit).Should(BeZero())
+		})
+	}
+}
+
+// Guards against a write timeout that ends a response to a client which reads slowly, but reads.
+func TestSlowClientGetsItsResponse(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, func(c *Config) { c.WriteTimeout = time.Second })
+	c := dial(t, s.address)
+	const size = 12 << 20
+	c.send(get(fmt.Sprint("/large/", size)))
+	started, read := time.Now(), 0
+	buffer := make([]byte, 256<<10)
+	for read < size {
+		n, err := c.reader.Read(buffer)
+		g.Expect(err).NotTo(HaveOccurred())
+		read += n
+		time.Sleep(time.Duration(n) * 2 * time.Second / size)
+	}
+	g.Expect(time.Since(started)).To(BeNumerically(">", time.Second))
+}
--- a/internal/readahead/restconn.go
+++ b/internal/readahead/restconn.go
@@ -9,6 +9,7 @@
 	// raw is the connection as it was accepted.
 	raw    net.Conn
 	unread []byte
+	config *Config
 }
 
 // Read implements net.Conn.
@@ -20,3 +21,6 @@
 	}
 	return c.TCPConn.Read(p)
 }
+
+// Write implements net.Conn.
+func (c *restConn) Write(p []byte) (int, error) { return c.config.writePieces(c.TCPConn, p) }
--- a/internal/readahead/stream.go
+++ b/internal/readahead/stream.go
@@ -92,7 +92,7 @@
 	if gone {
 		return 0, net.ErrClosed
 	}
-	return c.raw.Write(p)
+	return c.write(p)
 }
 
 // Close implements net.Conn.
