--- a/httproute/document.go
+++ b/httproute/document.go
@@ -70,15 +70,24 @@
 
 // Snapshot validates the document and returns its contents. The error lists every problem.
 func (d Document) Snapshot() (Snapshot, error) {
+	s, found := d.Check()
+	if problems := errorTexts(found); len(problems) > 0 {
+		return Snapshot{}, fmt.Errorf("routes: %s", strings.Join(problems, "; "))
+	}
+	return s, nil
+}
+
+// Check returns the contents of the document and what is wrong with it.
+func (d Document) Check() (Snapshot, []Finding) {
 	s := Snapshot{Version: d.Version, Limits: Limits{HeaderBytes: d.Limits.HeaderBytes, BodyBytes: d.Limits.BodyBytes}}
-	var problems []string
+	f := &findings{}
 	names := map[string]bool{}
 	checkName := func(kind, name string) {
 		if name == "" {
-			problems = append(problems, "a "+kind+" has no name")
+			f.error("a %s has no name", kind)
 		}
 		if name != "" && names[kind+name] {
-			problems = append(problems, fmt.Sprintf("duplicate %s %q", kind, name))
+			f.error("duplicate %s %q", kind, name)
 		}
 		names[kind+name] = true
 	}
@@ -93,7 +102,9 @@
 		checkName("route", r.Name)
 		kind, err := ParseKind(r.Kind)
 		if err != nil {
-			problems = append(problems, fmt.Sprintf("route %q: %v", r.Name, err))
+			f.place = routePlace(r.Name)
+			f.error("%v", err)
+			f.place = ""
 		}
 		route := Route{
 			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: kind, Priority: r.Priority, MaxAttempts: r.MaxAttempts,
@@ -104,11 +115,5 @@
 		}
 		s.Routes = append(s.Routes, route)
 	}
-	if _, err := NewTable(s); err != nil {
-		problems = append(problems, err.Error())
-	}
-	if len(problems) > 0 {
-		return Snapshot{}, fmt.Errorf("routes: %s", strings.Join(problems, "; "))
-	}
-	return s, nil
+	return s, append(f.all, Check(s)...)
 }
--- a/httproute/table.go
+++ b/httproute/table.go
@@ -17,61 +17,43 @@
 
 // Table looks up the route of a request.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Warnings are the findings of Check, which do not keep the table from being used.
+	Warnings []Finding
 	hosts    map[string][]Route // longest prefix first
 	services map[string]Service
 }
 
-// NewTable validates a snapshot and indexes its routes. The error lists every problem.
+// NewTable validates a snapshot by Check and indexes its routes. The error lists every problem.
 func NewTable(s Snapshot) (*Table, error) {
-	t := &Table{Version: s.Version, Limits: s.Limits, hosts: map[string][]Route{}, services: map[string]Service{}}
-	var problems []string
+	found := Check(s)
+	if problems := errorTexts(found); len(problems) > 0 {
+		return nil, fmt.Errorf("desired state %d: %s", s.Version, strings.Join(problems, "; "))
+	}
+	t := &Table{Version: s.Version, Limits: s.Limits, Warnings: found, hosts: map[string][]Route{}, services: map[string]Service{}}
 	for _, service := range s.Services {
 		t.services[service.Name] = service
 	}
 	for _, r := range s.Routes {
-		if problem := t.validate(r); problem != "" {
-			problems = append(problems, fmt.Sprintf("route %q: %s", r.Name, problem))
-			continue
-		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
-	if len(problems) > 0 {
-		return nil, fmt.Errorf("desired state %d: %s", s.Version, strings.Join(problems, "; "))
-	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return t, nil
 }
 
-func (t *Table) validate(r Route) string {
-	switch {
-	case r.Host == "":
-		return "no host"
-	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return fmt.Sprintf("prefix %q must start and end with a slash", r.Prefix)
-	case r.Timeout <= 0:
-		return "timeout must be positive"
-	case len(r.Destinations) == 0:
-		return "no service"
-	}
-	total := 0
-	for _, d := range r.Destinations {
-		if _, ok := t.services[d.Service]; !ok {
-			return fmt.Sprintf("unknown service %q", d.Service)
-		}
-		if d.Weight < 0 {
-			return fmt.Sprintf("negative weight of service %q", d.Service)
+// errorTexts returns the texts of the findings that are an Error.
+func errorTexts(all []Finding) []string {
+	var out []string
+	for _, f := range all {
+		if f.Severity == Error {
+			out = append(out, f.String())
 		}
-		total += d.Weight
-	}
-	if total == 0 {
-		return "all weights are zero"
 	}
-	return ""
+	return out
 }
 
 // Match returns the route of the host whose prefix is the longest one that path starts
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -53,7 +53,7 @@
 		panic(err) // only for a nil flag set
 	}
 	root.AddCommand(newCatalogueCommand(o), newStatusCommand(o), newOwnersCommand(o),
-		newDrainCommand(o), newFenceCommand(o), newCallCommand(o), newRoutesCommand(o), newExplainCommand())
+		newDrainCommand(o), newFenceCommand(o), newCallCommand(o), newRoutesCommand(o), newConfigCommand(o), newExplainCommand())
 	return root
 }
 
@@ -66,6 +66,11 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, "basilway:", describe(err))
+	return exitCode(err)
+}
+
+// exitCode returns the exit code for the error of a command.
+func exitCode(err error) int {
 	var usage *usageError
 	if asUsageError(err, &usage) || strings.HasPrefix(err.Error(), "unknown ") {
 		return 2
--- a/internal/node/desiredstate.go
+++ b/internal/node/desiredstate.go
@@ -10,6 +10,9 @@
 	"github.com/basilway/basilway/metastore"
 )
 
+// maxLoggedWarnings is the number of warnings about a desired state that are logged.
+const maxLoggedWarnings = 5
+
 // mergeDesiredState applies row, the row of the desired state, to v if it is newer than the one in
 // force by the operator's version, which outlasts a store that goes back. The kept row has the
 // newest valid value, for other nodes, at the newest version of the row. It returns whether
@@ -39,6 +42,10 @@
 	s.rows[row.Key], v.Routes = row, table
 	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Bool("from another node", forwarded),
 		zap.Uint64("row version", row.Version))
+	if warnings := table.Warnings; len(warnings) > 0 {
+		s.log.Warn("entries of the desired state cannot do what they say", zap.Uint64("version", table.Version), zap.Int("warnings", len(warnings)),
+			zap.Stringers("first", warnings[:min(len(warnings), maxLoggedWarnings)]))
+	}
 	if s.onDesiredState != nil {
 		s.onDesiredState(forwarded)
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -60,6 +60,12 @@
 		}
 		return 0
 	})
+	m.set.NewGauge("basilway_node_desired_state_warnings", func() float64 {
+		if routes := n.views.current().Routes; routes != nil {
+			return float64(len(routes.Warnings))
+		}
+		return 0
+	})
 	m.set.NewGauge("basilway_node_desired_state_read_age_seconds", func() float64 {
 		return n.contact.age(tableOf(n.config.Protocol.DesiredStateRow())).Seconds()
 	})
