--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -238,7 +238,7 @@
 	if out.transfer != 0 {
 		defer n.pacer.remove(out.transfer)
 		// Buffer the response, so that the backend server does not wait for the link.
-		out = bufferResponse(out)
+		out = n.buffers.buffer(out)
 	}
 	h := w.Header()
 	if n.stopping.Load() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	meanWork  workMeter
 	contact   *storeContact
 	sizes     responseSizes
+	buffers   responseBuffers
 	pacer     *pacer
 	clients   *clientConns
 	refusals  refusals
@@ -157,11 +158,12 @@
 		return err
 	case <-ctx.Done():
 	}
+	started := time.Now()
 	n.stop(servers)
 	stopTasks()
 	running.Wait()
 	n.peers.close()
-	n.log.Info("stopped")
+	n.log.Info("stopped", zap.Duration("took", time.Since(started)))
 	return nil
 }
 
@@ -230,7 +232,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// server is an http.Server or the server of client connections.
+// server is a plainServer or the server of client connections.
 type server interface {
 	Serve(net.Listener) error
 	Shutdown(context.Context) error
@@ -251,6 +253,9 @@
 	// defaultClientIdle is how long an idle client connection is kept if the operator's
 	// limit is not known. A longer limit of the operator has no effect.
 	defaultClientIdle = 90 * time.Second
+	// clientWriteTimeout is how long a client may take to read 16 KiB of a response. It is longer than
+	// any deadline, because responses that are ready are delivered even if late.
+	clientWriteTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 64 << 10
 )
@@ -292,9 +297,9 @@
 			out = append(out, boundServer{s.name, readahead.NewServer(n.clientServerConfig(s.handler), errorLog), l})
 			continue
 		}
-		out = append(out, boundServer{s.name, &http.Server{
+		out = append(out, boundServer{s.name, newPlainServer(&http.Server{
 			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultClientIdle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		}, l})
+		}), l})
 	}
 	return out, nil
 }
@@ -321,11 +326,17 @@
 	return readahead.Config{
 		Handler: handler, Idempotent: n.isIdempotent, Bounds: pipeline.DefaultConfig(),
 		MaxHeldBytes: maxHeldResponse, MaxInstanceBytes: maxReadAhead, MaxHeaderBytes: maxHeaderBytes,
-		HeaderTimeout: n.clientHeaderLimit, IdleTimeout: defaultClientIdle,
+		HeaderTimeout: n.clientHeaderLimit, IdleTimeout: defaultClientIdle, WriteTimeout: clientWriteTimeout, WriteTimedOut: n.countSlowReader,
 		ConnState: n.clients.connState, ObserveWait: n.metrics.observeConnWait,
 	}
 }
 
+// countSlowReader is called when a client connection is closed because the client does not read.
+func (n *Node) countSlowReader() {
+	n.metrics.countSlowReader()
+	n.events.log.Info("client connection closed, the client does not read its response", zap.Duration("write timeout", clientWriteTimeout))
+}
+
 // isIdempotent reports whether a client's request may run beside others of its connection.
 func (n *Node) isIdempotent(r *http.Request) bool {
 	routes := n.views.current().Routes
