--- a/internal/node/compact.go
+++ b/internal/node/compact.go
@@ -63,18 +63,24 @@
 func (l peerLoad) named() namedLoad {
 	return namedLoad{
 		Running: l.running, Waiting: l.waiting, Slots: l.slots, WorkUS: l.work.Microseconds(), QueuedUS: l.queued.Microseconds(),
-		Incarnation: l.incarnation, ColdRate: int(math.Round(10 * l.coldRate)),
+		Incarnation: l.incarnation, ColdRate: int(math.Round(10 * min(l.coldRate, maxColdRate/10))),
 	}
 }
 
+// load returns the load, or one that is not known if a field is outside its range.
 func (f namedLoad) load() peerLoad {
+	if min(f.Running, f.Waiting, f.Slots, f.ColdRate) < 0 || min(f.WorkUS, f.QueuedUS) < 0 {
+		return peerLoad{}
+	}
 	return peerLoad{
-		known: true, running: f.Running, waiting: f.Waiting, slots: f.Slots, work: time.Duration(f.WorkUS) * time.Microsecond,
-		queued: time.Duration(f.QueuedUS) * time.Microsecond, incarnation: f.Incarnation,
-		coldRate: float64(max(f.ColdRate, 0)) / 10,
+		known: true, running: f.Running, waiting: f.Waiting, slots: f.Slots, work: wireDuration(f.WorkUS),
+		queued: wireDuration(f.QueuedUS), incarnation: f.Incarnation, coldRate: float64(min(f.ColdRate, maxColdRate)) / 10,
 	}
 }
 
+// maxColdRate bounds the rate that another node reports, in tenths of a request per second.
+const maxColdRate = 1_000_000
+
 // encodeCompact returns a message as the value of a header.
 func encodeCompact(message any) string {
 	data, err := cbor.Marshal(message)
@@ -159,11 +165,11 @@
 	service := route.Destinations[c.Destination].Service
 	info, _ := routes.Service(service)
 	key, hasKey := parseKey(r.Header.Get(n.headers.Key))
-	deadline := now.Add(time.Duration(c.Deadline) * time.Microsecond)
+	deadline := now.Add(wireDuration(c.Deadline))
 	return ticket{
 		instance: n.config.Instance, service: service, route: route.Name, kind: route.Kind, sharded: info.Sharded, key: key,
 		priority: route.Priority, nested: !hasKey, retry: c.Retry, deadline: deadline,
-		target: deadline.Add(-time.Duration(c.Late) * time.Microsecond),
+		target: deadline.Add(-wireDuration(c.Late)),
 	}, agreed, nil
 }
 
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -120,6 +120,7 @@
 func FuzzTicket(f *testing.F) {
 	now := time.Unix(1_700_000_000, 0)
 	f.Add(bookingTicket.encode(now))
+	f.Add("0,0,0,0,0,x " + encodeCompact(namedLoad{Running: -1, WorkUS: 9223372036854775807, ColdRate: 9223372036854775807}))
 	f.Add(peerLoad{known: true, running: 2, waiting: 1, slots: 4, work: time.Millisecond, queued: time.Millisecond, incarnation: "b@1"}.encode())
 	for _, seed := range []string{
 		"", ",,,,,,,,,,,", "booking,book,0,true,7,1,false,false,1000,2000,ff,instance-1", "s,r,300,true,7,1,false,false,1,2,0,i", "s,r,-1,true,7,1,false,false,1,2,0,i",
@@ -133,11 +134,11 @@
 		if ticket, err := decodeTicket(s, now); err == nil {
 			checkTicket(t, ticket, now)
 		}
-		if load := decodePeerLoad(s); load.known {
+		if load, _ := decodePeerLoad(s); load.known {
 			if load.running < 0 || load.waiting < 0 || load.slots < 0 || load.work < 0 || load.queued < 0 {
 				t.Fatalf("load %+v from %q", load, s)
 			}
-			if again := decodePeerLoad(load.encode()); again != load {
+			if again, _ := decodePeerLoad(load.encode()); again != load {
 				t.Fatalf("%q: %+v, encoded again %+v", s, load, again)
 			}
 		}
