--- /dev/null
+++ b/capacity/speed.go
@@ -0,0 +1,140 @@
+package capacity
+
+import (
+	"math"
+	"time"
+)
+
+// usual is the usual time of a route's requests.
+type usual struct {
+	seconds float64
+	count   int
+}
+
+// meanWeight is the weight of one request in the mean of the usual times.
+const meanWeight = 0.05
+
+// speed estimates the server's speed relative to its usual one. Its short-term estimate is the usual
+// time of recent requests divided by the time that they took, where overdue running requests count
+// with the time so far. The published speed changes only if a cumulative sum test of the short-term
+// estimate finds a lasting change.
+type speed struct {
+	config    Config
+	routes    map[string]*usual
+	published float64
+	// credit is the usual time and exposure the actual time of recent requests, in seconds.
+	credit, exposure float64
+	// mean is the moving average of the usual times of the completed requests, in seconds.
+	mean float64
+	// slower and faster are the cumulative sums of deviations.
+	slower, faster float64
+	// overtaken is the latest start of a request that completed in its usual time. Running requests
+	// that started earlier are exceptions, or lost, and say nothing about the server.
+	overtaken    time.Time
+	lastEvidence time.Time
+}
+
+func newSpeed(config Config, now time.Time) speed {
+	return speed{config: config, routes: map[string]*usual{}, published: 1, lastEvidence: now}
+}
+
+func (s *speed) nominal(route string) (float64, bool) {
+	u := s.routes[route]
+	if u == nil || u.count < s.config.NominalRequests {
+		return 0, false
+	}
+	return u.seconds, true
+}
+
+// complete adds a completed request and returns the usual time of its route, if that is known.
+func (s *speed) complete(r request, now time.Time) (nominal float64, known bool) {
+	took := now.Sub(r.started).Seconds()
+	nominal, known = s.nominal(r.route)
+	if known {
+		s.add(nominal, took, now)
+		if took <= nominal && r.started.After(s.overtaken) {
+			s.overtaken = r.started
+		}
+	}
+	if !known || s.published >= s.config.NominalFrom && s.slower < s.config.Threshold/2 {
+		s.learnUsual(r.route, took*s.published)
+	}
+	return nominal, known
+}
+
+func (s *speed) add(credit, exposure float64, now time.Time) {
+	s.credit += credit
+	s.exposure += exposure
+	if s.mean == 0 {
+		s.mean = credit
+	}
+	s.mean += meanWeight * (credit - s.mean)
+	s.lastEvidence = now
+}
+
+func (s *speed) learnUsual(route string, seconds float64) {
+	u := s.routes[route]
+	if u == nil {
+		u = &usual{}
+		s.routes[route] = u
+	}
+	u.count++
+	u.seconds += max(s.config.NominalWeight, 1/float64(u.count)) * (seconds - u.seconds)
+}
+
+// reported adds the server's own statement. It adds no time of last evidence: a server may state
+// that it is as usual without regard to its requests.
+func (s *speed) reported(percent float64) {
+	weight := s.config.ReportedWeight * s.mean
+	s.credit += weight
+	s.exposure += weight * min(max(percent/100, 1/s.config.MaxSpeed), 1/s.config.MinSpeed)
+}
+
+// shortTerm returns the short-term estimate. Running requests count once they are overdue.
+func (s *speed) shortTerm(running map[ID]request, now time.Time) float64 {
+	prior := max(s.config.PriorRequests*s.mean, 1e-6)
+	credit, exposure := s.credit+prior*s.published, s.exposure+prior
+	for _, r := range running {
+		nominal, known := s.nominal(r.route)
+		took := now.Sub(r.started).Seconds()
+		if !known || r.started.Before(s.overtaken) || took < s.config.OverdueFactor*nominal/s.published {
+			continue
+		}
+		credit += nominal
+		exposure += min(took, s.config.MaxOverdue*nominal)
+	}
+	return credit / exposure
+}
+
+func (s *speed) advance(running map[ID]request, passed time.Duration, now time.Time) {
+	decay := math.Exp(-passed.Seconds() / s.config.Window.Seconds())
+	s.credit, s.exposure = s.credit*decay, s.exposure*decay
+	estimate := min(max(s.shortTerm(running, now), s.config.MinSpeed), s.config.MaxSpeed)
+	deviation, step := math.Log2(estimate/s.published), min(passed, s.config.Window).Seconds()
+	s.slower = max(0, s.slower+(-deviation-s.config.Band)*step)
+	s.faster = max(0, s.faster+(deviation-s.config.Band)*step)
+	switch {
+	case s.slower > s.config.Threshold || s.faster > s.config.Threshold:
+		s.publish(estimate)
+	case s.published >= s.config.NominalFrom:
+		s.approach(1, passed, s.config.Relaxation)
+	case len(running) == 0 && now.Sub(s.lastEvidence) > s.config.IdleAfter:
+		s.approach(1, passed, s.config.IdleAfter)
+	default:
+		s.approach(estimate, passed, s.config.Tracking)
+	}
+}
+
+// approach moves the published speed towards a value with a time constant.
+func (s *speed) approach(value float64, passed, constant time.Duration) {
+	s.published += (value - s.published) * -math.Expm1(-passed.Seconds()/constant.Seconds())
+}
+
+// publish sets the speed and drops the completed requests from the estimate, because most of them
+// ran before the change.
+func (s *speed) publish(estimate float64) {
+	s.published, s.slower, s.faster, s.credit, s.exposure = estimate, 0, 0, 0, 0
+}
+
+// meanTook returns how long the mean request takes at the published speed, in seconds.
+func (s *speed) meanTook() float64 { return s.mean / s.published }
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -37,6 +37,8 @@
 	work     map[string]time.Duration
 	arrivals map[priorityClass]*arrivalRate
 	rate     rateLimit
+	// speed is the backend server's present speed relative to the one at which work was measured.
+	speed float64
 	// declinedShare is the share of requests that the backend server refuses at once. They
 	// do not delay the requests behind them.
 	declinedShare float64
@@ -47,7 +49,7 @@
 // New returns a queue for a backend server without slots. Requests wait until SetSlots is
 // called.
 func New(config Config) *Queue {
-	return &Queue{config: config, running: map[ID]running{}, work: map[string]time.Duration{}, arrivals: map[priorityClass]*arrivalRate{}}
+	return &Queue{config: config, speed: 1, running: map[ID]running{}, work: map[string]time.Duration{}, arrivals: map[priorityClass]*arrivalRate{}}
 }
 
 // SetSlots sets how many requests the backend server runs at once and returns the decisions
@@ -68,13 +70,17 @@
 
 // Work returns the expected time of a request of route on the backend server.
 func (q *Queue) Work(route string) time.Duration {
-	if w, ok := q.work[route]; ok {
-		return w
+	w, ok := q.work[route]
+	if !ok {
+		w = q.config.InitialWork
 	}
-	return q.config.InitialWork
+	if q.speed != 1 {
+		w = time.Duration(float64(w) / q.speed)
+	}
+	return w
 }
 
-// WorkByRoute returns a copy of the expected times of all measured routes.
+// WorkByRoute returns a copy of the times of all measured routes at the server's usual speed.
 func (q *Queue) WorkByRoute() map[string]time.Duration { return maps.Clone(q.work) }
 
 // Offer decides on a new request. It also returns the decisions on waiting requests that
@@ -182,8 +188,11 @@
 			declined = 1
 		}
 		q.declinedShare += q.config.Smoothing * (declined - q.declinedShare)
-		if result == Completed {
+		if result == Completed && q.speed >= usualSpeed {
 			took := now.Sub(r.started)
+			if q.speed != 1 {
+				took = time.Duration(float64(took) * q.speed)
+			}
 			if old, known := q.work[r.route]; known {
 				took = old + time.Duration(float64(took-old)*q.config.Smoothing)
 			}
