Use the learned capacity in the queue, the selection and the plan of keys

Change: with Config.LearnCapacity a node feeds the requests on its backend server and the load header's fourth figure to capacity.Learner, and uses limit and speed in the request queue, in the load that it reports with each response (an optional field after the others) and in its report to the planner, which it sends at once after a large change. The planner scales capacities, plans at once for a member that slowed, and allows four more moves for each. Result: go test ./internal/node ./placement ./platform ./internal/daemoncli ./waitqueue ./capacity pass. Of 12 further runs of TestKeysFollowASlowServer one failed: the recovery was known after 2.03 s instead of 2 s.

--- a/capacity/config.go
+++ b/capacity/config.go
@@ -21,6 +21,10 @@
 	// Tracking is the time constant with which a published speed below NominalFrom follows the
 	// short-term estimate.
 	Tracking time.Duration
+	// QuickRatio is the ratio to the published speed from which a request of a slow server counts as
+	// quick. Consecutive quick ones show that it has recovered if their ratios, in powers of two, add
+	// up to QuickEvidence.
+	QuickRatio, QuickEvidence float64
 	// Relaxation is the time constant with which a published speed near 1 returns to 1, while the
 	// usual times take up the difference.
 	Relaxation time.Duration
@@ -65,7 +69,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Window: 300 * time.Millisecond, PriorRequests: 1, Band: 0.5, Threshold: 0.5, MinSpeed: 0.05, MaxSpeed: 3,
-		NominalFrom: 0.7, Tracking: 400 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.01, NominalRequests: 20,
+		NominalFrom: 0.7, QuickRatio: 3, QuickEvidence: 6, Tracking: 400 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.01, NominalRequests: 20,
 		OverdueFactor: 1.5, MaxOverdue: 30, ReportedWeight: 0.2,
 		KneeRatio: 0.65, LowerStep: 0.75, RaiseStep: 1.1, KeepShare: 0.97, GainShare: 1.04, HopelessShare: 0.85, ClearShare: 1.3,
 		MinPhase: 500 * time.Millisecond, MaxPhase: 2 * time.Second, PhaseRequests: 5, MinCompleted: 8, Confirmations: 2,
--- a/capacity/simulation_test.go
+++ b/capacity/simulation_test.go
@@ -209,7 +209,9 @@
 	// 0.8; 0 if never.
 	slowAfter, recoveredAfter time.Duration
 	lowestSpeed               float64
-	changes                   int // of the speed by more than a half
+	// highestSlow is the highest speed from 1.5 s after the step until its end.
+	highestSlow float64
+	changes     int // of the speed by more than a half
 }
 
 func simulate(s scenario, p policy, seed uint64) simResult {
@@ -299,6 +301,9 @@
 			samples++
 			result.lowestSpeed = min(result.lowestSpeed, speed)
 		}
+		if at >= simSlowFrom+1500*time.Millisecond && at < simSlowUntil {
+			result.highestSlow = max(result.highestSlow, speed)
+		}
 		if at >= simSlowFrom && result.slowAfter == 0 && speed < 0.5 {
 			result.slowAfter = at - simSlowFrom
 		}
@@ -337,6 +342,7 @@
 		sum.slowAfter = max(sum.slowAfter, r.slowAfter)
 		sum.recoveredAfter = max(sum.recoveredAfter, r.recoveredAfter)
 		sum.lowestSpeed = min(sum.lowestSpeed, r.lowestSpeed)
+		sum.highestSlow = max(sum.highestSlow, r.highestSlow)
 		sum.changes += r.changes
 	}
 	return sum
@@ -355,7 +361,7 @@
 			results[s.name][p.name] = r
 			fmt.Fprintf(&table, "| %s | %s | %.1f | %.1f | %.1f | %.1f | %.1f |\n", s.name, p.name, 100*r.inTarget, 100*r.late, 100*r.timeout, 100*r.refused, r.limit)
 			if p.name == "learned" {
-				fmt.Fprintf(&table, "  speed below half after %v, above 0.8 after %v, lowest %.2f, %d changes\n", r.slowAfter, r.recoveredAfter, r.lowestSpeed, r.changes)
+				fmt.Fprintf(&table, "  speed below half after %v, above 0.8 after %v, lowest %.2f, highest while slow %.2f, %d changes\n", r.slowAfter, r.recoveredAfter, r.lowestSpeed, r.highestSlow, r.changes)
 			}
 		}
 	}
@@ -370,6 +376,7 @@
 		case strings.HasSuffix(s.name, "slower"):
 			g.Expect(own.slowAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)), s.name)
 			g.Expect(own.recoveredAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", 2*time.Second)), s.name)
+			g.Expect(own.highestSlow).To(BeNumerically("<", 0.6), s.name)
 		default:
 			g.Expect(own.changes).To(BeZero(), s.name)
 			g.Expect(own.inTarget).To(BeNumerically(">=", slots.inTarget-0.01), s.name)
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -32,6 +32,13 @@
 	// that started earlier are exceptions, or lost, and say nothing about the server.
 	overtaken    time.Time
 	lastEvidence time.Time
+	quick        []quickRequest
+}
+
+// quickRequest is a request that was much faster than the published speed.
+type quickRequest struct {
+	started time.Time
+	speed   float64
 }
 
 func newSpeed(config Config, now time.Time) speed {
@@ -55,6 +62,7 @@
 		if took <= nominal && r.started.After(s.overtaken) {
 			s.overtaken = r.started
 		}
+		s.checkRecovery(r.started, nominal/took)
 	}
 	if !known || s.published >= s.config.NominalFrom && s.slower < s.config.Threshold/2 {
 		s.learnUsual(r.route, took*s.published)
@@ -62,6 +70,35 @@
 	return nominal, known
 }
 
+// checkRecovery publishes the speed of consecutive requests that were much faster than the published
+// one. A slow server gets so few requests that the short-term estimate would take seconds. Requests
+// that started before them may still be slow.
+func (s *speed) checkRecovery(started time.Time, speed float64) {
+	switch {
+	case s.published >= s.config.NominalFrom:
+		s.quick = nil
+	case speed >= s.config.QuickRatio*s.published:
+		s.quick = append(s.quick, quickRequest{started, speed})
+	case len(s.quick) > 0 && started.After(s.quick[0].started):
+		s.quick = nil
+	}
+	sum, evidence := 0.0, 0.0
+	for _, q := range s.quick {
+		sum += q.speed / float64(len(s.quick))
+		evidence += math.Log2(q.speed / s.published)
+	}
+	if evidence < s.config.QuickEvidence {
+		return
+	}
+	for _, q := range s.quick {
+		if q.started.After(s.overtaken) {
+			s.overtaken = q.started
+		}
+	}
+	s.quick = nil
+	s.publish(min(sum, 1))
+}
+
 func (s *speed) add(credit, exposure float64, now time.Time) {
 	s.credit += credit
 	s.exposure += exposure
--- a/internal/daemoncli/router.go
+++ b/internal/daemoncli/router.go
@@ -65,6 +65,7 @@
 	flags.String("peer-listen", "", "host:port for other routers")
 	flags.String("metrics-listen", "", "host:port of GET /metrics; not served if empty")
 	flags.Float64("link-mbps", 0, "rate of the instance's link in Mbit/s, to which large responses are paced; 0 disables pacing")
+	flags.Bool("learn-capacity", false, "learn how much load the backend server handles well, and limit its requests to that")
 	flags.String("platform-url", "http://127.0.0.1:7399", "base URL of the platform's table")
 	flags.String("log-level", "info", "minimum level of log lines: debug, info, warn or error")
 	settings.SetEnvPrefix("BASILWAY_ROUTER")
@@ -97,7 +98,7 @@
 		Instance: required("instance"), Zone: required("zone"), Service: required("service"), BackendAddress: address("backend"),
 		ClientAddress: address("listen"), ReadyAddress: address("ready-listen"), HeartbeatAddress: address("announce-listen"),
 		PeerAddress: address("peer-listen"), LinkBitsPerSecond: settings.GetFloat64("link-mbps") * 1e6,
-		Protocol: httpprotocol.Protocol{},
+		Protocol: httpprotocol.Protocol{}, LearnCapacity: settings.GetBool("learn-capacity"),
 		Bounds: node.Bounds{
 			DrainTimeout: routerDrainTimeout, StopTimeout: routerStopTimeout, MaxHold: routerMaxHold,
 			RetryShare: routerRetryShare, RetryWindow: routerRetryWindow, RetryExtra: routerRetryExtra,
--- a/internal/daemoncli/router_test.go
+++ b/internal/daemoncli/router_test.go
@@ -30,4 +30,9 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(config.LinkBitsPerSecond).To(Equal(14e6))
 	g.Expect(config.MetricsAddress).To(BeEmpty())
+	g.Expect(config.LearnCapacity).To(BeFalse())
+	settings.Set("learn-capacity", "true")
+	config, err = routerConfig(settings)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(config.LearnCapacity).To(BeTrue())
 }
--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -53,6 +53,7 @@
 	b.mu.Unlock()
 	if healthy && !known {
 		b.queue.setSlots(m.Slots)
+		b.capacity.reset(m.Owner.Incarnation, m.Slots)
 	}
 }
 
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -36,7 +36,9 @@
 	node  *Node
 	pool  *httpclient.Pool
 	queue *requestQueue
-	log   *zap.Logger
+	// capacity is nil unless Config.LearnCapacity is set.
+	capacity *capacityMeter
+	log      *zap.Logger
 
 	// changed wakes requests that wait for their key to be granted to the backend server.
 	changed broadcast
@@ -85,6 +87,9 @@
 		running: map[uint64]int{}, disconnected: map[uint64]time.Time{}, started: n.now(),
 	}
 	b.portRefused = b.probePort
+	if n.config.LearnCapacity {
+		b.capacity = &capacityMeter{queue: b.queue, log: b.log, speedChanged: n.reportNow.notify}
+	}
 	return b
 }
 
@@ -170,6 +175,7 @@
 	b.log.Info("new backend server incarnation", zap.String("backend", hb.Incarnation()), zap.Int("slots", hb.Slots),
 		zap.Duration("cold", hb.WarmUpLeft), zap.String("software", hb.Software))
 	b.queue.setSlots(hb.Slots)
+	b.capacity.reset(owner.Incarnation, hb.Slots)
 	b.applyLimit(owner.Incarnation)
 	b.wake()
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -48,6 +48,9 @@
 	// DroppedLines returns the number of log lines dropped because the output was blocked;
 	// nil if they are not counted.
 	DroppedLines func() uint64
+	// LearnCapacity is set if the node learns how much load its backend server handles well, and
+	// tells it to the request queue, the planner and other nodes.
+	LearnCapacity bool
 	// Bounds are the platform's limits on the node's timing and retries.
 	Bounds Bounds
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -50,6 +50,17 @@
 		limit, _ := n.statuses.limit(n.backend.owner().Incarnation)
 		return limit
 	})
+	if n.backend.capacity != nil {
+		m.set.NewGauge("basilway_node_learned_limit", func() float64 {
+			learned, _ := n.backend.capacity.learned()
+			return float64(learned.Limit)
+		})
+		m.set.NewGauge("basilway_node_learned_speed", func() float64 {
+			learned, _ := n.backend.capacity.learned()
+			return learned.speed()
+		})
+		m.set.NewGauge("basilway_node_learned_speed_changes_total", func() float64 { return float64(n.backend.capacity.speedChanges()) })
+	}
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
 	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,9 @@
 	refusals refusals
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
-	statuses   *statuses
+	// reportNow makes the node send its next report to the planner at once.
+	reportNow broadcast
+	statuses  *statuses
 	// generation is the present generation of the store.
 	generation *storeGeneration
 	// now reads the clock that leases and holds are measured with.
@@ -161,7 +163,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runHousekeeping, n.backend.capacity.run,
 	}
 }
 
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -35,19 +35,50 @@
 	queued time.Duration
 	// incarnation is that of the backend server that responded; empty if none did.
 	incarnation string
+	// speed is the backend server's present speed relative to its usual one, and slots its learned
+	// limit; 0 if the node beside it learns neither.
+	speed float64
 }
 
+// speedKey precedes the speed in the optional fields of the load, which follow the others after a
+// space, so that nodes of earlier versions don't read them.
+const speedKey = "speed="
+
+// maxPeerSpeed bounds the speed that another node reports.
+const maxPeerSpeed = 4
+
 func (l peerLoad) encode() string {
-	return fmt.Sprintf("%d,%d,%d,%d,%d,%s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation)
+	encoded := fmt.Sprintf("%d,%d,%d,%d,%d,%s", l.running, l.waiting, l.slots, l.work.Microseconds(), l.queued.Microseconds(), l.incarnation)
+	if l.speed > 0 {
+		encoded += fmt.Sprintf(" %s%.3f", speedKey, l.speed)
+	}
+	return encoded
+}
+
+// usualWork returns the time that the request would have taken at the backend server's usual speed.
+func (l peerLoad) usualWork() time.Duration {
+	if l.speed == 0 {
+		return l.work
+	}
+	return time.Duration(float64(l.work) * l.speed)
 }
 
 func decodePeerLoad(s string) peerLoad {
 	var l peerLoad
+	s, options, _ := strings.Cut(s, " ")
+	for _, option := range strings.Fields(options) {
+		if value, ok := strings.CutPrefix(option, speedKey); ok {
+			if speed, err := strconv.ParseFloat(value, 64); err == nil && speed > 0 {
+				l.speed = speed
+			}
+		}
+	}
 	var work, queued int64
 	// Nodes of earlier versions do not send the last fields.
 	if n, err := fmt.Sscanf(s, "%d,%d,%d,%d,%d,%s", &l.running, &l.waiting, &l.slots, &work, &queued, &l.incarnation); err != nil && n < 4 {
 		return peerLoad{}
 	}
+	l.speed = min(l.speed, maxPeerSpeed)
 	l.known, l.work, l.queued = true, time.Duration(work)*time.Microsecond, time.Duration(queued)*time.Microsecond
 	return l
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -142,7 +142,7 @@
 	if o.load.known {
 		s.load, s.loadAt, s.lastSeen = o.load, now, now
 		if o.load.work > 0 {
-			s.observeSlowness(o.load.work, expectedWork)
+			s.observeSlowness(o.load.usualWork(), expectedWork)
 		}
 	}
 	if o.arrived {
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -55,12 +55,17 @@
 	limits             map[string]*float64                 // in requests per second, by instance; nil without one
 	vouched            map[string]vouchedReport            // by instance, until they are recorded
 	firstSeen          map[string]time.Time                // when a service first had members
-	renewals           map[string]*renewalState            // by instance
+	learned            map[string]learnedCapacity          // by instance, of nodes that learn it
+	// slowed is when an instance's backend server last became much slower.
+	slowed   map[string]time.Time
+	renewals map[string]*renewalState // by instance
 	// roleSince is when this node last got the planner role.
 	roleSince time.Time
 	// lastSample is when this node last learned the store's version.
-	lastSample    time.Time
-	lastBalance   time.Time
+	lastSample  time.Time
+	lastBalance time.Time
+	// speedChanged starts a planning round when a backend server became much slower.
+	speedChanged  broadcast
 	lastLeasePoll time.Time
 }
 
@@ -78,6 +83,7 @@
 	p.demand, p.slowDemand = map[string]*placement.Demand{}, map[string]*placement.Demand{}
 	p.workTimes = map[string]map[string]time.Duration{}
 	p.cold, p.limits = map[string]bool{}, map[string]*float64{}
+	p.learned, p.slowed = map[string]learnedCapacity{}, map[string]time.Time{}
 	p.vouched = map[string]vouchedReport{}
 	p.firstSeen = map[string]time.Time{}
 	p.renewals = map[string]*renewalState{}
@@ -130,6 +136,7 @@
 		routeWork[route] = time.Duration(micros) * time.Microsecond
 	}
 	p.workTimes[r.Instance], p.cold[r.Instance], p.limits[r.Instance] = routeWork, r.Cold, r.Limit
+	p.recordLearned(r, now)
 	if len(r.Vouched) > 0 {
 		p.vouched[r.Instance] = vouchedReport{r.Generation, r.Vouched}
 	}
@@ -218,6 +225,7 @@
 	hadRole := false
 	for ctx.Err() == nil {
 		view, changed := p.node.views.get()
+		speeds := p.speedChanged.wait()
 		hasRole := view.Planner.Instance == p.node.config.Instance
 		if hasRole && !hadRole {
 			p.reset()
@@ -234,6 +242,7 @@
 		timer := time.NewTimer(planInterval)
 		select {
 		case <-changed:
+		case <-speeds:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -290,7 +299,7 @@
 		if slow := p.slowDemand[service]; slow.WarmedUp(now) {
 			in.SlowLoads = slow.Loads(now)
 		}
-		in.Balance = d.WarmedUp(now) && now.Sub(p.lastBalance) >= balanceInterval
+		in.Balance = d.WarmedUp(now) && now.Sub(p.lastBalance) >= p.balanceInterval(now)
 	}
 	members := view.ServiceMembers(service)
 	var meanWork time.Duration
@@ -304,6 +313,7 @@
 		member := placement.Member{
 			Owner: m.Owner, Slots: m.Slots, Speed: p.speed(members, m), Draining: m.State == BackendDraining, Cold: p.cold[m.Owner.Instance],
 		}
+		p.applyLearned(&member, now)
 		if limit := p.limits[m.Owner.Instance]; limit != nil {
 			member.Limited, member.MaxLoad = true, *limit*meanWork.Seconds()
 		}
--- a/internal/node/plannerspeed.go
+++ b/internal/node/plannerspeed.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/basilway/basilway/placement"
+)
 
 const (
 	// minSpeed and maxSpeed bound the speed computed from measurements.
@@ -29,3 +33,54 @@
 	}
 	return min(maxSpeed, max(minSpeed, sum/float64(n)))
 }
+
+const (
+	// slowedRatio is the ratio of two reported speeds from which a backend server counts as slowed.
+	slowedRatio = 1.5
+	// slowedPeriod is how long a slowed backend server's keys are moved away sooner and in more moves
+	// than for balance, and slowedBalanceInterval the shortest time between two plans meanwhile.
+	slowedPeriod          = 3 * time.Second
+	slowedBalanceInterval = 300 * time.Millisecond
+)
+
+// recordLearned records what a node has learned about its backend server. p.mu must be held.
+func (p *planner) recordLearned(r report, now time.Time) {
+	if r.Learned == nil {
+		delete(p.learned, r.Instance)
+		return
+	}
+	before, known := p.learned[r.Instance]
+	if !known {
+		before = newLearnedCapacity(1, 1)
+	}
+	p.learned[r.Instance] = *r.Learned
+	if r.Learned.speed()*slowedRatio < before.speed() {
+		p.slowed[r.Instance] = now
+		p.speedChanged.notify()
+	}
+}
+
+// applyLearned makes the plan use what a member's node has learned. p.mu must be held.
+func (p *planner) applyLearned(m *placement.Member, now time.Time) {
+	learned, ok := p.learned[m.Owner.Instance]
+	if !ok || learned.Limit == 0 || learned.Permille == 0 {
+		return
+	}
+	m.Slots = min(m.Slots, int(learned.Limit))
+	m.Speed *= min(learned.speed(), maxSpeed)
+	slowed, ok := p.slowed[m.Owner.Instance]
+	m.Slowed = ok && now.Sub(slowed) < slowedPeriod
+}
+
+// balanceInterval returns the shortest time between two plans for balance. p.mu must be held.
+func (p *planner) balanceInterval(now time.Time) time.Duration {
+	for instance, at := range p.slowed {
+		if now.Sub(at) >= slowedPeriod {
+			delete(p.slowed, instance)
+		}
+	}
+	if len(p.slowed) > 0 {
+		return slowedBalanceInterval
+	}
+	return balanceInterval
+}
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -29,6 +29,9 @@
 	Limit string
 	// Leaving is 1 in the responses of a backend server that is leaving.
 	Leaving string
+	// Load states the load of the backend server that responds: running and waiting requests, slots,
+	// and, from some, how long work takes at present in percent of the usual time.
+	Load string
 	// FractionalRetryAfter is set if clients read fractions of a second in Retry-After.
 	// RFC 9110 knows whole seconds only.
 	FractionalRetryAfter bool
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -35,6 +35,8 @@
 	// store; nil if it never did. Desired is the version in force.
 	DesiredReadAge *uint32 `cbor:"9,keyasint,omitempty"`
 	Desired        uint64  `cbor:"10,keyasint,omitempty"`
+	// Learned is what the node has learned about the backend server; nil if it learns nothing.
+	Learned *learnedCapacity `cbor:"14,keyasint,omitempty"`
 }
 
 // reportResponse is the planner's response to a report.
@@ -74,12 +76,14 @@
 func (n *Node) runReports(ctx context.Context) {
 	missed := 0
 	var vacantSince time.Time // zero while the planner accepts reports
+	now := n.reportNow.wait()
 	for ctx.Err() == nil {
 		interval := minReportInterval
 		if missed == 0 {
 			interval = reportInterval(len(n.views.current().Members))
 		}
-		sleep(ctx, jitter(interval*4/3))
+		sleepUnless(ctx, jitter(interval*4/3), now)
+		now = n.reportNow.wait()
 		view := n.views.current()
 		if view.Planner.Instance == n.config.Instance {
 			n.lease.confirm(n.planner.handleReport(n.report()))
@@ -120,6 +124,12 @@
 	for route, work := range n.backend.queue.workByRoute() {
 		r.Work[route] = uint32(work.Microseconds())
 	}
+	for route, work := range n.backend.capacity.usual() {
+		r.Work[route] = uint32(work.Microseconds())
+	}
+	if learned, ok := n.backend.capacity.learned(); ok {
+		r.Learned = &learned
+	}
 	if limit, limited := n.statuses.limit(n.backend.owner().Incarnation); limited {
 		r.Limit = &limit
 	}
--- a/internal/node/requestqueue.go
+++ b/internal/node/requestqueue.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// setSpeed sets the backend server's present speed relative to its usual one, and the usual times.
+func (q *requestQueue) setSpeed(speed float64, usual map[string]time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.queue.SetSpeed(speed, usual, time.Now()))
+}
+
 // setRateLimit limits the requests that are sent to the backend server per second.
 func (q *requestQueue) setRateLimit(perSecond float64) {
 	q.mu.Lock()
@@ -132,7 +139,8 @@
 	return q.queue.Work(route)
 }
 
-// workByRoute returns the expected times on the backend server of all measured routes.
+// workByRoute returns the expected times on the backend server of all measured routes, at
+// its usual speed.
 func (q *requestQueue) workByRoute() map[string]time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -84,7 +84,7 @@
 	started := time.Now()
 	out := n.forward(ctx, m, req.ticket, req.exchange)
 	if out.load.work > 0 {
-		n.observeWork(req.route.Name, out.load.work)
+		n.observeWork(req.route.Name, out.load.usualWork())
 	}
 	if out.err == nil {
 		transfer := out.transfer
@@ -181,6 +181,9 @@
 			c.Reported, c.Age = load.running+load.waiting, 0
 		}
 		c.Slots = max(m.Slots, 1)
+		if learned, age, ok := n.learnedCapacityOf(m, time.Now()); ok {
+			c = c.WithCapacity(int(learned.Limit), learned.speed(), age)
+		}
 		if m.Zone != n.config.Zone {
 			c.Overhead += crossZoneCost
 		}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -39,6 +39,9 @@
 	load := b.queue.load()
 	out.load.known = true
 	out.load.running, out.load.waiting, out.load.slots = load.running, load.waiting, load.slots
+	if learned, ok := b.capacity.learned(); ok {
+		out.load.slots, out.load.speed = int(learned.Limit), learned.speed()
+	}
 	return out
 }
 
@@ -113,9 +116,12 @@
 		return outcome{err: refused}
 	}
 	started := time.Now()
+	measured := b.capacity.start(t.route)
 	out := b.send(ctx, t, e)
 	end()
-	done(queueResult(out))
+	result := queueResult(out)
+	measured(result == waitqueue.Completed)
+	done(result)
 	if out.resp != nil {
 		out.load.work, out.load.queued = time.Since(started), started.Sub(offered)
 	}
--- a/internal/node/statuses.go
+++ b/internal/node/statuses.go
@@ -92,6 +92,9 @@
 		n.events.request("invalid header of backend server ignored", requestID, zap.String("backend", incarnation), zap.Error(err))
 		return
 	}
+	if percent, ok := n.headers.workPercent(header); ok {
+		n.backend.capacity.observe(incarnation, percent)
+	}
 	limitChanged, leaves := n.statuses.observe(incarnation, report, sentAt)
 	if !limitChanged && !leaves {
 		return
--- a/placement/config.go
+++ b/placement/config.go
@@ -23,6 +23,8 @@
 	// OpenMovesPerMember times the number of members that are not draining.
 	MaxMoves, MaxOpenMoves             int
 	MovesPerMember, OpenMovesPerMember float64
+	// MovesPerSlowed is added to MaxMoves and MaxOpenMoves for each slowed member.
+	MovesPerSlowed int
 	// HeavyCapacityRatio is the minimum ratio of the capacity of another member to that of
 	// the owner of a heavy key at which the key is moved there. A heavy key is one whose load
 	// alone exceeds the capacity of its owner.
@@ -42,7 +44,7 @@
 func DefaultConfig() Config {
 	return Config{
 		BaseLoad: 0.05, Trigger: 0.18, Target: 0.06, MinUtilization: 0.45, FullUtilization: 1,
-		MaxMoves: 12, MaxOpenMoves: 24, MovesPerMember: 0.2, OpenMovesPerMember: 0.4, HeavyCapacityRatio: 1.25, MinMoveLoad: 0.15, Window: 1500 * time.Millisecond,
+		MaxMoves: 12, MaxOpenMoves: 24, MovesPerMember: 0.2, OpenMovesPerMember: 0.4, MovesPerSlowed: 4, HeavyCapacityRatio: 1.25, MinMoveLoad: 0.15, Window: 1500 * time.Millisecond,
 		SlowWindow: 6 * time.Second, SlowTrigger: 0.07, SlowTarget: 0.03,
 	}
 }
--- /dev/null
+++ b/placement/learned.go
@@ -0,0 +1,19 @@
+package placement
+
+import "time"
+
+const (
+	// speedFreshFor is the age up to which a learned speed applies, and speedForgottenAfter the one
+	// from which the backend server counts as usual again, so that it gets the requests that show a
+	// recovery.
+	speedFreshFor, speedForgottenAfter = 500 * time.Millisecond, 1500 * time.Millisecond
+)
+
+// WithCapacity returns the candidate with what its node learned age ago: the number of requests up
+// to which it keeps its speed, and its present speed relative to its usual one.
+func (c Candidate) WithCapacity(limit int, speed float64, age time.Duration) Candidate {
+	c.Slots = max(min(c.Slots, limit), 1)
+	forgotten := min(max(float64(age-speedFreshFor)/float64(speedForgottenAfter-speedFreshFor), 0), 1)
+	c.Work = time.Duration(float64(c.Work) / (speed + (1-speed)*forgotten))
+	return c
+}
--- a/placement/member.go
+++ b/placement/member.go
@@ -14,6 +14,9 @@
 	Limited bool
 	// Draining members give all their keys away and get none.
 	Draining bool
+	// Slowed is set for a short time after the member became much slower. More of its keys may be
+	// moved at once.
+	Slowed bool
 	// Cold members are still warming up and get no keys for balance.
 	Cold bool
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -260,6 +260,11 @@
 	mean := p.mean()
 	maxMoves := max(p.config.MaxMoves, int(p.config.MovesPerMember*float64(len(p.ready))))
 	maxOpen := max(p.config.MaxOpenMoves, int(p.config.OpenMovesPerMember*float64(len(p.ready))))
+	for _, b := range p.ready {
+		if b.Slowed {
+			maxMoves, maxOpen = maxMoves+p.config.MovesPerSlowed, maxOpen+p.config.MovesPerSlowed
+		}
+	}
 	sources := slices.Clone(p.ready)
 	for moves := 0; moves < maxMoves && p.open < maxOpen && len(sources) > 0; {
 		from := slices.MaxFunc(sources, byUtilization)
@@ -273,6 +278,10 @@
 			return
 		}
 		want := min(from.load-mean*from.capacity(), min(mean, p.config.FullUtilization)*to.capacity()-to.load)
+		if from.Slowed {
+			// The excess would leave it without requests that show its recovery.
+			want /= spanExcess
+		}
 		span, load := p.pickSpan(from.Owner, want)
 		if load < p.config.MinMoveLoad || (to.load+load)/to.capacity() > from.utilization() {
 			sources = slices.DeleteFunc(sources, func(b *bin) bool { return b == from })
@@ -298,10 +307,12 @@
 	return out
 }
 
+// spanExcess is the factor by which the load of a picked span may exceed what is wanted.
+const spanExcess = 1.2
+
 // pickSpan returns the span of owner with the highest load that is at most a fifth above want,
 // and that load.
 func (p *plan) pickSpan(owner keyrange.Owner, want float64) (best keyrange.Span, load float64) {
-	const excess = 1.2
 	for _, run := range stableSpans(p.in.Space.OwnedBy(owner)) {
 		for _, free := range p.untouched(run) {
 			i, _ := slices.BinarySearch(p.keys, free.From)
@@ -309,7 +320,7 @@
 			for end < len(p.keys) && p.keys[end] <= free.To {
 				end++
 			}
-			if span, got := p.heaviestRun(p.keys[i:end], want*excess); got > load {
+			if span, got := p.heaviestRun(p.keys[i:end], want*spanExcess); got > load {
 				best, load = span, got
 			}
 		}
