Notice steps of speed sooner

Cause: the recovery of a server that kept few keys was known after up to 2.11 s, and half of its keys were planned away after up to 1.87 s, in 2 of 20 runs of TestKeysFollowASlowServer.

--- a/capacity/config.go
+++ b/capacity/config.go
@@ -68,8 +68,8 @@
 // DefaultConfig returns the configuration that the daemon uses.
 func DefaultConfig() Config {
 	return Config{
-		Window: 300 * time.Millisecond, PriorRequests: 1, Band: 0.5, Threshold: 0.5, MinSpeed: 0.05, MaxSpeed: 3,
-		NominalFrom: 0.7, QuickRatio: 3, QuickEvidence: 6, Tracking: 400 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.01, NominalRequests: 20,
+		Window: 300 * time.Millisecond, PriorRequests: 1, Band: 0.5, Threshold: 0.4, MinSpeed: 0.05, MaxSpeed: 3,
+		NominalFrom: 0.7, QuickRatio: 2, QuickEvidence: 7, Tracking: 250 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.01, NominalRequests: 20,
 		OverdueFactor: 1.5, MaxOverdue: 30, ReportedWeight: 0.2,
 		KneeRatio: 0.65, LowerStep: 0.75, RaiseStep: 1.1, KeepShare: 0.97, GainShare: 1.04, HopelessShare: 0.85, ClearShare: 1.3,
 		MinPhase: 500 * time.Millisecond, MaxPhase: 2 * time.Second, PhaseRequests: 5, MinCompleted: 8, Confirmations: 2,
