--- a/internal/daemoncli/router_test.go
+++ b/internal/daemoncli/router_test.go
@@ -35,4 +35,9 @@
 	config, err = routerConfig(settings)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(config.PreferZone).To(BeTrue())
+	g.Expect(config.LearnCapacity).To(BeFalse())
+	settings.Set("learn-capacity", "true")
+	config, err = routerConfig(settings)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(config.LearnCapacity).To(BeTrue())
 }
--- a/internal/node/adoption.go
+++ b/internal/node/adoption.go
@@ -57,6 +57,7 @@
 	b.mu.Unlock()
 	if healthy && !known {
 		b.queue.setSlots(m.Slots)
+		b.capacity.reset(m.Owner.Incarnation, m.Slots)
 	}
 }
 
--- a/internal/node/compact.go
+++ b/internal/node/compact.go
@@ -58,23 +58,26 @@
 	Backend bool  `cbor:"10,keyasint,omitempty"`
 	// ColdRate is peerLoad.coldRate in tenths of a request per second.
 	ColdRate int `cbor:"11,keyasint,omitempty"`
+	// Speed is peerLoad.speed in thousandths.
+	Speed int `cbor:"12,keyasint,omitempty"`
 }
 
 func (l peerLoad) named() namedLoad {
 	return namedLoad{
 		Running: l.running, Waiting: l.waiting, Slots: l.slots, WorkUS: l.work.Microseconds(), QueuedUS: l.queued.Microseconds(),
-		Incarnation: l.incarnation, ColdRate: int(math.Round(10 * min(l.coldRate, maxColdRate/10))),
+		Incarnation: l.incarnation, ColdRate: int(math.Round(10 * min(l.coldRate, maxColdRate/10))), Speed: int(math.Round(1000 * min(l.speed, maxPeerSpeed))),
 	}
 }
 
 // load returns the load, or one that is not known if a field is outside its range.
 func (f namedLoad) load() peerLoad {
-	if min(f.Running, f.Waiting, f.Slots, f.ColdRate) < 0 || min(f.WorkUS, f.QueuedUS) < 0 {
+	if min(f.Running, f.Waiting, f.Slots, f.ColdRate, f.Speed) < 0 || min(f.WorkUS, f.QueuedUS) < 0 {
 		return peerLoad{}
 	}
 	return peerLoad{
 		known: true, running: f.Running, waiting: f.Waiting, slots: f.Slots, work: wireDuration(f.WorkUS),
 		queued: wireDuration(f.QueuedUS), incarnation: f.Incarnation, coldRate: float64(min(f.ColdRate, maxColdRate)) / 10,
+		speed: float64(min(f.Speed, 1000*maxPeerSpeed)) / 1000,
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -53,6 +53,17 @@
 	})
 	m.set.NewGauge("basilway_node_backend_cold_rate", func() float64 { return n.backend.queue.load().coldRate })
 	m.set.NewGauge("basilway_node_backend_sent_within_second", func() float64 { return float64(n.backend.queue.sentWithin()) })
+	if n.backend.capacity != nil {
+		m.set.NewGauge("basilway_node_learned_limit", func() float64 {
+			learned, _ := n.backend.capacity.learned()
+			return float64(learned.Limit)
+		})
+		m.set.NewGauge("basilway_node_learned_speed", func() float64 {
+			learned, _ := n.backend.capacity.learned()
+			return learned.speed()
+		})
+		m.set.NewGauge("basilway_node_learned_speed_changes_total", func() float64 { return float64(n.backend.capacity.speedChanges()) })
+	}
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
 	m.set.NewGauge("basilway_node_response_buffer_bytes", func() float64 { return float64(n.buffers.bytes.Load()) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,8 @@
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
 	statuses   *statuses
+	// reportNow makes the node send its next report to the planner at once.
+	reportNow broadcast
 	// evacuation decides what evacuated availability zones mean.
 	evacuation evacuation.Policy
 	// generation is the present generation of the store.
@@ -171,7 +173,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runEvacuations, n.runHousekeeping,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runEvacuations, n.runHousekeeping, n.backend.capacity.run,
 	}
 }
 
--- a/internal/node/outcome.go
+++ b/internal/node/outcome.go
@@ -38,6 +38,9 @@
 	// coldRate is how many requests per second a cold backend server is sent from all nodes; 0 if it
 	// is not limited for being cold.
 	coldRate float64
+	// speed is the backend server's present speed relative to its usual one, and slots its learned
+	// limit; 0 if the node beside it learns neither.
+	speed float64
 }
 
 // encode returns the text form of the load. Nodes of earlier versions read it up to the space;
@@ -47,6 +50,17 @@
 		encodeCompact(l.named()))
 }
 
+// maxPeerSpeed bounds the speed that another node reports.
+const maxPeerSpeed = 4
+
+// usualWork returns the time that the request would have taken at the backend server's usual speed.
+func (l peerLoad) usualWork() time.Duration {
+	if l.speed == 0 {
+		return l.work
+	}
+	return time.Duration(float64(l.work) * l.speed)
+}
+
 // decodePeerLoad decodes the text form of a load. compact is set if its sender understands
 // compact messages.
 func decodePeerLoad(s string) (l peerLoad, compact bool) {
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -53,12 +53,17 @@
 	limits             map[string]*float64                 // in requests per second, by instance; nil without one
 	vouched            map[string]vouchedReport            // by instance, until they are recorded
 	firstSeen          map[string]time.Time                // when a service first had members
-	renewals           map[string]*renewalState            // by instance
+	learned            map[string]learnedCapacity          // by instance, of nodes that learn it
+	// slowed is when an instance's backend server last became much slower.
+	slowed   map[string]time.Time
+	renewals map[string]*renewalState // by instance
 	// roleSince is when this node last got the planner role.
 	roleSince time.Time
 	// lastSample is when this node last learned the store's version.
-	lastSample    time.Time
-	lastBalance   map[string]time.Time // by service
+	lastSample  time.Time
+	lastBalance map[string]time.Time // by service
+	// speedChanged starts a planning round when a backend server became much slower.
+	speedChanged  broadcast
 	lastLeasePoll time.Time
 }
 
@@ -76,6 +81,7 @@
 	p.demand, p.slowDemand = map[string]*placement.Demand{}, map[string]*placement.Demand{}
 	p.workTimes = map[string]map[string]time.Duration{}
 	p.cold, p.limits = map[string]bool{}, map[string]*float64{}
+	p.learned, p.slowed = map[string]learnedCapacity{}, map[string]time.Time{}
 	p.vouched = map[string]vouchedReport{}
 	p.firstSeen = map[string]time.Time{}
 	p.lastBalance = map[string]time.Time{}
@@ -129,6 +135,7 @@
 		routeWork[route] = time.Duration(micros) * time.Microsecond
 	}
 	p.workTimes[r.Instance], p.cold[r.Instance], p.limits[r.Instance] = routeWork, r.Cold, r.Limit
+	p.recordLearned(r, now)
 	if len(r.Vouched) > 0 {
 		p.vouched[r.Instance] = vouchedReport{r.Generation, r.Vouched}
 	}
@@ -219,6 +226,7 @@
 	hadRole := false
 	for ctx.Err() == nil {
 		view, changed := p.node.views.get()
+		speeds := p.speedChanged.wait()
 		hasRole := view.Planner.Instance == p.node.config.Instance
 		if hasRole && !hadRole {
 			p.reset()
@@ -235,6 +243,7 @@
 		timer := time.NewTimer(planInterval)
 		select {
 		case <-changed:
+		case <-speeds:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -308,6 +317,7 @@
 			Owner: m.Owner, Slots: m.Slots, Speed: p.speed(members, m), Draining: m.State == BackendDraining,
 			Evacuated: view.Evacuated.Leaving(m.Zone), Cold: p.cold[m.Owner.Instance],
 		}
+		p.applyLearned(&member, now)
 		if limit := p.limits[m.Owner.Instance]; limit != nil {
 			member.Limited, member.MaxLoad = true, *limit*meanWork.Seconds()
 		}
@@ -322,6 +332,7 @@
 	if len(table.Owners()) == 0 && now.Sub(p.firstSeen[service]) < firstAssignWait {
 		return nil
 	}
+	config.BalanceInterval = p.balanceInterval(now)
 	if d := p.demand[service]; d != nil {
 		in.Balance = config.BalanceDue(in, d.Age(now), now.Sub(p.lastBalance[service]))
 	}
--- a/internal/node/protocol.go
+++ b/internal/node/protocol.go
@@ -32,6 +32,9 @@
 	// ColdMS is how many milliseconds longer the backend server that responds is cold. It is in
 	// responses to health checks.
 	ColdMS string
+	// Load states the load of the backend server that responds: running and waiting requests, slots,
+	// and, from some, how long work takes at present in percent of the usual time.
+	Load string
 	// FractionalRetryAfter is set if clients read fractions of a second in Retry-After.
 	// RFC 9110 knows whole seconds only.
 	FractionalRetryAfter bool
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -43,6 +43,9 @@
 	}
 	out.load.known = true
 	out.load.running, out.load.waiting, out.load.slots, out.load.coldRate = load.running, load.waiting, load.slots, load.coldRate
+	if learned, ok := b.capacity.learned(); ok {
+		out.load.slots, out.load.speed = int(learned.Limit), learned.speed()
+	}
 	return out
 }
 
@@ -118,9 +121,12 @@
 		return outcome{err: refused}
 	}
 	started, expected := time.Now(), b.queue.expectedWork(t.route)
+	measured := b.capacity.start(t.route)
 	out := b.send(ctx, t, e, slot)
 	end()
-	slot.done(queueResult(out))
+	result := queueResult(out)
+	measured(result == waitqueue.Completed)
+	slot.done(result)
 	if out.resp != nil {
 		b.observeTook(time.Since(started), expected)
 		out.load.work, out.load.queued = time.Since(started), started.Sub(offered)
--- a/placement/member.go
+++ b/placement/member.go
@@ -17,6 +17,9 @@
 	// Evacuated members are in an evacuated availability zone. They are like draining ones, within a
 	// limit of open moves.
 	Evacuated bool
+	// Slowed is set for a short time after the member became much slower. More of its keys may be
+	// moved at once.
+	Slowed bool
 	// Cold members are still warming up and get no keys for balance.
 	Cold bool
 }
