--- a/internal/node/capacitymeter_test.go
+++ b/internal/node/capacitymeter_test.go
@@ -102,6 +102,42 @@
 	})
 }
 
+// Guards against requests that the meter does not see, and against a speed that other nodes don't
+// learn from responses.
+func TestSlowServerIsKnownToOtherNodes(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	c := newTestCluster(t, 0)
+	c.learnCapacity = true
+	c.add("instance-0")
+	c.add("instance-1")
+	c.waitSettled()
+	slow, other := c.nodes[0], c.nodes[1]
+	setWork := func(d time.Duration) {
+		slow.sim.mu.Lock()
+		defer slow.sim.mu.Unlock()
+		slow.sim.work = d
+	}
+	key := slow.ownedKey()
+	setWork(20 * time.Millisecond)
+	for range 10 {
+		burst(other, key, 3)
+	}
+	g.Expect(slow.Node.backend.capacity.usual()).To(HaveKeyWithValue("book", BeNumerically(">=", 20*time.Millisecond)))
+	setWork(time.Second)
+	speed := func() float64 {
+		learned, _, _ := other.learnedCapacityOf(other.views.current().Members["instance-0"], time.Now())
+		return learned.speed()
+	}
+	g.Expect(speed()).To(BeNumerically(">", 0.6))
+	g.Eventually(func() float64 {
+		burst(other, key, 3)
+		return speed()
+	}, 10*time.Second).Should(BeNumerically("<", 0.4))
+	limit, _, _ := other.learnedCapacityOf(other.views.current().Members["instance-0"], time.Now())
+	g.Expect(limit.Limit).To(BeNumerically("==", slow.sim.slots))
+}
+
 // learningCluster is a virtual cluster whose backend servers run simulated requests.
 type learningCluster struct {
 	*virtualCluster
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -37,6 +37,8 @@
 	nodes []*testNode
 	holds *holdChecker
 	log   *zap.Logger
+	// learnCapacity is set if the nodes that are added learn capacities.
+	learnCapacity bool
 	// desired is the initial desired state.
 	desired httproute.Snapshot
 }
@@ -89,7 +91,7 @@
 	config := Config{
 		Instance: instance, Zone: "z", Service: "booking",
 		ClientAddress: testport.Reserve(c.t), ReadyAddress: testport.Reserve(c.t), HeartbeatAddress: testport.Reserve(c.t), PeerAddress: testport.Reserve(c.t),
-		Store: c.store, Protocol: simProtocol{},
+		Store: c.store, Protocol: simProtocol{}, LearnCapacity: c.learnCapacity,
 		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60},
 	}
 	n := &testNode{cluster: c, config: config, sim: newBackendSim(c.t, "b-"+instance, "booking", config.HeartbeatAddress)}
