Count bytes between nodes by purpose and availability zone

Cause: where the bytes between availability zones go was known from one trial with counters added by hand. Change: httpclient.Exchange.Count is called where connections are read and written; basilway_node_peer_bytes_total{purpose,zone} has both directions of the connections that a node opens, so that the sum over nodes has each byte once.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -29,6 +29,26 @@
 	// writeResult receives the result of a body that is written while the response is read;
 	// nil if there is no such body.
 	writeResult chan error
+	// count is the Count of the current exchange.
+	count func(written, read int)
+}
+
+// Write writes to the connection and counts the bytes.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if c.count != nil && n > 0 {
+		c.count(n, 0)
+	}
+	return n, err
+}
+
+// Read reads from the connection and counts the bytes.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.count != nil && n > 0 {
+		c.count(0, n)
+	}
+	return n, err
 }
 
 // clean reports whether nothing has arrived on an idle connection: neither bytes, which
@@ -119,10 +139,10 @@
 const maxInlineBodyBytes = 2048
 
 func (c *conn) writeBody(e Exchange, chunked bool) error {
-	out := io.Writer(c.Conn)
+	out := io.Writer(c)
 	var chunks io.WriteCloser
 	if chunked {
-		chunks = &chunkWriter{out: c.Conn}
+		chunks = &chunkWriter{out: c}
 		out = chunks
 	}
 	if _, err := out.Write(e.Body); err != nil {
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -27,4 +27,7 @@
 	// IDHeader names the header that a response repeats, and ID is its expected value.
 	// Responses with another value are discarded. An empty IDHeader disables the check.
 	IDHeader, ID string
+	// Count, if not nil, is called with the bytes of the request that were written and those of
+	// the response that were read, from several goroutines.
+	Count func(written, read int)
 }
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -115,6 +115,7 @@
 			return nil, &Error{Err: err}
 		}
 	}
+	c.count = e.Count
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	resp, stray, err := p.exchange(c, e)
 	if err != nil {
@@ -202,7 +203,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, lastID: id, limit: &io.LimitedReader{R: raw, N: math.MaxInt64}}
+	c := &conn{Conn: raw, lastID: id, limit: &io.LimitedReader{N: math.MaxInt64}}
+	c.limit.R = c
 	c.reader = bufio.NewReaderSize(c.limit, p.config.ReadBuffer)
 	return c, nil
 }
--- a/internal/node/compact_test.go
+++ b/internal/node/compact_test.go
@@ -29,7 +29,7 @@
 	passed = &atomic.Int64{}
 	pass := func(to, from net.Conn) {
 		defer to.Close()
-		_, _ = io.Copy(io.MultiWriter(to, countWriter{passed}), from)
+		_, _ = io.Copy(io.MultiWriter(countWriter{passed}, to), from)
 	}
 	go func() {
 		for {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -90,6 +90,7 @@
 // that node is known to understand it. If it refuses the form, it gets the named one.
 func (n *Node) sendForwarded(ctx context.Context, m Member, t ticket, e httpclient.Exchange) (*http.Response, messageForm, error) {
 	pool, header := n.peers.pool(m.Address), e.Header
+	e.Count = n.peers.count(m.Address, forwardPurpose)
 	// A stream can be sent only once.
 	if e.Stream == nil && n.peers.acceptsCompact(m.Address) {
 		e.Header = header.Clone()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	n.statuses, n.generation = newStatuses(n.now), newStoreGeneration(config.Bootstrap, n.now)
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
 	n.peers = newPeers(log.Named("peers"), n.stopping.Load)
+	n.peers.counter = n.peerByteCounter
 	store := countedStore{config.Store, func(call, rows string, err error) { n.metrics.countStoreCall(call, rows, err) }}
 	n.store = &relayStore{WatchedTable: store, node: n, log: log.Named("relay")}
 	n.views = newViewStore(config.Protocol, log.Named("view"))
--- a/internal/node/peercall.go
+++ b/internal/node/peercall.go
@@ -35,7 +35,7 @@
 func (n *Node) exchangeHTTP(ctx context.Context, address, path string, body []byte) ([]byte, error) {
 	pool, started := n.peers.pool(address), time.Now()
 	resp, err := pool.Do(ctx, httpclient.Exchange{
-		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body,
+		Method: http.MethodPost, URI: path, Host: address, Header: http.Header{}, Body: body, Count: n.peers.count(address, callPurpose(path)),
 	}, nil)
 	if err != nil {
 		pool.CloseIdle(started)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -87,8 +87,11 @@
 	log *zap.Logger
 	// stopping reports whether this node is stopping.
 	stopping func() bool
-	mu       sync.Mutex
-	states   map[string]*peerState // by address
+	// counter returns what counts the bytes of an exchange with a peer; nil if they are not
+	// counted.
+	counter func(address string, purpose peerPurpose) func(written, read int)
+	mu      sync.Mutex
+	states  map[string]*peerState // by address
 }
 
 func newPeers(log *zap.Logger, stopping func() bool) *peers {
@@ -108,6 +111,14 @@
 	return s
 }
 
+// count returns what counts the bytes of an exchange with a peer, or nil.
+func (p *peers) count(address string, purpose peerPurpose) func(written, read int) {
+	if p.counter == nil {
+		return nil
+	}
+	return p.counter(address, purpose)
+}
+
 // pool returns the connection pool of a peer.
 func (p *peers) pool(address string) *httpclient.Pool {
 	p.mu.Lock()
@@ -285,7 +296,7 @@
 // probeUntilReachable probes a peer until it responds or is no longer a member.
 func (p *peers) probeUntilReachable(address string, s *peerState) {
 	for unanswered := 0; ; {
-		err := ping(s.pool, address)
+		err := p.ping(s.pool, address)
 		p.mu.Lock()
 		if err == nil || p.states[address] != s {
 			if s.lost {
@@ -311,11 +322,11 @@
 }
 
 // ping checks that a peer responds to HTTP requests.
-func ping(pool *httpclient.Pool, address string) error {
+func (p *peers) ping(pool *httpclient.Pool, address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	started := time.Now()
-	resp, err := pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: pingPath, Host: address, Header: http.Header{}}, nil)
+	resp, err := pool.Do(ctx, httpclient.Exchange{Method: http.MethodGet, URI: pingPath, Host: address, Header: http.Header{}, Count: p.count(address, callPurpose(pingPath))}, nil)
 	if err != nil {
 		pool.CloseIdle(started)
 		return err
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -132,7 +132,7 @@
 	n := New(Config{Instance: "b", Protocol: simProtocol{}}, zap.NewNop())
 	var pings sync.WaitGroup
 	for range 3 {
-		pings.Go(func() { g.Expect(ping(n.peers.pool(proxy.Address()), proxy.Address())).To(Succeed()) })
+		pings.Go(func() { g.Expect(n.peers.ping(n.peers.pool(proxy.Address()), proxy.Address())).To(Succeed()) })
 	}
 	pings.Wait()
 	time.Sleep(10 * time.Millisecond) // the connections become idle
