Play evacuations with the heartbeats of the users' backend servers

The virtual backend servers sent heartbeats every 120 ms and released keys 20 ms after they were told to, so the plays showed moves that were too quick (all keys after 0.15 s).

The plays of evacuations now have heartbeats every 870 ms, at different times, keys are released with the next one, and in the one of the bound keys move for balance meanwhile. Also a test that keys return by balance.

--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -81,6 +81,8 @@
 	slots   int
 	work    time.Duration
 	server  *httptest.Server
+	// every, if not 0, is the interval of its heartbeats, also after it was told to release keys.
+	every time.Duration
 	// announce sends a heartbeat; ok is false if there was no reply.
 	announce func(hb grant.Heartbeat) (reply grant.Reply, ok bool)
 	// checker, if not nil, checks what it is granted.
@@ -136,7 +138,10 @@
 func (s *backendSim) runHeartbeats() {
 	for {
 		pause := heartbeatEvery
-		if s.sendHeartbeat() {
+		if s.every > 0 {
+			pause = s.every
+		}
+		if s.sendHeartbeat() && s.every == 0 {
 			pause = 20 * time.Millisecond
 		}
 		select {
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -21,12 +21,15 @@
 // evacuateTime is the users' evacuate_ms.
 const evacuateTime = 5 * time.Second
 
+// usersHeartbeat is the interval of the users' heartbeats.
+const usersHeartbeat = 870 * time.Millisecond
+
 // runEvacuation runs a test with a cluster in four availability zones whose keys are all served.
 func runEvacuation(t *testing.T, size int, test func(g *WithT, c *virtualCluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		c := newVirtualCluster(t, 1, 0, largeRates)
-		c.zones, c.evacuate = []string{"a", "b", "c", "d"}, evacuateTime
+		c.zones, c.evacuate, c.heartbeat = []string{"a", "b", "c", "d"}, evacuateTime, usersHeartbeat
 		for i := range size {
 			c.add(fmt.Sprint("instance-", i), fmt.Sprint("peer-", i))
 		}
@@ -93,6 +96,34 @@
 	return out
 }
 
+// keepDemand reports uneven work for a part of the keys through all nodes for a time.
+func (c *virtualCluster) keepDemand(d time.Duration) {
+	stop := time.Now().Add(d)
+	c.pending.Go(func() {
+		for time.Now().Before(stop) {
+			for _, n := range c.nodes {
+				c.addDemand(n, uint16(c.rng.intN(20000)), c.rng.between(30*time.Millisecond, 90*time.Millisecond))
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
+
+// ownedIn returns the number of keys whose owners are in a zone, as the planner knows it.
+func (c *virtualCluster) ownedIn(zone string) int {
+	p := c.planner()
+	if p == nil {
+		return 0
+	}
+	out, view := 0, p.running().views.current()
+	for _, r := range view.Keys["booking"].Ranges() {
+		if view.Members[r.Owner.Instance].Zone == zone {
+			out += r.Keys()
+		}
+	}
+	return out
+}
+
 // disagreeing returns the nodes that don't have exactly some zones evacuated.
 func (c *virtualCluster) disagreeing(zones ...string) (out []string) {
 	for _, n := range c.nodes {
@@ -118,11 +149,16 @@
 		t.Run(fmt.Sprint(size, "_nodes"), func(t *testing.T) {
 			t.Parallel()
 			runEvacuation(t, size, func(g *WithT, c *virtualCluster) {
+				c.keepDemand(15 * time.Second)
+				time.Sleep(c.rng.between(5*time.Second, 7*time.Second)) // keys are moving for balance
 				g.Expect(c.keysIn("b")).To(BeNumerically(">", 0))
 				c.setEvacuated("b", true)
 				started := time.Now()
-				closed := time.Duration(0)
+				closed, moved := time.Duration(0), time.Duration(0)
 				for time.Since(started) < evacuateTime {
+					if c.ownedIn("b") > 0 {
+						moved = time.Since(started)
+					}
 					if len(c.openTo("b")) > 0 {
 						closed = time.Since(started)
 					}
@@ -130,7 +166,8 @@
 				}
 				c.expectEvacuated(g, "b")
 				g.Expect(closed).To(BeNumerically("<", evacuateTime*3/5), "what is in transit must arrive in time")
-				t.Logf("closed after %v", closed)
+				g.Expect(moved).To(BeNumerically("<", evacuateTime*4/5), "refused callers come back then")
+				t.Logf("closed after %v, all keys moved after %v", closed, moved)
 				for _, n := range c.nodes {
 					g.Expect(n.running().views.current().Routes).NotTo(BeNil(), "instances of the zone go on serving")
 				}
@@ -321,7 +358,7 @@
 			time.Sleep(100 * time.Microsecond)
 		}
 		g.Expect(seen).To(BeTrue())
-		time.Sleep(2 * heartbeatEvery)
+		time.Sleep(2 * usersHeartbeat)
 		g.Expect(unknown()).To(BeFalse())
 	})
 }
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -40,6 +40,8 @@
 	zones []string
 	// evacuate is the nodes' bound for evacuations.
 	evacuate time.Duration
+	// heartbeat, if not 0, is the interval of the heartbeats of the backend servers.
+	heartbeat time.Duration
 }
 
 // lockedRand is a random generator for concurrent use.
@@ -173,7 +175,7 @@
 		return
 	}
 	n.lives++
-	n.sim = &backendSim{id: "b-" + n.config.Instance, service: "booking", slots: 4, startedMS: n.lives, stop: make(chan struct{}), checker: n.cluster.holds}
+	n.sim = &backendSim{id: "b-" + n.config.Instance, service: "booking", slots: 4, startedMS: n.lives, stop: make(chan struct{}), checker: n.cluster.holds, every: n.cluster.heartbeat}
 	n.sim.announce = func(hb grant.Heartbeat) (reply grant.Reply, ok bool) {
 		time.Sleep(n.cluster.rng.between(0, 5*time.Millisecond))
 		node := n.running()
@@ -182,7 +184,13 @@
 		}
 		return node.backend.reply(n.cluster.t.Context(), hb), true
 	}
-	n.cluster.pending.Go(n.sim.runHeartbeats)
+	sim := n.sim
+	n.cluster.pending.Go(func() {
+		if sim.every > 0 {
+			time.Sleep(n.cluster.rng.between(0, sim.every))
+		}
+		sim.runHeartbeats()
+	})
 }
 
 // crashBackend ends the backend server.
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -170,3 +170,25 @@
 	}
 	g.Expect(Plan(in, config)).To(BeEmpty(), "the limit counts open moves")
 }
+
+// Guards against keys that all return at once to a reinstated zone, or while its servers may be cold.
+func TestKeysReturnToAReinstatedZoneByBalance(t *testing.T) {
+	g := NewWithT(t)
+	p := newEvacuationPlay(0.9)
+	p.in.Space = applyPlans(t, p.in, 20)
+	g.Expect(p.left()).To(BeZero())
+	p.in.Balance = true
+	for i := range p.in.Members {
+		p.in.Members[i].Cold, p.in.Members[i].Evacuated = p.in.Members[i].Evacuated, false
+	}
+	for _, c := range Plan(p.in, DefaultConfig()) {
+		g.Expect(p.evacuee.Leaving(p.zones[c.To.Instance])).To(BeFalse(), "cold")
+	}
+	for i := range p.in.Members {
+		p.in.Members[i].Cold = false
+	}
+	changes := Plan(p.in, DefaultConfig())
+	g.Expect(len(changes)).To(And(BeNumerically(">", 0), BeNumerically("<=", 12)))
+	p.in.Space = applyPlans(t, p.in, 40)
+	g.Expect(p.left()).To(BeNumerically(">", 0.1), "they return over several plans")
+}
