Find a recovery by a sequential test, and bound what one request counts

Change: each request of a slow server enters a test of the likelihood of the usual against the published speed; a request counts at most five times its expected time in the short-term estimate; a lower speed needs two late requests.

--- a/capacity/config.go
+++ b/capacity/config.go
@@ -13,6 +13,8 @@
 	// that is attributed to noise. A new speed is published once the deviation beyond the band,
 	// summed over time, exceeds Threshold. A 400 ms spell of threefold time stays below it.
 	Band, Threshold float64
+	// MinLate is the number of late requests, ended or running, that a lower speed needs.
+	MinLate int
 	// MinSpeed and MaxSpeed bound the published speed.
 	MinSpeed, MaxSpeed float64
 	// NominalFrom is the published speed from which completed requests update the usual times. Below
@@ -21,10 +23,10 @@
 	// Tracking is the time constant with which a published speed below NominalFrom follows the
 	// short-term estimate.
 	Tracking time.Duration
-	// QuickRatio is the ratio to the published speed from which a request of a slow server counts as
-	// quick. Consecutive quick ones show that it has recovered if their ratios, in powers of two, add
-	// up to QuickEvidence.
-	QuickRatio, QuickEvidence float64
+	// RecoveryEvidence is the logarithm of the likelihood ratio from which a slow server counts as
+	// recovered, and LogSpread the standard deviation of the logarithm of a request's time that it
+	// assumes.
+	RecoveryEvidence, LogSpread float64
 	// Relaxation is the time constant with which a published speed near 1 returns to 1, while the
 	// usual times take up the difference.
 	Relaxation time.Duration
@@ -42,7 +44,10 @@
 	MaxUsualRatio float64
 	// OverdueFactor is the multiple of its expected time from which a running request counts.
 	OverdueFactor float64
-	// MaxOverdue bounds the multiple of its usual time as which one running request counts.
+	// MaxRatio bounds the multiple of its expected time as which one request counts in the short-term
+	// estimate, so that few long ones don't look like a slow server. MaxOverdue does so for running
+	// requests where a new speed is computed.
+	MaxRatio   float64
 	MaxOverdue float64
 	// ReportedWeight is the weight of the server's own statement, in mean requests.
 	ReportedWeight float64
@@ -73,9 +78,9 @@
 // DefaultConfig returns the configuration that the daemon uses.
 func DefaultConfig() Config {
 	return Config{
-		Window: 300 * time.Millisecond, PriorRequests: 1, Band: 0.5, Threshold: 0.5, MinSpeed: 0.05, MaxSpeed: 3,
-		NominalFrom: 0.7, QuickRatio: 2, QuickEvidence: 8, Tracking: 250 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.002, FasterWeight: 0.02, NominalRequests: 20, MaxUsualRatio: 2,
-		OverdueFactor: 1.5, MaxOverdue: 30, ReportedWeight: 0.2,
+		Window: 300 * time.Millisecond, PriorRequests: 1, Band: 0.5, Threshold: 0.5, MinLate: 2, MinSpeed: 0.05, MaxSpeed: 3,
+		NominalFrom: 0.7, RecoveryEvidence: 5.5, LogSpread: 0.7, Tracking: 250 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.002, FasterWeight: 0.02, NominalRequests: 20, MaxUsualRatio: 2,
+		OverdueFactor: 1.5, MaxRatio: 5, MaxOverdue: 30, ReportedWeight: 0.2,
 		KneeRatio: 0.6, LowerStep: 0.85, RaiseStep: 1.1, KeepShare: 0.97, GainShare: 1.04, HopelessShare: 0.85, ClearShare: 1.3,
 		MinPhase: 500 * time.Millisecond, MaxPhase: 2 * time.Second, PhaseRequests: 5, MinCompleted: 8, Confirmations: 2,
 		RaiseInterval: 4 * time.Second, MinPause: 2 * time.Second, MaxPause: 16 * time.Second,
--- a/capacity/speed.go
+++ b/capacity/speed.go
@@ -31,7 +31,8 @@
 	// that started earlier are exceptions, or lost, and say nothing about the server.
 	overtaken    time.Time
 	lastEvidence time.Time
-	quick        []quickRequest
+	// recovered is the logarithm of the likelihood ratio of a recovery.
+	recovered float64
 }
 
 // deviation is the cumulative sum of deviations in one direction, with the requests completed since it
@@ -40,6 +41,8 @@
 	sum              float64
 	since            time.Time
 	credit, exposure float64
+	// late is the number of them that took longer than OverdueFactor times their expected time.
+	late int
 }
 
 // add adds the deviation beyond the band over a step of time.
@@ -49,12 +52,6 @@
 	}
 }
 
-// quickRequest is a request that was much faster than the published speed.
-type quickRequest struct {
-	started time.Time
-	speed   float64
-}
-
 func newSpeed(config Config, now time.Time) speed {
 	return speed{config: config, routes: map[string]*usual{}, published: 1, lastEvidence: now}
 }
@@ -72,8 +69,11 @@
 	took := now.Sub(r.started).Seconds()
 	nominal, known = s.nominal(r.route)
 	if known {
-		s.add(nominal, took, now)
+		s.add(nominal, min(took, s.config.MaxRatio*nominal/s.published), now)
 		s.slower.credit, s.slower.exposure = s.slower.credit+nominal, s.slower.exposure+took
+		if took > s.config.OverdueFactor*nominal/s.published {
+			s.slower.late++
+		}
 		if !r.started.Before(s.faster.since) {
 			s.faster.credit, s.faster.exposure = s.faster.credit+nominal, s.faster.exposure+took
 		}
@@ -88,33 +88,24 @@
 	return nominal, known
 }
 
-// checkRecovery publishes the speed of consecutive requests that were much faster than the published
-// one. A slow server gets so few requests that the short-term estimate would take seconds. Requests
-// that started before them may still be slow.
+// checkRecovery tests with each completed request whether a slow server has recovered, by the ratio of
+// the likelihoods of the usual and the published speed, for log-normal times. A slow server gets so few
+// requests that the short-term estimate would take seconds.
 func (s *speed) checkRecovery(started time.Time, speed float64, now time.Time) {
-	switch {
-	case s.published >= s.config.NominalFrom:
-		s.quick = nil
-	case speed >= s.config.QuickRatio*s.published:
-		s.quick = append(s.quick, quickRequest{started, speed})
-	case len(s.quick) > 0 && started.After(s.quick[0].started):
-		s.quick = nil
-	}
-	sum, evidence := 0.0, 0.0
-	for _, q := range s.quick {
-		sum += q.speed / float64(len(s.quick))
-		evidence += math.Log2(q.speed / s.published)
+	if s.published >= s.config.NominalFrom {
+		s.recovered = 0
+		return
 	}
-	if evidence < s.config.QuickEvidence {
+	slow, usual := math.Log(speed/s.published), math.Log(speed)
+	s.recovered = max(0, s.recovered+(slow*slow-usual*usual)/(2*s.config.LogSpread*s.config.LogSpread))
+	if s.recovered < s.config.RecoveryEvidence {
 		return
 	}
-	for _, q := range s.quick {
-		if q.started.After(s.overtaken) {
-			s.overtaken = q.started
-		}
+	s.recovered = 0
+	if started.After(s.overtaken) {
+		s.overtaken = started
 	}
-	s.quick = nil
-	s.publish(min(sum, 1), now)
+	s.publish(1, now)
 }
 
 func (s *speed) add(credit, exposure float64, now time.Time) {
@@ -155,12 +146,13 @@
 // shortTerm returns the short-term estimate. Running requests count once they are overdue.
 func (s *speed) shortTerm(running map[ID]request, now time.Time) float64 {
 	prior := max(s.config.PriorRequests*s.mean, 1e-6)
-	credit, exposure := s.overdue(running, now)
+	credit, exposure, _ := s.overdue(running, s.config.MaxRatio/s.published, now)
 	return (s.credit + credit + prior*s.published) / (s.exposure + exposure + prior)
 }
 
-// overdue returns the usual time of the overdue running requests, and the time that they have taken.
-func (s *speed) overdue(running map[ID]request, now time.Time) (credit, exposure float64) {
+// overdue returns the usual time of the overdue running requests, the time that they have taken, and
+// their number. A request counts as at most maxRatio times its usual time.
+func (s *speed) overdue(running map[ID]request, maxRatio float64, now time.Time) (credit, exposure float64, count int) {
 	for _, r := range running {
 		nominal, known := s.nominal(r.route)
 		took := now.Sub(r.started).Seconds()
@@ -168,9 +160,10 @@
 			continue
 		}
 		credit += nominal
-		exposure += min(took, s.config.MaxOverdue*nominal)
+		exposure += min(took, maxRatio*nominal)
+		count++
 	}
-	return credit, exposure
+	return credit, exposure, count
 }
 
 func (s *speed) advance(running map[ID]request, passed time.Duration, now time.Time) {
@@ -183,7 +176,10 @@
 	switch {
 	case s.slower.sum > s.config.Threshold:
 		// The requests since the change tell more than the estimate, which lags.
-		credit, exposure := s.overdue(running, now)
+		credit, exposure, count := s.overdue(running, s.config.MaxOverdue, now)
+		if s.slower.late+count < s.config.MinLate {
+			break // one long request says little about the server
+		}
 		if exposure += s.slower.exposure; exposure > 0 {
 			estimate = max(min(estimate, (s.slower.credit+credit)/exposure), s.config.MinSpeed)
 		}
