Treat small slowdowns as usual in the plan and the selection

On the deployment with 62 instances, 20 % of the work is three times slower for 400 ms. A learned speed of 0.6 or more now counts as 1 in the plan and the selection, and is not reported at once.

--- a/internal/node/capacitymeter.go
+++ b/internal/node/capacitymeter.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/capacity"
+	"github.com/basilway/basilway/placement"
 )
 
 const (
@@ -144,9 +145,12 @@
 	}
 	m.log.Info("capacity of backend server learned", zap.String("backend", m.incarnation), zap.Int("limit", e.Limit),
 		zap.Float64("speed", e.Speed), zap.Float64("speed before", m.announced.Speed))
+	matters := !ratioWithin(placement.EffectiveSpeed(e.Speed), placement.EffectiveSpeed(m.announced.Speed), reportedSpeedChange)
 	m.announced = e
 	if changed {
 		m.changes++
+	}
+	if matters {
 		m.speedChanged()
 	}
 }
--- a/internal/node/plannerspeed.go
+++ b/internal/node/plannerspeed.go
@@ -57,7 +57,7 @@
 		before = newLearnedCapacity(1, 1)
 	}
 	p.learned[r.Instance] = *r.Learned
-	if r.Learned.speed()*slowedRatio < before.speed() {
+	if placement.EffectiveSpeed(r.Learned.speed())*slowedRatio < placement.EffectiveSpeed(before.speed()) {
 		p.slowed[r.Instance] = now
 		p.speedChanged.notify()
 	}
