Ask a queue in another availability zone before a body is sent there

Cause: the request queue that refuses a forwarded request needs none of its body. Change: with PreferZone, a node asks by POST /basilway/admit if the bytes are expected to be worth it. A refusal is handled as that of the request. On any failure the request is forwarded and the peer is not asked for a second.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -45,6 +45,8 @@
 	regions map[string]string
 	// evacuate is the nodes' bound for evacuations.
 	evacuate time.Duration
+	// preferZone is that of new nodes.
+	preferZone bool
 }
 
 // setLimits publishes a desired state with other limits for clients.
@@ -99,7 +101,7 @@
 	config := Config{
 		Instance: instance, Zone: zone, Region: c.regions[zone], Zones: c.regions, Service: "booking",
 		ClientAddress: testport.Reserve(c.t), ReadyAddress: testport.Reserve(c.t), HeartbeatAddress: testport.Reserve(c.t), PeerAddress: testport.Reserve(c.t),
-		Store: c.store, Protocol: simProtocol{},
+		Store: c.store, Protocol: simProtocol{}, PreferZone: c.preferZone,
 		Bounds: Bounds{DrainTimeout: 2 * time.Second, StopTimeout: 6 * time.Second, MaxHold: 10 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 60, Evacuate: c.evacuate},
 	}
 	n := &testNode{cluster: c, config: config, sim: newBackendSim(c.t, "b-"+instance, "booking", config.HeartbeatAddress)}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -55,8 +55,17 @@
 	cancellable := t.kind.Repeatable() && !t.sharded && !n.stopping.Load()
 	ctx, end := n.peers.beginRequest(ctx, m.Address, n.expectedWork(t.route), cancellable)
 	sentAt := n.now()
-	resp, form, err := n.sendForwarded(ctx, m, t, e)
-	out := n.forwardOutcome(ctx, m, resp, form, err)
+	var err error
+	out, refused := n.askFirst(ctx, m, t, e)
+	if !refused {
+		var resp *http.Response
+		var form messageForm
+		resp, form, err = n.sendForwarded(ctx, m, t, e)
+		out = n.forwardOutcome(ctx, m, resp, form, err)
+	}
+	if n.config.PreferZone {
+		n.preflights.observe(t.route, out, time.Now())
+	}
 	if out.resp != nil && out.load.incarnation != "" {
 		n.observeResponse(out.load.incarnation, e.ID, out.resp, sentAt)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/basilway/basilway/evacuation"
 	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/pipeline"
+	"github.com/basilway/basilway/preflight"
 	"github.com/basilway/basilway/retry"
 )
 
@@ -48,6 +49,8 @@
 	clients   *clientConns
 	refusals  refusals
 	zoneExits zoneExits
+	// preflights decides when a node in another availability zone is asked before it gets a request.
+	preflights preflights
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
 	statuses   *statuses
@@ -75,7 +78,8 @@
 		demand:  newDemandMeter(), contact: newStoreContact(), meanWork: workMeter{routes: map[string]time.Duration{}},
 		sizes: responseSizes{routes: map[string]float64{}}, pacer: newPacer(config.LinkBitsPerSecond),
 		budgets: map[string]*retry.SharedBudget{}, refusals: refusals{first: map[uint64]time.Time{}}, zoneExits: zoneExits{services: map[string]*zoneExit{}},
-		now: config.Now,
+		preflights: preflights{routes: map[string]*preflight.Route{}},
+		now:        config.Now,
 	}
 	if n.now == nil {
 		n.now = boottimeNow
@@ -375,6 +379,7 @@
 	calls.HandleFunc("POST "+storePath, n.store.serveStore)
 	calls.HandleFunc("POST "+desiredStatePath, n.desired.serve)
 	calls.HandleFunc("POST "+completedMovesPath, n.moves.serve)
+	calls.HandleFunc("POST "+admitPath, n.serveAdmit)
 	calls.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return calls
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -69,6 +69,8 @@
 	// refused one, it gets none until compactAt.
 	compact   bool
 	compactAt time.Time
+	// questionsAt is until when the peer is not asked whether it would admit a request.
+	questionsAt time.Time
 	// lastSeen is when the peer last responded.
 	lastSeen time.Time
 	// lost is set while the peer is unreachable, and probing while it is being probed.
--- a/internal/node/requestqueue.go
+++ b/internal/node/requestqueue.go
@@ -47,7 +47,7 @@
 		}
 	}
 	if decision.Action == waitqueue.Refuse {
-		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "expected wait %v", decision.Expected)
+		err := overloadRefusal(decision.Expected)
 		switch {
 		case decision.Cold:
 			err = coldRefusal()
@@ -59,6 +59,19 @@
 	return slot{q, it.ID}, nil
 }
 
+// overloadRefusal is the refusal of a request because of its expected wait.
+func overloadRefusal(expected time.Duration) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "expected wait %v", expected)
+}
+
+// wouldRefuse reports whether a request would be refused now because of its expected wait, and
+// returns that decision. It changes nothing.
+func (q *requestQueue) wouldRefuse(it waitqueue.Item) (waitqueue.Decision, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.WouldRefuse(it, time.Now())
+}
+
 func (q *requestQueue) awaitDecision(ctx context.Context, it waitqueue.Item, ch chan waitqueue.Decision) (waitqueue.Decision, *verdict.Error) {
 	expiry := time.NewTimer(time.Until(it.Deadline))
 	defer expiry.Stop()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -106,9 +106,7 @@
 func (b *backend) run(ctx context.Context, t ticket, e httpclient.Exchange) outcome {
 	offered := time.Now()
 	b.refreshColdLimit()
-	slot, refused := b.queue.acquire(ctx, waitqueue.Item{
-		Route: t.route, Fingerprint: t.fingerprint, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
-	})
+	slot, refused := b.queue.acquire(ctx, t.queueItem())
 	if refused != nil {
 		return outcome{err: refused}
 	}
@@ -128,6 +126,13 @@
 	return out
 }
 
+// queueItem returns the request as its queue sees it.
+func (t ticket) queueItem() waitqueue.Item {
+	return waitqueue.Item{
+		Route: t.route, Fingerprint: t.fingerprint, Nested: t.nested, Priority: t.priority, Target: t.target, Deadline: t.deadline,
+	}
+}
+
 // queueResult returns the result that the queue gets for a request that had a slot.
 func queueResult(out outcome) waitqueue.Result {
 	switch {
