--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -18,20 +18,32 @@
 
 // nodeCommand returns the command that runs the HTTP router on the users' platform.
 func nodeCommand() *cobra.Command {
-	var settings, level string
+	var options nodeOptions
 	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Route HTTP requests on the users' platform",
 		Long: `node runs the HTTP router beside a backend server on the users' platform. The platform
 writes the settings file, which holds the addresses and the limits that the platform guarantees.`,
 		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
-		RunE: func(*cobra.Command, []string) error { return runNode(settings, level) },
+		RunE: func(*cobra.Command, []string) error { return runNode(options) },
 	}
-	cmd.Flags().StringVar(&settings, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file (environment "+platform.SettingsVariable+")")
-	cmd.Flags().StringVar(&level, "log-level", "info", "minimum level of log lines: debug, info, warn or error")
+	cmd.Flags().StringVar(&options.settings, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file (environment "+platform.SettingsVariable+")")
+	cmd.Flags().StringVar(&options.level, "log-level", "info", "minimum level of log lines: debug, info, warn or error")
+	cmd.Flags().BoolVar(&options.learnCapacity, "learn-capacity", os.Getenv(learnCapacityVariable) == "true",
+		"learn how much load the backend server handles well, and limit its requests to that (environment "+learnCapacityVariable+"=true)")
 	return cmd
 }
 
+// learnCapacityVariable is the environment variable of the flag learn-capacity.
+const learnCapacityVariable = "BASILWAY_LEARN_CAPACITY"
+
+// nodeOptions are the flags of the node command.
+type nodeOptions struct {
+	// settings is the path of the settings file, level the minimum level of log lines.
+	settings, level string
+	learnCapacity   bool
+}
+
 // hangups receives SIGHUP from the start of the process to its end. Without a handler, SIGHUP
 // ends a process.
 var hangups = notifyHangups()
@@ -42,19 +54,19 @@
 	return out
 }
 
-func runNode(path, level string) error {
-	settings, err := platform.ReadSettings(path)
+func runNode(options nodeOptions) error {
+	settings, err := platform.ReadSettings(options.settings)
 	if err != nil {
 		return err
 	}
-	log, dropped, err := nodeLogger(settings.Node.Instance, level)
+	log, dropped, err := nodeLogger(settings.Node.Instance, options.level)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	settings.Node.DroppedLines = dropped
+	settings.Node.DroppedLines, settings.Node.LearnCapacity = dropped, options.learnCapacity
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
-	go checkSettingsOnHangup(log, path)
+	go checkSettingsOnHangup(log, options.settings)
 	err = runUntilSignal(log, settings.Node.Bounds.StopTimeout, func(ctx context.Context) error {
 		return node.New(settings.Node, log).Run(ctx)
 	})
