Replace a planner that most nodes cannot report to

Change: a node whose reports fail asks up to 24 other nodes and takes the role if 60 % answer and most of the answers say that no report was accepted for 1.5 s. Clusters of fewer than eight, and 5 s after a change of the planner, keep the former rule. Log line with the answers, counter of takeovers by reason.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -29,6 +29,8 @@
 	desiredStatePath = "/basilway/desired-state"
 	// completedMovesPath asks the planner to record moves whose keys are released.
 	completedMovesPath = "/basilway/completed-moves"
+	// plannerContactPath asks a node when the planner last accepted a report of it.
+	plannerContactPath = "/basilway/planner-contact"
 )
 
 // forward sends a request to the node beside m's backend server, which may be this one.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -199,6 +199,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_evacuations_total{event=%q}`, event)).Inc()
 }
 
+// countTakeover counts that this node took the planner role.
+func (m *nodeMetrics) countTakeover(reason takeoverReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_planner_takeovers_total{reason=%q}`, reason)).Inc()
+}
+
 // countDroppedLine counts a log line that sampling dropped.
 func (m *nodeMetrics) countDroppedLine() {
 	m.set.GetOrCreateCounter("basilway_node_log_lines_dropped_total").Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	clients   *clientConns
 	refusals  refusals
 	zoneExits zoneExits
+
+	plannerContact plannerContact
 	// newestRead is the newest read of the desired state by any node.
 	newestRead newestRead
 	statuses   *statuses
@@ -375,6 +377,7 @@
 	calls.HandleFunc("POST "+storePath, n.store.serveStore)
 	calls.HandleFunc("POST "+desiredStatePath, n.desired.serve)
 	calls.HandleFunc("POST "+completedMovesPath, n.moves.serve)
+	calls.HandleFunc("POST "+plannerContactPath, n.servePlannerQuestion)
 	calls.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return calls
 }
--- a/internal/node/planner.go
+++ b/internal/node/planner.go
@@ -14,6 +14,7 @@
 	"github.com/basilway/basilway/membership/expiry"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/placement"
+	"github.com/basilway/basilway/takeover"
 )
 
 const (
@@ -143,24 +144,30 @@
 	return response
 }
 
-// tryBecomePlanner takes the planner role if no node has it, or if the planner does not
-// renew its lease row.
-func (p *planner) tryBecomePlanner(ctx context.Context) {
+// tryBecomePlanner takes the planner role if no node has it, if the planner does not renew its lease
+// row, or if it accepts no reports of most nodes. Without checkLease, it reads the lease rows only once
+// other nodes have told that the last is so.
+func (p *planner) tryBecomePlanner(ctx context.Context, checkLease bool) {
 	view := p.node.views.current()
 	if _, member := view.Members[p.node.config.Instance]; !member || p.node.lease.validUntil().IsZero() || p.node.stopping.Load() {
 		// A node becomes a member first: when it writes its member row, it lists the
 		// cluster again and learns whether there is a planner.
 		return
 	}
-	if view.Planner.Instance != "" && !p.plannerGone(ctx, view.Planner.Instance) {
-		return
+	reason := takeoverVacant
+	if view.Planner.Instance != "" {
+		var gone bool
+		if reason, gone = p.plannerGone(ctx, view, checkLease); !gone {
+			return
+		}
 	}
 	version, err := p.writePlanner(ctx, view, p.node.config.Instance)
 	if err != nil {
 		p.log.Info("planner role not taken", zap.String("planner", view.Planner.Instance), zap.Error(err))
 		return
 	}
-	p.log.Info("planner role taken", zap.String("from", view.Planner.Instance), zap.Uint64("version", version))
+	p.node.metrics.countTakeover(reason)
+	p.log.Info("planner role taken", zap.String("from", view.Planner.Instance), zap.String("reason", string(reason)), zap.Uint64("version", version))
 }
 
 // writePlanner gives the planner role to an instance, on the condition that the view shows who has it.
@@ -182,25 +189,41 @@
 	return applied.Version, nil
 }
 
-// plannerGone reports whether the planner has no lease row or did not renew it for
-// plannerStaleAfter.
-func (p *planner) plannerGone(ctx context.Context, instance string) bool {
-	listing, err := p.node.store.List(ctx, leaseTable)
+// plannerGone reports whether the planner has no lease row, did not renew it for plannerStaleAfter or
+// accepts no reports of most nodes, and which of these it is.
+func (p *planner) plannerGone(ctx context.Context, view *View, checkLease bool) (reason takeoverReason, gone bool) {
+	instance := view.Planner.Instance
+	inquiry := p.inquire(ctx, view)
+	if !checkLease && inquiry.decide(false).Outcome != takeover.Take {
+		return "", false
+	}
+	listing, relayed, err := p.node.store.list(ctx, leaseTable)
 	if err != nil {
 		p.log.Debug("leases not read", zap.Error(err))
-		return false
+		return "", false
 	}
 	p.sample(listing.Version, listing.Now)
 	version, ok := leaseVersions(listing)[instance]
 	if !ok {
-		return true
+		return takeoverNoLease, true
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	age, reachable := p.expiry.Age(version), p.expiry.Reachable()
+	p.mu.Unlock()
 	p.log.Info("planner does not accept reports", zap.String("planner", instance),
 		zap.Duration("lease not renewed for", age), zap.Duration("store reachable for", reachable))
-	return age >= plannerStaleAfter && reachable >= reachableBeforeTakeover
+	if age >= plannerStaleAfter && reachable >= reachableBeforeTakeover {
+		return takeoverStaleLease, true
+	}
+	decision := inquiry.decide(relayed)
+	if inquiry.asked == 0 {
+		return "", false
+	}
+	p.log.Info("other nodes asked about the planner", zap.String("planner", instance), zap.Stringer("outcome", decision.Outcome),
+		zap.Int("asked", decision.Asked), zap.Int("silent", decision.Silent), zap.Int("reached", decision.Reached),
+		zap.Int("unknown", decision.Unknown), zap.Durations("last accepted reports", inquiry.lastAccepted()))
+	// The role may have changed while the nodes were asked.
+	return takeoverUnreachable, decision.Outcome == takeover.Take && p.node.views.current().Planner == view.Planner
 }
 
 // leaseVersions returns the version of each lease row by instance.
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -90,17 +90,23 @@
 
 // List implements metastore.WatchedTable.
 func (s *relayStore) List(ctx context.Context, table string) (metastore.Listing, error) {
-	listing, err := s.WatchedTable.List(ctx, table)
+	listing, _, err := s.list(ctx, table)
+	return listing, err
+}
+
+// list is List, and reports whether another node made the call.
+func (s *relayStore) list(ctx context.Context, table string) (listing metastore.Listing, relayed bool, err error) {
+	listing, err = s.WatchedTable.List(ctx, table)
 	if err == nil || ctx.Err() != nil {
 		s.node.views.observeGeneration(listing.Version)
-		return listing, err
+		return listing, false, err
 	}
 	result, ok := s.relay(ctx, relayCall{Table: table})
 	if !ok {
-		return listing, err
+		return listing, false, err
 	}
 	s.node.views.observeGeneration(result.Listing.Version)
-	return result.Listing, result.err()
+	return result.Listing, true, result.err()
 }
 
 // Watch implements metastore.WatchedTable.
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -85,8 +85,10 @@
 		}
 		sleep(ctx, jitter(interval*4/3))
 		view := n.views.current()
+		n.plannerContact.observe(view.Planner, time.Now())
 		if view.Planner.Instance == n.config.Instance {
 			n.lease.confirm(n.planner.handleReport(n.report()))
+			n.plannerContact.recordAccepted(view.Planner, time.Now())
 			missed = 0
 			continue
 		}
@@ -106,8 +108,10 @@
 		if vacantSince.IsZero() {
 			vacantSince = time.Now()
 		}
-		if n.isCandidate(view, time.Since(vacantSince)) {
-			n.planner.tryBecomePlanner(ctx)
+		vacant := time.Since(vacantSince)
+		checkLease := n.isCandidate(view, vacant, candidatesPerRound)
+		if checkLease || view.Planner.Instance != "" && n.isCandidate(view, vacant, askersPerRound) {
+			n.planner.tryBecomePlanner(ctx, checkLease)
 		}
 	}
 }
@@ -143,13 +147,17 @@
 // the planner, while there is none. Each check is a priced store call.
 const candidatesPerRound = 4.0
 
+// askersPerRound is the mean number of nodes that ask others in a report interval whether the planner
+// accepts their reports. Questions are no store calls, and with few askers the first one comes late.
+const askersPerRound = 12.0
+
 // largestFirstPeriod is how long only the largest instances try to become the planner. They may not
 // reach the store.
 const largestFirstPeriod = 1500 * time.Millisecond
 
 // isCandidate reports whether this node checks now whether to become the planner, after a time
-// without one.
-func (n *Node) isCandidate(view *View, vacant time.Duration) bool {
+// without one. perRound is the mean number of nodes that do in a report interval.
+func (n *Node) isCandidate(view *View, vacant time.Duration, perRound float64) bool {
 	larger, equal := 0, 0
 	for _, m := range view.Members {
 		switch {
@@ -163,7 +171,7 @@
 	if vacant < largestFirstPeriod && larger > 0 {
 		return false
 	}
-	return rand.Float64() < candidatesPerRound/float64(max(equal, 1))
+	return rand.Float64() < perRound/float64(max(equal, 1))
 }
 
 // milliseconds returns a duration as it is sent.
@@ -190,6 +198,7 @@
 	if err := cbor.Unmarshal(data, &response); err != nil {
 		return fmt.Errorf("decode the planner's response: %w", err)
 	}
+	n.plannerContact.recordAccepted(view.Planner, time.Now())
 	n.lease.confirm(response)
 	n.views.mergeEvacuationMessage(response.Evacuations)
 	if response.StoreVersion > 0 {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -31,11 +31,12 @@
 
 // DefaultConfig returns the configuration for a mean time between two reports of a node.
 //
-// Of 18 other nodes of which 6 are cut off together, these get 6 answers of 8 in 0.15 % of their
-// attempts, and the other 12 in 44 %.
+// A third of the nodes that is cut off gets answers from a third of the witnesses and never takes the
+// role if all other nodes, or equal numbers in three availability zones, are asked. With 8 random
+// witnesses it could by chance.
 func DefaultConfig(reportInterval time.Duration) Config {
 	return Config{
-		MinMembers: 8, Witnesses: 8, MinSilent: 3, MinAnswerShare: 0.75,
+		MinMembers: 8, Witnesses: 24, MinSilent: 3, MinAnswerShare: 0.6,
 		SilentAfter: max(1500*time.Millisecond, 2*reportInterval), Pause: 5 * time.Second,
 	}
 }
@@ -48,8 +49,9 @@
 	// first saw it.
 	Planner uint64
 	Known   time.Duration
-	// StoreReached is set if the store just answered this node itself.
-	StoreReached bool
+	// StoreLost is set if the store did not answer this node itself. The node asks the store last,
+	// because its calls are priced.
+	StoreLost bool
 }
 
 // Answer is what a witness knows.
@@ -73,8 +75,6 @@
 	Take Outcome = iota
 	// SmallCluster means that the cluster has too few members for this rule.
 	SmallCluster
-	// StoreNotReached means that the node could not plan either.
-	StoreNotReached
 	// RecentPlanner means that the planner changed within the pause.
 	RecentPlanner
 	// NewerPlanner means that a witness knows of a newer planner.
@@ -83,9 +83,11 @@
 	FewAnswers
 	// PlannerReached means that not most of the witnesses find the planner silent.
 	PlannerReached
+	// StoreNotReached means that the node could not plan either.
+	StoreNotReached
 )
 
-var outcomeNames = [...]string{"take", "small cluster", "store not reached", "recent planner", "newer planner", "few answers", "planner reached"}
+var outcomeNames = [...]string{"take", "small cluster", "recent planner", "newer planner", "few answers", "planner reached", "store not reached"}
 
 // String returns a name for logs.
 func (o Outcome) String() string {
@@ -107,8 +109,6 @@
 	switch {
 	case s.Members < c.MinMembers:
 		return SmallCluster
-	case !s.StoreReached:
-		return StoreNotReached
 	case s.Known < c.Pause:
 		return RecentPlanner
 	}
@@ -142,6 +142,8 @@
 		d.Outcome = FewAnswers
 	case d.Silent < c.MinSilent || 2*d.Silent <= len(answers):
 		d.Outcome = PlannerReached
+	case s.StoreLost:
+		d.Outcome = StoreNotReached
 	}
 	return d
 }
