--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -71,7 +71,7 @@
 		" || v.generation != generation", "", nodeTests,
 	}, {
 		"place of a refused request taken by a new one", "waitqueue/ratelimit.go",
-		"left -= 1 - r.turns.missed", "", limitTests,
+		"left, taken = left-(1-r.turns.missed), taken+1-r.turns.missed", "", limitTests,
 	}, {
 		"condition on a version of an earlier generation", "platform/store.go",
 		"if c.Version != 0 && metastore.Generation(c.Version) != basis {", "if c.Version != 0 && basis > 1<<20 {", eraTests,
@@ -82,8 +82,8 @@
 		"older key table shown after the store went back", "internal/node/remembered.go",
 		"case content >= m.content:", "case true:", nodeTests,
 	}, {
-		"limit of a backend server not known after a restart of its node", "internal/node/forward.go",
-		"n.applyLimitHint(r.Header)", "r.Header.Del(limitHintHeader)", nodeTests,
+		"limit of a backend server not known after a restart of its node", "internal/node/statuses.go",
+		"if n.backend.owner().Incarnation == incarnation && n.statuses.hint(incarnation, limit) {", "if n.backend.owner().Incarnation == \"\" {", nodeTests,
 	}, {
 		"request to a cold backend server after its place in the limit", "internal/node/serve.go",
 		"if refused = s.sending(); refused != nil {", "if refused != nil {", nodeTests,
