--- a/capacity/config.go
+++ b/capacity/config.go
@@ -60,9 +60,9 @@
 	// KeepShare is the share of the work per second at the present limit that a lower limit must
 	// reach, and GainShare the one that a higher limit must reach.
 	KeepShare, GainShare float64
-	// HopelessShare is the share below which a trial fails after its first two phases, and ClearShare
+	// EarlyFailureShare is the share below which a trial fails after its first two phases, and EarlySuccessShare
 	// the one from which it succeeds then.
-	HopelessShare, ClearShare float64
+	EarlyFailureShare, EarlySuccessShare float64
 	// MinPhase and MaxPhase bound the time for which a limit is tried, and PhaseRequests is its
 	// length in mean requests. MinCompleted is the number of requests that a phase must complete.
 	MinPhase, MaxPhase time.Duration
@@ -81,7 +81,7 @@
 		Window: 300 * time.Millisecond, PriorRequests: 1, Band: 0.5, Threshold: 0.5, MinLate: 2, MinSpeed: 0.05, MaxSpeed: 3,
 		NominalFrom: 0.7, RecoveryEvidence: 5.5, LogSpread: 0.7, Tracking: 250 * time.Millisecond, Relaxation: time.Second, IdleAfter: time.Second, NominalWeight: 0.002, FasterWeight: 0.02, NominalRequests: 20, MaxUsualRatio: 2,
 		OverdueFactor: 1.5, MaxRatio: 5, MaxOverdue: 30, ReportedWeight: 0.2,
-		KneeRatio: 0.6, LowerStep: 0.85, RaiseStep: 1.1, KeepShare: 0.97, GainShare: 1.04, HopelessShare: 0.85, ClearShare: 1.3,
+		KneeRatio: 0.6, LowerStep: 0.85, RaiseStep: 1.1, KeepShare: 0.97, GainShare: 1.04, EarlyFailureShare: 0.85, EarlySuccessShare: 1.3,
 		MinPhase: 500 * time.Millisecond, MaxPhase: 2 * time.Second, PhaseRequests: 5, MinCompleted: 8, Confirmations: 2,
 		RaiseInterval: 4 * time.Second, MinPause: 2 * time.Second, MaxPause: 16 * time.Second,
 	}
--- a/capacity/limit.go
+++ b/capacity/limit.go
@@ -139,9 +139,9 @@
 	t.phase++
 	first, present, tried := t.phase == 2, t.work[0]+t.work[2], t.work[1]+t.work[3]
 	switch {
-	case first && tried >= s.config.ClearShare*present, t.phase == trialPhases && tried >= s.requiredShare()*present:
+	case first && tried >= s.config.EarlySuccessShare*present, t.phase == trialPhases && tried >= s.requiredShare()*present:
 		s.succeed(lower, now)
-	case first && tried < s.config.HopelessShare*present, t.phase == trialPhases:
+	case first && tried < s.config.EarlyFailureShare*present, t.phase == trialPhases:
 		s.fail(lower, now)
 	default:
 		t.began, t.ends, t.completed = now, now.Add(s.phaseLength(meanTook)), 0
