--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -31,10 +31,12 @@
 	node   *Node
 	log    *zap.Logger
 	wakeup chan struct{}
+	behind desiredBehind
 }
 
 func newDesiredStateGossip(n *Node) *desiredStateGossip {
-	return &desiredStateGossip{node: n, log: n.log.Named("desired"), wakeup: make(chan struct{}, 1)}
+	log := n.log.Named("desired")
+	return &desiredStateGossip{node: n, log: log, wakeup: make(chan struct{}, 1), behind: desiredBehind{log: log}}
 }
 
 // desiredStateMessage tells which desired state a node has.
@@ -119,6 +121,7 @@
 		return err
 	}
 	g.node.views.mergeEvacuationMessage(theirs.Evacuations)
+	g.behind.heard(theirs.Version, address, time.Now())
 	if theirs.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *theirs.Row)
 	}
@@ -150,6 +153,7 @@
 		return
 	}
 	response := desiredStateMessage{Evacuations: g.node.views.answerEvacuations(message.Evacuations)}
+	g.behind.heard(message.Version, r.RemoteAddr, time.Now())
 	if message.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *message.Row)
 	}
--- a/internal/node/desiredstate.go
+++ b/internal/node/desiredstate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -22,6 +23,7 @@
 	if row.Version == known.Version && bytes.Equal(row.Value, known.Value) {
 		return false
 	}
+	started := time.Now()
 	table, err := s.decodeDesiredState(row)
 	if err != nil {
 		s.log.Error("desired state cannot be used; the one before stays in force", zap.Uint64("row version", row.Version),
@@ -41,13 +43,13 @@
 	row.Version = max(row.Version, known.Version)
 	s.rows[row.Key], v.Routes = row, table
 	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Bool("from another node", forwarded),
-		zap.Uint64("row version", row.Version))
+		zap.Uint64("row version", row.Version), zap.Int("bytes", len(row.Value)), zap.Duration("decoded in", time.Since(started)))
 	if warnings := table.Warnings; len(warnings) > 0 {
 		s.log.Warn("entries of the desired state cannot do what they say", zap.Uint64("version", table.Version), zap.Int("warnings", len(warnings)),
 			zap.Stringers("first", warnings[:min(len(warnings), maxLoggedWarnings)]))
 	}
 	if s.onDesiredState != nil {
-		s.onDesiredState(forwarded)
+		s.onDesiredState(table.Version, forwarded)
 	}
 	return true
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -83,6 +83,7 @@
 	m.set.NewGauge("basilway_node_desired_state_read_age_seconds", func() float64 {
 		return n.contact.age(tableOf(n.config.Protocol.DesiredStateRow())).Seconds()
 	})
+	m.set.NewGauge("basilway_node_desired_state_behind_seconds", func() float64 { return n.desired.behind.duration(time.Now()).Seconds() })
 	if n.evacuation.Enabled() {
 		m.set.NewGauge("basilway_node_evacuated_zones", func() float64 { return float64(len(n.evacuatedZones())) })
 	}
@@ -158,8 +159,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_store_calls_total{call=%q,rows=%q,outcome=%q}`, call, rows, outcome)).Inc()
 }
 
-// countMessage counts a message to another node and the bytes of its bodies.
-func (m *nodeMetrics) countMessage(path string, sent, received int) {
+// countMessage counts a message to another node, the bytes of its bodies, and whether it failed.
+func (m *nodeMetrics) countMessage(path string, sent, received int, err error) {
+	if err != nil {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_messages_failed_total{path=%q}`, path)).Inc()
+	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_messages_total{path=%q}`, path)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_message_bytes_total{path=%q,direction="sent"}`, path)).Add(sent)
 	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_message_bytes_total{path=%q,direction="received"}`, path)).Add(received)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,8 +107,9 @@
 	n.views.onEvacuation = n.desired.notify
 	n.lease.restored, n.lease.onLapse = n.restored, n.generation.stopVouching
 	n.metrics = newMetrics(n)
-	n.views.onDesiredState = func(forwarded bool) {
+	n.views.onDesiredState = func(version uint64, forwarded bool) {
 		n.metrics.countDesiredState(forwarded)
+		n.desired.behind.applied(version, time.Now())
 		n.desired.notify()
 	}
 	n.events = newEvents(log, n.metrics.countDroppedLine)
--- a/internal/node/peercall.go
+++ b/internal/node/peercall.go
@@ -18,14 +18,23 @@
 // of a cluster.
 const maxMessageSize = 8 << 20
 
+// loggedMessageSize is the size in bytes from which an undelivered message is logged. Small ones are
+// sent all the time, and which peers are lost is logged.
+const loggedMessageSize = 4 << 10
+
 // post sends a message to a peer and returns the response body. Any status but 200 is an
 // error.
 func (n *Node) post(ctx context.Context, address, path string, timeout time.Duration, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	started := time.Now()
 	data, err := n.exchange(ctx, address, path, body)
-	n.metrics.countMessage(path, len(body), len(data))
+	n.metrics.countMessage(path, len(body), len(data), err)
 	if err != nil {
+		if len(body) >= loggedMessageSize {
+			n.log.Info("message to peer not delivered", zap.String("address", address), zap.String("path", path), zap.Int("bytes", len(body)),
+				zap.Duration("took", time.Since(started)), zap.Error(err))
+		}
 		return nil, err
 	}
 	n.gossip.recordContact()
@@ -60,7 +69,8 @@
 		err = cbor.Unmarshal(body.Bytes(), message)
 	}
 	if err != nil {
-		n.log.Warn("message from peer rejected", zap.String("remote", r.RemoteAddr), zap.String("path", r.URL.Path), zap.Error(err))
+		n.log.Warn("message from peer rejected", zap.String("remote", r.RemoteAddr), zap.String("path", r.URL.Path),
+			zap.Int("bytes", body.Len()), zap.Int64("announced bytes", r.ContentLength), zap.Error(err))
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/internal/node/preflight.go
+++ b/internal/node/preflight.go
@@ -145,7 +145,7 @@
 }
 
 // askAdmission returns the refusal of a request by a peer's queue, or nil if it would not refuse it.
-func (n *Node) askAdmission(ctx context.Context, address string, question admitQuestion, wait time.Duration) (*admitRefusal, error) {
+func (n *Node) askAdmission(ctx context.Context, address string, question admitQuestion, wait time.Duration) (refusal *admitRefusal, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	body, err := cbor.Marshal(question)
@@ -153,7 +153,7 @@
 		return nil, err
 	}
 	var answer []byte
-	defer func() { n.metrics.countMessage(admitPath, len(body), len(answer)) }()
+	defer func() { n.metrics.countMessage(admitPath, len(body), len(answer), err) }()
 	// Unlike other calls, one that fails keeps the idle connections: its time-out is too short to
 	// show that they are broken.
 	resp, err := n.peers.pool(address).Do(ctx, httpclient.Exchange{
@@ -172,7 +172,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("peer responded with status %d", resp.StatusCode)
 	}
-	refusal := &admitRefusal{}
+	refusal = &admitRefusal{}
 	if err := cbor.NewDecoder(bytes.NewReader(answer)).Decode(refusal); err != nil {
 		return nil, fmt.Errorf("answer of the node cannot be read: %w", err)
 	}
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -24,9 +24,9 @@
 	// block.
 	onNewRows func(rows []freshRow, source membership.Source)
 
-	// onDesiredState, if not nil, is called when a desired state is applied, with whether it
-	// came from another node. It must not block or call the viewStore.
-	onDesiredState func(forwarded bool)
+	// onDesiredState, if not nil, is called when a desired state is applied, with its version and
+	// whether it came from another node. It must not block or call the viewStore.
+	onDesiredState func(version uint64, forwarded bool)
 
 	// onEvacuation, if not nil, is called when the evacuated availability zones change. It must not
 	// block or call the viewStore.
