--- /dev/null
+++ b/internal/node/largestate_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/metastore"
+)
+
+const (
+	// slowLinkRate is what requests leave of the slowest links of the users' sites, 13 Mbit/s, at the
+	// busiest instances: a quarter, in bytes per second.
+	slowLinkRate = 13e6 / 8 / 4
+	// largeApplyTime is the users' config_apply_ms where a site has 80 machines.
+	largeApplyTime = 2500 * time.Millisecond
+	// addedRoutes is the number of routes that the users add at once.
+	addedRoutes = 1400
+)
+
+// randomName returns a name like those of the users' routes.
+func randomName(rng *rand.Rand) string {
+	name := make([]byte, 7)
+	for i := range name {
+		name[i] = "abcdefghijklmnopqrstuvwxyz0123456789"[rng.IntN(36)]
+	}
+	return string(name)
+}
+
+// setLargeDesiredState lets the operator write a version with a number of routes. The first ones are the
+// same in each version.
+func (c *virtualCluster) setLargeDesiredState(version uint64, routes int) {
+	c.t.Helper()
+	rng := rand.New(rand.NewPCG(1, 1))
+	s := httproute.Snapshot{Version: version, Services: []httproute.Service{{Name: "booking", Sharded: true, HealthPath: "/health"}}}
+	for range routes {
+		s.Routes = append(s.Routes, httproute.Route{
+			Name: randomName(rng), Host: randomName(rng) + ".example", Prefix: "/" + randomName(rng) + "/",
+			Timeout: 2 * time.Second, TargetLatency: time.Second, Priority: 1, MaxAttempts: 2, Destinations: []httproute.Destination{{Service: "booking", Weight: 1}},
+		})
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := c.store.Commit(c.t.Context(), metastore.Txn{Writes: []metastore.Write{{Key: simProtocol{}.DesiredStateRow(), Value: data}}}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Guards against a desired state that has grown by many routes, and that is not in force in time on
+// instances with slow links, because it was sent whole to many at once and each message ran out of time.
+func TestGrownDesiredStateIsInForceOnSlowLinks(t *testing.T) {
+	for name, changes := range map[string]int{"once": 1, "in quick succession": 8} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newVirtualCluster(t, 1, 0, largeRates)
+				c.zones = []string{"z1", "z2", "z3", "z4"}
+				for i := range 82 {
+					c.add(fmt.Sprint("instance-", i), fmt.Sprint("peer-", i))
+				}
+				defer c.stop()
+				_, ok := c.waitServed(time.Minute)
+				g.Expect(ok).To(BeTrue())
+				time.Sleep(5 * time.Second)
+				c.linkRate = slowLinkRate
+				confirmed := map[uint64]time.Time{}
+				for i := range uint64(changes) {
+					c.setLargeDesiredState(2+i, addedRoutes)
+					confirmed[2+i] = time.Now()
+					time.Sleep(200 * time.Millisecond)
+				}
+				for version := uint64(2); version < 2+uint64(changes); version++ {
+					time.Sleep(time.Until(confirmed[version].Add(largeApplyTime)))
+					g.Expect(c.outdated(version)).To(BeEmpty(), "version %d", version)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -45,6 +46,8 @@
 	evacuate time.Duration
 	// heartbeat, if not 0, is the interval of the heartbeats of the backend servers.
 	heartbeat time.Duration
+	// linkRate is the rate of each direction of the instances' links in bytes per second; 0 for no limit.
+	linkRate float64
 }
 
 // lockedRand is a random generator for concurrent use.
@@ -79,6 +82,8 @@
 	// isolated is set while it reaches no other node, cutOff while it doesn't reach the store.
 	isolated atomic.Bool
 	cutOff   storeCut
+	// uplink and downlink are the directions of the instance's link.
+	uplink, downlink virtualLink
 	// silences counts how often calls to the store that were under way lost their answers.
 	silences atomic.Int64
 }
@@ -232,10 +237,11 @@
 	n.cluster.messages.add(path)
 	sleep(ctx, n.cluster.rng.between(time.Millisecond, 6*time.Millisecond))
 	var target *Node
+	var receiver *virtualNode
 	for _, other := range n.cluster.nodes {
 		if other.config.PeerAddress == address && !other.isolated.Load() && !n.isolated.Load() && !n.cluster.isCut(n, other) {
 			if node := other.running(); node != nil {
-				target = node
+				target, receiver = node, other
 			}
 		}
 	}
@@ -243,9 +249,14 @@
 		<-ctx.Done()
 		return nil, errLost
 	}
+	n.cluster.carry(ctx, n, receiver, len(body))
+	if ctx.Err() != nil {
+		return nil, errLost
+	}
 	w := httptest.NewRecorder()
 	target.peerCalls().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)).WithContext(ctx))
 	sleep(ctx, n.cluster.rng.between(time.Millisecond, 6*time.Millisecond))
+	n.cluster.carry(ctx, receiver, n, w.Body.Len())
 	if ctx.Err() != nil || w.Code != http.StatusOK {
 		return nil, errLost
 	}
@@ -262,7 +273,20 @@
 	if s.node.cutOff.Load() {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
-	return s.WatchedTable.List(ctx, table)
+	listing, err := s.WatchedTable.List(ctx, table)
+	if s.carry(ctx, listing); ctx.Err() != nil {
+		return metastore.Listing{}, metastore.ErrUnavailable
+	}
+	return listing, err
+}
+
+// carry takes the time that a listing takes on the instance's link, in base64 as the users' store sends it.
+func (s virtualStore) carry(ctx context.Context, listing metastore.Listing) {
+	size := 0
+	for _, row := range listing.Rows {
+		size += base64.StdEncoding.EncodedLen(len(row.Value))
+	}
+	s.node.cluster.carry(ctx, nil, s.node, size)
 }
 
 func (s virtualStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Listing, error) {
@@ -278,6 +302,7 @@
 	if s.node.silences.Load() != before {
 		<-ctx.Done()
 	}
+	s.carry(ctx, listing)
 	if ctx.Err() != nil {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
