Fetch large desired states in parts instead of sending them whole

Cause: a desired state travelled whole in each message: along the planner's tree to up to fifteen nodes at once, together with rows of the cluster, in offers and in comparisons. A message has 300 ms, whatever its size. With 313 KB and 13 Mbit/s, shared with requests, all messages of a sender ran out of time together and began again from the start, and probes and requests on the full links timed out as well.

Now only rows up to 8 KiB are sent whole. Nodes tell each other the version and size of a larger one, and who lacks it fetches it: chunks whose boundaries depend on the content, compressed, 64 KiB before compression a message, one node at a time, each serving four others. What arrived is kept when a transfer breaks off or a newer version becomes known, and a small change to a large state needs a chunk or two. A node that gets nothing for a second reads the store itself. Offers go to nodes that are spread over the ring, not next to each other, so that they reach all over a few hops. Nodes of an earlier release still get the row whole.

TestGrownDesiredStateIsInForceOnSlowLinks/once fails before (69 of 82 nodes without the version after 2.5 s) and passes.

--- /dev/null
+++ b/catchup/tracker.go
@@ -0,0 +1,154 @@
+// Package catchup decides how a node that lacks the newest version of a value gets it: which of the nodes
+// that have a newer one it asks next, and when it has waited for them long enough to read the store
+// itself. It does no I/O and reads no clock.
+package catchup
+
+import "time"
+
+// Config holds the parameters of a Tracker.
+type Config struct {
+	// FailurePause is how long a node is not asked again after it did not answer, and BusyPause the same
+	// after it said that it serves others.
+	FailurePause, BusyPause time.Duration
+	// MaxHolders is the number of nodes with a newer version that are remembered.
+	MaxHolders int
+}
+
+// Failure is why a node did not deliver anything.
+type Failure uint8
+
+const (
+	// Unanswered means that the node did not answer, or not in an understandable way.
+	Unanswered Failure = iota
+	// Busy means that it serves too many others at present.
+	Busy
+	// Outdated means that it has no newer version than this node.
+	Outdated
+)
+
+// holder is a node that has a newer version.
+type holder struct {
+	address     string
+	version     uint64
+	pausedUntil time.Time
+}
+
+// Tracker is what a node knows of newer versions than its own.
+type Tracker struct {
+	config Config
+	// have is the version in force, newest the newest one that another node has.
+	have, newest uint64
+	// since is when the oldest version that is lacked became known, or when the last one was applied if
+	// that was later. progressAt is when the last part of one arrived.
+	since, progressAt time.Time
+	holders           []holder // the one heard of last is last
+}
+
+// New returns a tracker of a node without any version.
+func New(config Config) *Tracker { return &Tracker{config: config} }
+
+// Heard records that the node at an address has a version. It reports whether the version is newer than
+// all known before.
+func (t *Tracker) Heard(version uint64, address string, now time.Time) (newest bool) {
+	if version <= t.have {
+		return false
+	}
+	if newest = version > t.newest; newest {
+		if t.newest <= t.have {
+			t.since = now
+		}
+		t.newest = version
+	}
+	known := holder{address: address, version: version}
+	kept := t.holders[:0]
+	for _, h := range t.holders {
+		if h.address == address {
+			known.pausedUntil, known.version = h.pausedUntil, max(h.version, version)
+			continue
+		}
+		kept = append(kept, h)
+	}
+	t.holders = append(kept, known)
+	if len(t.holders) > t.config.MaxHolders {
+		t.holders = t.holders[1:]
+	}
+	return newest
+}
+
+// Applied records the version in force.
+func (t *Tracker) Applied(version uint64, now time.Time) {
+	if version <= t.have {
+		return
+	}
+	t.have, t.since = version, now
+	kept := t.holders[:0]
+	for _, h := range t.holders {
+		if h.version > version {
+			kept = append(kept, h)
+		}
+	}
+	t.holders = kept
+}
+
+// Progressed records that a part of a newer version arrived.
+func (t *Tracker) Progressed(now time.Time) { t.progressAt = now }
+
+// Failed records that a node delivered nothing.
+func (t *Tracker) Failed(address string, failure Failure, now time.Time) {
+	for i := range t.holders {
+		if t.holders[i].address != address {
+			continue
+		}
+		switch failure {
+		case Outdated:
+			t.holders = append(t.holders[:i], t.holders[i+1:]...)
+			return
+		case Busy:
+			t.holders[i].pausedUntil = now.Add(t.config.BusyPause)
+		default:
+			t.holders[i].pausedUntil = now.Add(t.config.FailurePause)
+		}
+	}
+}
+
+// Newest returns the newest known version.
+func (t *Tracker) Newest() uint64 { return max(t.newest, t.have) }
+
+// Behind returns how long a newer version than the one in force has been known; 0 if none is.
+func (t *Tracker) Behind(now time.Time) time.Duration {
+	if t.newest <= t.have {
+		return 0
+	}
+	return max(now.Sub(t.since), 0)
+}
+
+// Stalled returns how long a newer version has been known without that a part of one arrived.
+func (t *Tracker) Stalled(now time.Time) time.Duration {
+	return min(t.Behind(now), now.Sub(t.progressAt))
+}
+
+// Next returns the address of the node to ask now: one with the newest version among those that may be
+// asked, picked by random, which is at least 0 and below 1. Without any, it returns how long to wait; 0
+// until another node is heard of.
+func (t *Tracker) Next(now time.Time, random float64) (address string, wait time.Duration) {
+	var best []string
+	var version uint64
+	for _, h := range t.holders {
+		if left := h.pausedUntil.Sub(now); left > 0 {
+			if wait == 0 || left < wait {
+				wait = left
+			}
+			continue
+		}
+		if h.version > version {
+			version, best = h.version, best[:0]
+		}
+		if h.version == version {
+			best = append(best, h.address)
+		}
+	}
+	if len(best) == 0 {
+		return "", wait
+	}
+	return best[int(random*float64(len(best)))], 0
+}
--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -31,22 +31,31 @@
 	node   *Node
 	log    *zap.Logger
 	wakeup chan struct{}
-	behind desiredBehind
 }
 
 func newDesiredStateGossip(n *Node) *desiredStateGossip {
-	log := n.log.Named("desired")
-	return &desiredStateGossip{node: n, log: log, wakeup: make(chan struct{}, 1), behind: desiredBehind{log: log}}
+	return &desiredStateGossip{node: n, log: n.log.Named("desired"), wakeup: make(chan struct{}, 1)}
 }
 
 // desiredStateMessage tells which desired state a node has.
 type desiredStateMessage struct {
 	// Version is 0 if the node has none.
 	Version uint64 `cbor:"1,keyasint"`
-	// Row is sent if the other node is known to have an earlier version.
+	// Row is sent if the other node is known to have an earlier version, unless the row is large: the
+	// other node then fetches it.
 	Row *metastore.Row `cbor:"2,keyasint,omitempty"`
 	// Evacuations are the evacuated availability zones that the node knows.
 	Evacuations *evacuationMessage `cbor:"3,keyasint,omitempty"`
+	// Address is where the sender can be asked for its desired state. Nodes of an earlier release, which
+	// don't fetch, don't send it.
+	Address string `cbor:"4,keyasint,omitempty"`
+	// Size is the size in bytes of the sender's desired state.
+	Size int `cbor:"5,keyasint,omitempty"`
+}
+
+// sendsWhole reports whether a desired state is sent whole to a node. address is that of its message.
+func sendsWhole(row metastore.Row, address string) bool {
+	return !isLarge(row) || address == ""
 }
 
 // notify starts the offers of a new desired state or of changed evacuations. It does not block.
@@ -90,8 +99,9 @@
 }
 
 // offerTargets returns the addresses of the nodes that a node offers a version to in a round. The
-// instances form a ring in an order that differs for each version, and each offers to those that
-// follow it, so that each gets offers from as many.
+// instances form a ring in an order that differs for each version, and each offers to others at the same
+// distances along it, so that each gets offers from as many. The distances are far apart: a version that a
+// few nodes have reaches all others over a few hops.
 func offerTargets(peers []reachablePeer, self string, version uint64, round int) []string {
 	position := func(instance string) uint64 {
 		return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(instance), version))
@@ -107,26 +117,46 @@
 	}
 	slices.SortFunc(followers, func(a, b follower) int { return cmp.Compare(a.distance, b.distance) })
 	var out []string
+	step := ringStep(len(followers))
 	for i := range min(offersPerRound, len(followers)) {
-		out = append(out, followers[(round*offersPerRound+i)%len(followers)].address)
+		out = append(out, followers[(round*offersPerRound+i)*step%len(followers)].address)
 	}
 	return out
 }
 
+// ringStep returns the distance between two nodes that follow each other in the offers along a ring. Its
+// multiples meet all nodes, and the first few are spread over the ring.
+func ringStep(size int) int {
+	const goldenSection = 0.382
+	step := max(int(goldenSection*float64(size)), 1)
+	for gcd(step, size) > 1 {
+		step++
+	}
+	return step
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // compare makes sure that this node and the one at address have the newer desired state of both.
 func (g *desiredStateGossip) compare(ctx context.Context, address string) error {
 	version, row := g.node.views.desiredState()
-	theirs, err := g.send(ctx, address, desiredStateMessage{Version: version, Evacuations: g.node.views.evacuationMessage()})
+	own := g.node.config.PeerAddress
+	theirs, err := g.send(ctx, address, desiredStateMessage{Version: version, Evacuations: g.node.views.evacuationMessage(), Address: own, Size: len(row.Value)})
 	if err != nil {
 		return err
 	}
 	g.node.views.mergeEvacuationMessage(theirs.Evacuations)
-	g.behind.heard(theirs.Version, address, time.Now())
 	if theirs.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *theirs.Row)
 	}
-	if theirs.Version < version {
-		_, err = g.send(ctx, address, desiredStateMessage{Version: version, Row: &row})
+	g.node.fetcher.heard(theirs.Version, address)
+	if theirs.Version < version && sendsWhole(row, theirs.Address) {
+		_, err = g.send(ctx, address, desiredStateMessage{Version: version, Row: &row, Address: own})
 	}
 	return err
 }
@@ -152,13 +182,15 @@
 	if !g.node.readCall(w, r, &message) {
 		return
 	}
-	response := desiredStateMessage{Evacuations: g.node.views.answerEvacuations(message.Evacuations)}
-	g.behind.heard(message.Version, r.RemoteAddr, time.Now())
+	response := desiredStateMessage{Evacuations: g.node.views.answerEvacuations(message.Evacuations), Address: g.node.config.PeerAddress}
 	if message.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *message.Row)
 	}
 	version, row := g.node.views.desiredState()
-	if response.Version = version; version > message.Version {
+	if message.Size > maxWholeRow {
+		g.node.fetcher.heard(message.Version, message.Address)
+	}
+	if response.Version = version; version > message.Version && sendsWhole(row, message.Address) {
 		response.Row = &row
 	}
 	g.node.writeCallResponse(w, response)
--- a/internal/node/desiredwatch.go
+++ b/internal/node/desiredwatch.go
@@ -59,10 +59,10 @@
 
 // watchesDesiredState reports whether this node watches the desired state. A few nodes and the planner
 // do. Others learn of a change from these, and with each report to the planner that the store has been
-// read lately; without that they watch too.
+// read lately; without that, and while they don't get a version that they know of, they watch too.
 func (n *Node) watchesDesiredState() bool {
 	view := n.views.current()
-	if view.Planner.Instance == n.config.Instance || n.gossip.isolated() {
+	if view.Planner.Instance == n.config.Instance || n.gossip.isolated() || n.fetcher.needsStore() {
 		return true
 	}
 	age := n.newestRead.age(time.Now())
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -27,6 +27,8 @@
 	storePath  = "/basilway/store"
 	// desiredStatePath compares the desired states of two nodes.
 	desiredStatePath = "/basilway/desired-state"
+	// desiredChunksPath asks a node for chunks of a newer desired state.
+	desiredChunksPath = "/basilway/desired-chunks"
 	// completedMovesPath asks the planner to record moves whose keys are released.
 	completedMovesPath = "/basilway/completed-moves"
 	// plannerContactPath asks a node when the planner last accepted a report of it.
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -19,7 +19,7 @@
 )
 
 // peerPaths are the paths of the messages between nodes.
-var peerPaths = []string{reportPath, rowsPath, digestPath, storePath, desiredStatePath, completedMovesPath, plannerContactPath, pingPath}
+var peerPaths = []string{reportPath, rowsPath, digestPath, storePath, desiredStatePath, desiredChunksPath, completedMovesPath, plannerContactPath, pingPath}
 
 // newIdleNode returns a node without servers and tasks, which is the planner. Messages that it sends are
 // answered with response.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -112,10 +112,10 @@
 func (g *rowGossip) enqueue(rows []freshRow, source membership.Source) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// Other nodes than the planner offer a desired state to others.
+	// Other nodes than the planner offer a desired state to others, and a large one is always fetched.
 	isPlanner := g.node.views.current().Planner.Instance == g.node.config.Instance
 	for _, row := range rows {
-		if tableOf(row.Key) != clusterTable && !isPlanner {
+		if tableOf(row.Key) != clusterTable && (!isPlanner || isLarge(row.Row)) {
 			continue
 		}
 		g.pending[row.Key] = pendingRow{row.Row, source}
@@ -336,13 +336,14 @@
 	return sum, versions
 }
 
-// rowsOf returns the rows with the given keys that this node has.
+// rowsOf returns the rows with the given keys that this node has, but for large ones, which are fetched
+// in parts.
 func (s *viewStore) rowsOf(keys []string) []metastore.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []metastore.Row
 	for _, key := range keys {
-		if row, ok := s.rows[key]; ok {
+		if row, ok := s.rows[key]; ok && !isLarge(row) {
 			out = append(out, row)
 		}
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -83,7 +83,7 @@
 	m.set.NewGauge("basilway_node_desired_state_read_age_seconds", func() float64 {
 		return n.contact.age(tableOf(n.config.Protocol.DesiredStateRow())).Seconds()
 	})
-	m.set.NewGauge("basilway_node_desired_state_behind_seconds", func() float64 { return n.desired.behind.duration(time.Now()).Seconds() })
+	m.set.NewGauge("basilway_node_desired_state_behind_seconds", func() float64 { return n.fetcher.behind().Seconds() })
 	if n.evacuation.Enabled() {
 		m.set.NewGauge("basilway_node_evacuated_zones", func() float64 { return float64(len(n.evacuatedZones())) })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,8 @@
 	gossip    *rowGossip
 	moves     *moveRecorder
 	desired   *desiredStateGossip
+	fetcher   *desiredStateFetcher
+	source    *desiredStateSource
 	peers     *peers
 	demand    *demandMeter
 	meanWork  workMeter
@@ -100,6 +102,7 @@
 	n.planner = newPlanner(n)
 	n.lease.sample = n.planner.sample
 	n.gossip, n.desired, n.moves = newRowGossip(n), newDesiredStateGossip(n), newMoveRecorder(n)
+	n.fetcher, n.source = newDesiredStateFetcher(n), newDesiredStateSource(n)
 	n.views.onNewRows = n.gossip.enqueue
 	n.views.onGeneration = n.enterGeneration
 	n.views.settled = n.generation.settled
@@ -109,7 +112,7 @@
 	n.metrics = newMetrics(n)
 	n.views.onDesiredState = func(version uint64, forwarded bool) {
 		n.metrics.countDesiredState(forwarded)
-		n.desired.behind.applied(version, time.Now())
+		n.fetcher.applied(version)
 		n.desired.notify()
 	}
 	n.events = newEvents(log, n.metrics.countDroppedLine)
@@ -178,7 +181,7 @@
 func (n *Node) tasks() []func(context.Context) {
 	return []func(context.Context){
 		n.watchDesiredState, n.watchCluster, n.lease.run, n.backend.runReconcile, n.planner.run, n.planner.runRenewals,
-		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.moves.run, n.runEvacuations, n.runHousekeeping, n.backend.capacity.run,
+		n.runReports, n.runRestore, n.gossip.runPush, n.gossip.runDigests, n.gossip.runNewMembers, n.desired.run, n.fetcher.run, n.moves.run, n.runEvacuations, n.runHousekeeping, n.backend.capacity.run,
 	}
 }
 
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -218,8 +218,8 @@
 		n.newestRead.record(sent.Add(-time.Duration(*response.DesiredReadAge) * time.Millisecond))
 	}
 	if version, _ := n.views.desiredState(); response.Desired > version {
-		n.desired.behind.heard(response.Desired, m.Address, time.Now())
 		n.compareDesiredState(ctx, m.Address)
+		n.fetcher.heard(response.Desired, m.Address)
 	}
 	return nil
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -155,6 +155,7 @@
 	calls.HandleFunc("POST "+digestPath, n.gossip.serveDigest)
 	calls.HandleFunc("POST "+storePath, n.store.serveStore)
 	calls.HandleFunc("POST "+desiredStatePath, n.desired.serve)
+	calls.HandleFunc("POST "+desiredChunksPath, n.source.serve)
 	calls.HandleFunc("POST "+completedMovesPath, n.moves.serve)
 	calls.HandleFunc("POST "+admitPath, n.serveAdmit)
 	calls.HandleFunc("POST "+plannerContactPath, n.servePlannerQuestion)
