Decode desired states without holding the lock of the view

Cause: a node decoded each new desired state while it held the lock of its view, which each request needs. The same state from several nodes at once was decoded for each.

Now rows are decoded before the lock is taken, one at a time, and the last one is remembered. TestViewCanBeReadWhileADesiredStateIsDecoded fails before (timed out after 10 s).

--- a/internal/node/desiredstate.go
+++ b/internal/node/desiredstate.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"fmt"
-	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/metastore"
 )
 
@@ -17,14 +14,13 @@
 // mergeDesiredState applies row, the row of the desired state, to v if it is newer than the one in
 // force by the operator's version, which outlasts a store that goes back. The kept row has the
 // newest valid value, for other nodes, at the newest version of the row. It returns whether
-// anything was new. s.mu must be held.
-func (s *viewStore) mergeDesiredState(v *View, row metastore.Row, forwarded bool) bool {
+// anything was new. decoded is what row holds, nil if it was not new before s.mu was locked. s.mu must be held.
+func (s *viewStore) mergeDesiredState(v *View, row metastore.Row, decoded *decodedDesiredState, forwarded bool) bool {
 	known := s.rows[row.Key]
-	if row.Version == known.Version && bytes.Equal(row.Value, known.Value) {
+	if decoded == nil || isSameRow(row, known) {
 		return false
 	}
-	started := time.Now()
-	table, err := s.decodeDesiredState(row)
+	table, err := decoded.table, decoded.err
 	if err != nil {
 		s.log.Error("desired state cannot be used; the one before stays in force", zap.Uint64("row version", row.Version),
 			zap.Bool("from another node", forwarded), zap.Error(err))
@@ -43,7 +39,7 @@
 	row.Version = max(row.Version, known.Version)
 	s.rows[row.Key], v.Routes = row, table
 	s.log.Info("desired state applied", zap.Uint64("version", table.Version), zap.Bool("from another node", forwarded),
-		zap.Uint64("row version", row.Version), zap.Int("bytes", len(row.Value)), zap.Duration("decoded in", time.Since(started)))
+		zap.Uint64("row version", row.Version), zap.Int("bytes", len(row.Value)), zap.Duration("decoded in", decoded.took))
 	if warnings := table.Warnings; len(warnings) > 0 {
 		s.log.Warn("entries of the desired state cannot do what they say", zap.Uint64("version", table.Version), zap.Int("warnings", len(warnings)),
 			zap.Stringers("first", warnings[:min(len(warnings), maxLoggedWarnings)]))
@@ -64,15 +60,27 @@
 	return true
 }
 
-func (s *viewStore) decodeDesiredState(row metastore.Row) (*httproute.Table, error) {
-	if row.Deleted {
-		return nil, fmt.Errorf("the desired state was deleted")
-	}
-	snapshot, err := s.protocol.DesiredState(row.Value)
-	if err != nil {
-		return nil, err
+// isSameRow reports whether a row is the known one.
+func isSameRow(row, known metastore.Row) bool {
+	return row.Version == known.Version && bytes.Equal(row.Value, known.Value)
+}
+
+// decodeDesiredStates decodes the new desired states among rows. It takes long for large ones, and requests need s.mu,
+// which must not be held.
+func (s *viewStore) decodeDesiredStates(rows []metastore.Row) []*decodedDesiredState {
+	out := make([]*decodedDesiredState, len(rows))
+	for i, row := range rows {
+		if row.Key != s.protocol.DesiredStateRow() {
+			continue
+		}
+		s.mu.Lock()
+		known := s.rows[row.Key]
+		s.mu.Unlock()
+		if !isSameRow(row, known) {
+			out[i] = s.decoder.decode(row)
+		}
 	}
-	return httproute.NewTable(snapshot)
+	return out
 }
 
 // desiredState returns the version of the desired state in force, 0 if there is none, and its row.
--- a/internal/node/desiredstate_test.go
+++ b/internal/node/desiredstate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/membership"
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/metastore/memory"
@@ -226,3 +228,38 @@
 		g.Expect(other.views.rowsOf([]string{key})).To(HaveLen(1))
 	})
 }
+
+// slowProtocol decodes desired states when it is told to.
+type slowProtocol struct {
+	simProtocol
+	decoding, proceed chan struct{}
+}
+
+func (p slowProtocol) DesiredState(data []byte) (httproute.Snapshot, error) {
+	p.decoding <- struct{}{}
+	<-p.proceed
+	return p.simProtocol.DesiredState(data)
+}
+
+// Guards against requests that wait while a large desired state is decoded.
+func TestViewCanBeReadWhileADesiredStateIsDecoded(t *testing.T) {
+	g := NewWithT(t)
+	p := slowProtocol{decoding: make(chan struct{}), proceed: make(chan struct{})}
+	s := newViewStore(p, zap.NewNop())
+	var applied sync.WaitGroup
+	applied.Go(func() { s.apply(desiredRow(5, 20)) })
+	<-p.decoding
+	read := make(chan struct{})
+	go func() {
+		s.current()
+		s.applyFromPeer(membership.FromGossip, metastore.Row{Key: strikePrefix + "x", Version: 7, Deleted: true})
+		close(read)
+	}()
+	g.Eventually(read).WithTimeout(10 * time.Second).Should(BeClosed())
+	applied.Go(func() { s.applyFromPeer(membership.FromRelay, desiredRow(5, 20)) }) // not decoded again
+	close(p.proceed)
+	applied.Wait()
+	version, _ := s.desiredState()
+	g.Expect(version).To(BeEquivalentTo(5))
+	g.Expect(s.rowsOf([]string{strikePrefix + "x"})).To(HaveLen(1))
+}
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -18,6 +18,7 @@
 // never replaces a newer one.
 type viewStore struct {
 	protocol Protocol
+	decoder  desiredStateDecoder
 	log      *zap.Logger
 
 	// onNewRows, if not nil, is called with rows that were new and how they came. It must not
@@ -55,7 +56,7 @@
 
 func newViewStore(protocol Protocol, log *zap.Logger) *viewStore {
 	return &viewStore{
-		protocol: protocol, log: log, rows: map[string]metastore.Row{}, remembered: map[string]rememberedTable{},
+		protocol: protocol, decoder: desiredStateDecoder{protocol: protocol}, log: log, rows: map[string]metastore.Row{}, remembered: map[string]rememberedTable{},
 		changed: make(chan struct{}), entered: make(chan struct{}), evacuations: newEvacuationState(),
 		view: &View{Members: map[string]Member{}, Keys: map[string]KeySpace{}},
 	}
@@ -106,6 +107,7 @@
 // merge applies the rows that are newer than the known ones, and returns them. forwarded is set
 // if they came from another node.
 func (s *viewStore) merge(rows []metastore.Row, forwarded bool) []freshRow {
+	decoded := s.decodeDesiredStates(rows)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.view.clone()
@@ -113,9 +115,9 @@
 	for _, row := range rows {
 		s.enter(metastore.Generation(row.Version))
 	}
-	for _, row := range rows {
+	for i, row := range rows {
 		if row.Key == s.protocol.DesiredStateRow() {
-			if s.mergeDesiredState(next, row, forwarded) {
+			if s.mergeDesiredState(next, row, decoded[i], forwarded) {
 				fresh = append(fresh, freshRow{Row: row})
 			}
 			continue
