--- a/internal/node/tablewatcher.go
+++ b/internal/node/tablewatcher.go
@@ -16,9 +16,11 @@
 	// hold a watch open without changes.
 	minWatchWait = 500 * time.Millisecond
 	maxWatchWait = 25 * time.Second
-	// watchAnswerMargin is how long after that time the answer may arrive. A connection can lose
+	// watchAnswerMargin is how long after that time the answer may begin to arrive. A connection can lose
 	// an answer and look alive.
 	watchAnswerMargin = 700 * time.Millisecond
+	// maxAnswerTime bounds the rest of the answer.
+	maxAnswerTime = 10 * time.Second
 	// minMeanWatchWait is the mean wait if few nodes watch the table.
 	minMeanWatchWait = time.Second
 	// watchesPerSecond is the rate at which all nodes together begin watches of a table anew
@@ -161,10 +163,10 @@
 // watch waits for changes after a version.
 func (w *tableWatcher) watch(ctx context.Context, after uint64) (metastore.Listing, error) {
 	wait := watchWait(w.watchers(), rand.ExpFloat64())
-	watchCtx, cancelTimer := context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)
-	defer cancelTimer()
-	watchCtx, cancel := context.WithCancelCause(watchCtx)
+	watchCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	overdue := time.AfterFunc(wait+watchAnswerMargin, func() { cancel(errWatchSilent) })
+	defer overdue.Stop()
 	go func() {
 		select {
 		case <-w.views.leftGeneration(after):
@@ -173,7 +175,7 @@
 		case <-watchCtx.Done():
 		}
 	}()
-	listing, err := w.store.Watch(watchCtx, w.table, after, wait)
+	listing, err := w.store.Watch(metastore.WithAnswerHook(watchCtx, func() { overdue.Reset(maxAnswerTime) }), w.table, after, wait)
 	if err != nil && ctx.Err() == nil && watchCtx.Err() != nil {
 		return metastore.Listing{}, context.Cause(watchCtx)
 	}
--- a/internal/node/tablewatcher_test.go
+++ b/internal/node/tablewatcher_test.go
@@ -94,3 +94,35 @@
 		g.Expect(store.listings.Load()).To(BeNumerically("<=", 2*seconds))
 	})
 }
+
+// Guards against a reader with a slow link that never gets a large row, because it gives up each watch
+// while the answer arrives.
+func TestWatchIsNotGivenUpWhileItsAnswerArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var watches atomic.Int64
+		store := &scriptedStore{
+			list: func() metastore.Listing {
+				return metastore.Listing{Version: 20, Rows: []metastore.Row{desiredRow(5, 20)}}
+			},
+			watch: func(ctx context.Context) (metastore.Listing, error) {
+				if watches.Add(1) > 1 {
+					<-ctx.Done()
+					return metastore.Listing{}, ctx.Err()
+				}
+				metastore.AnswerBegan(ctx)
+				select {
+				case <-time.After(maxAnswerTime - time.Second):
+					return metastore.Listing{Version: 21, Rows: []metastore.Row{desiredRow(6, 21)}}, nil
+				case <-ctx.Done():
+					return metastore.Listing{}, ctx.Err()
+				}
+			},
+		}
+		views := watchDesired(t, store)
+		time.Sleep(maxAnswerTime)
+		version, _ := views.desiredState()
+		g.Expect(version).To(BeEquivalentTo(6))
+		g.Expect(store.listings.Load()).To(BeEquivalentTo(1))
+	})
+}
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -282,6 +282,7 @@
 
 // carry takes the time that a listing takes on the instance's link, in base64 as the users' store sends it.
 func (s virtualStore) carry(ctx context.Context, listing metastore.Listing) {
+	metastore.AnswerBegan(ctx)
 	size := 0
 	for _, row := range listing.Rows {
 		size += base64.StdEncoding.EncodedLen(len(row.Value))
@@ -293,6 +294,7 @@
 	if s.node.cutOff.Load() {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
+	outer := ctx
 	ctx, cancel := context.WithTimeout(ctx, wait+virtualWatchMargin)
 	defer cancel()
 	defer s.node.cutOff.onCut(cancel)()
@@ -302,10 +304,12 @@
 	if s.node.silences.Load() != before {
 		<-ctx.Done()
 	}
-	s.carry(ctx, listing)
 	if ctx.Err() != nil {
 		return metastore.Listing{}, metastore.ErrUnavailable
 	}
+	if s.carry(outer, listing); outer.Err() != nil {
+		return metastore.Listing{}, metastore.ErrUnavailable
+	}
 	return listing, err
 }
 
