--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -242,13 +242,22 @@
 		"if v.Routes != nil && table.Version < v.Routes.Version {", "if false {", nodeTests,
 	}, {
 		"desired state of before an overdue answer of the store", "internal/node/tablewatcher.go",
-		"context.WithTimeoutCause(ctx, wait+watchAnswerMargin, errWatchSilent)", "context.WithTimeoutCause(ctx, time.Hour, errWatchSilent)", nodeTests,
+		"time.AfterFunc(wait+watchAnswerMargin, ", "time.AfterFunc(time.Hour, ", nodeTests,
 	}, {
 		"watch resumed after versions that the store gave out again", "internal/node/tablewatcher.go",
 		"cancel(metastore.ErrHistoryLost)", "_ = cancel", nodeTests,
 	}, {
 		"new desired state not offered to other nodes", "internal/node/node.go",
 		"n.desired.notify()", "", nodeTests,
+	}, {
+		"large desired state sent whole", "internal/node/desiredsource.go",
+		"return len(row.Value) > maxWholeRow", "return false", nodeTests,
+	}, {
+		"newer desired state known and nobody asked for it", "internal/node/desiredfetch.go",
+		"newest := f.tracker.Heard(version, address, time.Now())", "newest := false", nodeTests,
+	}, {
+		"newer desired state that no node delivers not read from the store", "internal/node/desiredwatch.go",
+		"|| n.fetcher.needsStore() {", "{", nodeTests,
 	}, {
 		"request sent by the connect daemon after its lease expired", "internal/daemon/leaseclock.go",
 		"func (c *leaseClock) valid(now time.Time) bool { return c.remaining(now) > 0 }", "func (c *leaseClock) valid(time.Time) bool { return true }", daemonTests,
--- a/internal/node/largestate_test.go
+++ b/internal/node/largestate_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -86,3 +87,30 @@
 		})
 	}
 }
+
+// Guards against a node that knows of a newer desired state, that no other node delivers to it, and that
+// does not read the store because others have read it lately.
+func TestNodeReadsTheStoreIfNoNodeDeliversANewerDesiredState(t *testing.T) {
+	runLargeCluster(t, 40, func(g *WithT, c *virtualCluster) {
+		var cut *virtualNode
+		for _, n := range c.nodes {
+			if !n.running().watchesDesiredState() {
+				cut = n
+			}
+		}
+		node := cut.running()
+		exchange := node.exchange
+		node.exchange = func(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+			if path == desiredChunksPath {
+				<-ctx.Done()
+				return nil, errLost
+			}
+			return exchange(ctx, address, path, body)
+		}
+		c.setLargeDesiredState(2, addedRoutes)
+		g.Eventually(node.fetcher.behind).WithTimeout(largeApplyTime).WithPolling(time.Millisecond).Should(BeNumerically(">", 0))
+		time.Sleep(largeApplyTime)
+		g.Expect(c.outdated(2)).To(BeEmpty())
+		g.Expect(node.fetcher.behind()).To(BeZero())
+	})
+}
