--- a/catchup/tracker.go
+++ b/catchup/tracker.go
@@ -31,6 +31,16 @@
 	address     string
 	version     uint64
 	pausedUntil time.Time
+	// took is how long its last answer took; 0 if it was not asked yet.
+	took time.Duration
+}
+
+// precedes reports whether h is asked before another holder.
+func (h holder) precedes(other holder) bool {
+	if h.version != other.version {
+		return h.version > other.version
+	}
+	return h.took < other.took
 }
 
 // Tracker is what a node knows of newer versions than its own.
@@ -63,7 +73,7 @@
 	kept := t.holders[:0]
 	for _, h := range t.holders {
 		if h.address == address {
-			known.pausedUntil, known.version = h.pausedUntil, max(h.version, version)
+			known.pausedUntil, known.took, known.version = h.pausedUntil, h.took, max(h.version, version)
 			continue
 		}
 		kept = append(kept, h)
@@ -90,8 +100,15 @@
 	t.holders = kept
 }
 
-// Progressed records that a part of a newer version arrived.
-func (t *Tracker) Progressed(now time.Time) { t.progressAt = now }
+// Answered records that a part of a newer version arrived from a node, and how long its answer took.
+func (t *Tracker) Answered(address string, took time.Duration, now time.Time) {
+	t.progressAt = now
+	for i := range t.holders {
+		if t.holders[i].address == address {
+			t.holders[i].took = took
+		}
+	}
+}
 
 // Failed records that a node delivered nothing.
 func (t *Tracker) Failed(address string, failure Failure, now time.Time) {
@@ -127,12 +144,12 @@
 	return min(t.Behind(now), now.Sub(t.progressAt))
 }
 
-// Next returns the address of the node to ask now: one with the newest version among those that may be
-// asked, picked by random, which is at least 0 and below 1. Without any, it returns how long to wait; 0
-// until another node is heard of.
+// Next returns the address of the node to ask now. Among those that may be asked it is one with the newest
+// version: one that was not asked yet, or else the one that answered fastest. random, at least 0 and below
+// 1, decides between equals. Without any, Next returns how long to wait; 0 until another node is heard of.
 func (t *Tracker) Next(now time.Time, random float64) (address string, wait time.Duration) {
 	var best []string
-	var version uint64
+	var first holder // of the best ones
 	for _, h := range t.holders {
 		if left := h.pausedUntil.Sub(now); left > 0 {
 			if wait == 0 || left < wait {
@@ -140,10 +157,10 @@
 			}
 			continue
 		}
-		if h.version > version {
-			version, best = h.version, best[:0]
+		if len(best) == 0 || h.precedes(first) {
+			first, best = h, best[:0]
 		}
-		if h.version == version {
+		if !first.precedes(h) {
 			best = append(best, h.address)
 		}
 	}
--- a/catchup/tracker_test.go
+++ b/catchup/tracker_test.go
@@ -93,7 +93,7 @@
 	s.Heard(7, "a", at(1000))
 	s.Heard(8, "a", at(1400))
 	g.Expect(s.Stalled(at(1500))).To(Equal(500 * time.Millisecond))
-	s.Progressed(at(1600))
+	s.Answered("a", 20*time.Millisecond, at(1600))
 	g.Expect(s.Stalled(at(1700))).To(Equal(100 * time.Millisecond))
 	g.Expect(s.Behind(at(1700))).To(Equal(700 * time.Millisecond))
 	s.Applied(8, at(1800))
@@ -102,6 +102,27 @@
 	g.Expect(s.Stalled(at(6100))).To(Equal(100 * time.Millisecond))
 }
 
+// Guards against a version that is late because all of it is fetched from a slow node although a faster one
+// has it too.
+func TestTheFastestHolderIsAskedOnceAllAreKnown(t *testing.T) {
+	g := NewWithT(t)
+	s := New(testConfig)
+	s.Heard(7, "slow", at(0))
+	s.Answered("slow", 200*time.Millisecond, at(200))
+	s.Heard(7, "fast", at(200))
+	address, _ := next(s, 200, 0)
+	g.Expect(address).To(Equal("fast"), "not asked yet")
+	s.Answered("fast", 20*time.Millisecond, at(220))
+	address, _ = next(s, 220, 0)
+	g.Expect(address).To(Equal("fast"))
+	s.Failed("fast", Unanswered, at(520))
+	address, _ = next(s, 520, 0)
+	g.Expect(address).To(Equal("slow"))
+	s.Heard(8, "slow", at(900))
+	address, _ = next(s, 900, 0)
+	g.Expect(address).To(Equal("slow"), "it has a newer version")
+}
+
 // Guards against memory that grows with the number of nodes.
 func TestHoldersAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/node/desiredfetch.go
+++ b/internal/node/desiredfetch.go
@@ -38,8 +38,8 @@
 	node   *Node
 	log    *zap.Logger
 	wakeup chan struct{}
-	// assembly has what arrived of the newest version, and nil after one was applied. Only run uses it.
-	assembly *chunks.Assembly
+	// transfer is the one in progress, nil after a version was applied. Only run uses it.
+	transfer *desiredStateTransfer
 
 	mu      sync.Mutex
 	tracker *catchup.Tracker
@@ -51,6 +51,13 @@
 	})}
 }
 
+// desiredStateTransfer is the transfer of a desired state, perhaps from several nodes.
+type desiredStateTransfer struct {
+	*chunks.Assembly
+	started  time.Time
+	messages int
+}
+
 // heard records that the node at an address has a version of the desired state; without an address it
 // cannot be asked for it.
 func (f *desiredStateFetcher) heard(version uint64, address string) {
@@ -134,56 +141,54 @@
 	errNothingNew     = errors.New("the node sent nothing that was missing")
 )
 
-// fetch gets the desired state of the node at an address and applies it.
+// fetch asks the node at an address for a part of its desired state, and applies that once it is whole.
 func (f *desiredStateFetcher) fetch(ctx context.Context, address string) (catchup.Failure, error) {
-	started, messages := time.Now(), 0
-	for {
-		have, row := f.node.views.desiredState()
-		if f.assembly == nil {
-			f.assembly = chunks.NewAssembly(row.Value)
-		}
-		response, err := f.ask(ctx, address, chunksRequest{Have: have, Expected: f.assembly.Expected(), Wanted: f.assembly.Missing(maxChunkBytes)})
-		messages++
-		switch {
-		case err != nil:
-			return catchup.Unanswered, err
-		case response.Busy:
-			return catchup.Busy, errSourceBusy
-		case response.Version <= have:
-			return catchup.Outdated, errSourceOutdated
-		}
-		if progress, err := f.collect(response); err != nil || !progress {
-			f.assembly = nil
-			return catchup.Unanswered, errors.Join(err, errNothingNew)
-		}
-		f.mu.Lock()
-		f.tracker.Progressed(time.Now())
-		f.mu.Unlock()
-		if !f.assembly.Complete() {
-			continue
-		}
-		value, err := f.assembly.Value()
-		f.assembly = nil
-		if err != nil {
-			return catchup.Unanswered, err
-		}
-		f.log.Info("desired state fetched", zap.Uint64("version", response.Version), zap.String("address", address), zap.Int("bytes", len(value)),
-			zap.Int("messages", messages), zap.Duration("took", time.Since(started)))
-		f.node.views.applyFromPeer(membership.FromRelay, metastore.Row{Key: f.node.config.Protocol.DesiredStateRow(), Version: response.RowVersion, Value: value})
-		if now, _ := f.node.views.desiredState(); now < response.Version {
-			return catchup.Outdated, fmt.Errorf("desired state %d could not be used", response.Version)
-		}
+	have, row := f.node.views.desiredState()
+	if f.transfer == nil {
+		f.transfer = &desiredStateTransfer{Assembly: chunks.NewAssembly(row.Value), started: time.Now()}
+	}
+	t, asked := f.transfer, time.Now()
+	t.messages++
+	response, err := f.ask(ctx, address, chunksRequest{Have: have, Expected: t.Expected(), Wanted: t.Missing(maxChunkBytes)})
+	switch {
+	case err != nil:
+		return catchup.Unanswered, err
+	case response.Busy:
+		return catchup.Busy, errSourceBusy
+	case response.Version <= have:
+		return catchup.Outdated, errSourceOutdated
+	}
+	if progress, err := t.collect(response); err != nil || !progress {
+		f.transfer = nil
+		return catchup.Unanswered, errors.Join(err, errNothingNew)
+	}
+	f.mu.Lock()
+	f.tracker.Answered(address, time.Since(asked), time.Now())
+	f.mu.Unlock()
+	if !t.Complete() {
 		return 0, nil
 	}
+	f.transfer = nil
+	value, err := t.Value()
+	if err != nil {
+		return catchup.Unanswered, err
+	}
+	f.log.Info("desired state fetched", zap.Uint64("version", response.Version), zap.String("last part from", address), zap.Int("bytes", len(value)),
+		zap.Int("messages", t.messages), zap.Duration("took", time.Since(t.started)))
+	f.node.views.applyFromPeer(membership.FromRelay, metastore.Row{Key: f.node.config.Protocol.DesiredStateRow(), Version: response.RowVersion, Value: value})
+	if now, _ := f.node.views.desiredState(); now < response.Version {
+		return catchup.Outdated, fmt.Errorf("desired state %d could not be used", response.Version)
+	}
+	return 0, nil
 }
 
-// collect adds what a response has to the assembly and reports whether any was new.
-func (f *desiredStateFetcher) collect(response chunksResponse) (progress bool, err error) {
+// collect adds what a response has and reports whether any was new.
+func (t *desiredStateTransfer) collect(response chunksResponse) (progress bool, err error) {
 	if m := response.Manifest; m != nil {
 		if err := m.Check(maxMessageSize); err != nil {
 			return false, err
 		}
-		f.assembly.Expect(*m)
+		t.Expect(*m)
 		progress = true
 	}
 	arrived, err := response.chunks()
@@ -191,7 +196,7 @@
 		return false, err
 	}
 	for _, chunk := range arrived {
-		if f.assembly.Add(chunk) {
+		if t.Add(chunk) {
 			progress = true
 		}
 	}
--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -23,6 +23,9 @@
 // which may have 64 KiB, is only sent to those that lack it.
 var offerDelays = []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond}
 
+// announceDelays are the pauses if the desired state is large. Others are then only told that it is there.
+var announceDelays = []time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond}
+
 // offersPerRound is the number of nodes that a new desired state is offered to at once.
 const offersPerRound = 3
 
@@ -80,7 +83,11 @@
 
 // offer offers the desired state until a newer one arrives.
 func (g *desiredStateGossip) offer(ctx context.Context) {
-	for round, delay := range offerDelays {
+	delays := offerDelays
+	if _, row := g.node.views.desiredState(); isLarge(row) {
+		delays = announceDelays
+	}
+	for round, delay := range delays {
 		sleep(ctx, jitter(2*delay))
 		version, _ := g.node.views.desiredState()
 		var sent sync.WaitGroup
