Bound the messages with rows between nodes

Now they are sent in batches of 32 KiB, one after the other. TestRowsTravelInBoundedMessages fails before (173,011 bytes).

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -266,31 +266,19 @@
 	if theirs.Sum == sum {
 		return nil
 	}
-	var exchange rowsMessage
+	var wanted, newer []string
 	for key, version := range theirs.Versions {
 		if version > versions[key] {
-			exchange.Want = append(exchange.Want, key)
+			wanted = append(wanted, key)
 		}
 	}
-	var newer []string
+	slices.Sort(wanted)
 	for key, version := range versions {
 		if version > theirs.Versions[key] {
 			newer = append(newer, key)
 		}
 	}
-	exchange.Rows, exchange.Source = g.node.views.rowsOf(newer), membership.FromComparison
-	if body, err = cbor.Marshal(exchange); err != nil {
-		return err
-	}
-	if data, err = g.node.post(ctx, address, rowsPath, peerMessageTimeout, body); err != nil {
-		return err
-	}
-	var got rowsMessage
-	if err := cbor.Unmarshal(data, &got); err != nil {
-		return fmt.Errorf("decode rows: %w", err)
-	}
-	g.node.views.applyFromPeer(membership.FromComparison, got.Rows...)
-	return nil
+	return g.exchangeRows(ctx, address, g.node.views.rowsOf(newer), wanted)
 }
 
 // serveRows applies the rows of another node and returns those that it requests.
@@ -304,7 +292,7 @@
 		// The sender's request ends with the response.
 		go g.relay(context.WithoutCancel(r.Context()), message.Rows, group)
 	}
-	g.node.writeCallResponse(w, rowsMessage{Rows: g.node.views.rowsOf(message.Want)})
+	g.node.writeCallResponse(w, rowsMessage{Rows: firstBatch(g.node.views.rowsOf(message.Want))})
 }
 
 // serveDigest compares the digest of another node with that of this one.
--- a/internal/node/rowdistribution.go
+++ b/internal/node/rowdistribution.go
@@ -44,7 +44,7 @@
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	for _, address := range g.affectedAddresses(affected) {
-		go g.send(ctx, address, rowsMessage{Rows: rows, Source: membership.FromRelay})
+		go g.sendAll(ctx, address, rows, membership.FromRelay)
 	}
 	for _, group := range membership.ZoneRelayGroups(targets, g.node.config.Zone, relayFanout) {
 		go g.relay(ctx, rows, group)
@@ -53,6 +53,12 @@
 
 // relay sends rows to the first node of a group that answers, which passes them on to the rest.
 func (g *rowGossip) relay(ctx context.Context, rows []metastore.Row, group []string) {
+	for _, batch := range batchRows(rows) {
+		g.relayBatch(ctx, batch, group)
+	}
+}
+
+func (g *rowGossip) relayBatch(ctx context.Context, rows []metastore.Row, group []string) {
 	for try := 0; try < maxRelayTries && len(group) > 0; try++ {
 		if g.send(ctx, group[0], rowsMessage{Rows: rows, Relay: group[1:], Source: membership.FromRelay}) {
 			return
@@ -69,11 +75,11 @@
 	}
 	for _, address := range g.affectedAddresses(affected) {
 		if address != distributor {
-			go g.send(ctx, address, rowsMessage{Rows: rows, Source: membership.FromRelay})
+			go g.sendAll(ctx, address, rows, membership.FromRelay)
 		}
 	}
 	go func() {
-		if !g.send(ctx, distributor, rowsMessage{Rows: rows, Source: membership.FromOffer}) {
+		if !g.sendAll(ctx, distributor, rows, membership.FromOffer) {
 			g.gossip(ctx, rows, nil)
 		}
 	}()
@@ -85,8 +91,18 @@
 		return
 	}
 	for _, address := range g.targets(affected) {
-		go g.send(ctx, address, rowsMessage{Rows: rows})
+		go g.sendAll(ctx, address, rows, membership.FromGossip)
+	}
+}
+
+// sendAll sends rows to a node, one message after the other, and reports whether all arrived.
+func (g *rowGossip) sendAll(ctx context.Context, address string, rows []metastore.Row, source membership.Source) bool {
+	for _, batch := range batchRows(rows) {
+		if !g.send(ctx, address, rowsMessage{Rows: batch, Source: source}) {
+			return false
+		}
 	}
+	return true
 }
 
 // send sends a message with rows to a node and reports whether it arrived. What does not arrive,
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -37,6 +37,8 @@
 	pending sync.WaitGroup
 	// messages counts the messages between nodes by path, watches those of the store by table.
 	messages, watches callCounts
+	// largest is the size in bytes of the largest message between nodes or response to one, by path.
+	largest callSizes
 	// linkCut, if set, reports whether messages between two nodes are lost.
 	linkMu  sync.Mutex
 	linkCut func(from, to *virtualNode) bool
@@ -235,6 +237,7 @@
 // exchange delivers a message to the process that runs at an address.
 func (n *virtualNode) exchange(ctx context.Context, address, path string, body []byte) ([]byte, error) {
 	n.cluster.messages.add(path)
+	n.cluster.largest.observe(path, len(body))
 	sleep(ctx, n.cluster.rng.between(time.Millisecond, 6*time.Millisecond))
 	var target *Node
 	var receiver *virtualNode
@@ -255,6 +258,7 @@
 	}
 	w := httptest.NewRecorder()
 	target.peerCalls().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)).WithContext(ctx))
+	n.cluster.largest.observe(path, w.Body.Len())
 	sleep(ctx, n.cluster.rng.between(time.Millisecond, 6*time.Millisecond))
 	n.cluster.carry(ctx, receiver, n, w.Body.Len())
 	if ctx.Err() != nil || w.Code != http.StatusOK {
