Leave large rows out of relayed listings and comparisons

TestListingByAnotherNodeLeavesALargeDesiredStateOut and TestNodesAgreeOnALargeDesiredStateThatIsWrittenAgain fail before; TestStartingNodeThatTheStoreTurnsAwayGetsALargeDesiredState passed before too.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -77,6 +77,9 @@
 	Want []string `cbor:"2,keyasint,omitempty"`
 	// Relay lists the addresses of the nodes that the receiver passes the rows on to.
 	Relay []string `cbor:"3,keyasint,omitempty"`
+	// LeftOut are large rows that the sender has, without their values: the receiver may have the value at
+	// an earlier version of the row.
+	LeftOut []leftOutRow `cbor:"5,keyasint,omitempty"`
 	// Source tells the receiver who else gets the rows. A message without it, as nodes of an
 	// earlier release send, is membership.FromGossip.
 	Source membership.Source `cbor:"4,keyasint,omitempty"`
@@ -278,7 +281,7 @@
 			newer = append(newer, key)
 		}
 	}
-	return g.exchangeRows(ctx, address, g.node.views.rowsOf(newer), wanted)
+	return g.exchangeRows(ctx, address, newer, wanted)
 }
 
 // serveRows applies the rows of another node and returns those that it requests.
@@ -288,11 +291,12 @@
 		return
 	}
 	g.node.views.applyFromPeer(message.Source, message.Rows...)
+	g.node.views.applyFromPeer(message.Source, g.node.views.ownVersions(message.LeftOut)...)
 	for _, group := range membership.RelayGroups(message.Relay, relayFanout) {
 		// The sender's request ends with the response.
 		go g.relay(context.WithoutCancel(r.Context()), message.Rows, group)
 	}
-	g.node.writeCallResponse(w, rowsMessage{Rows: firstBatch(g.node.views.rowsOf(message.Want))})
+	g.node.writeCallResponse(w, rowsMessage{Rows: firstBatch(g.node.views.rowsOf(message.Want)), LeftOut: g.node.views.leftOutOf(message.Want)})
 }
 
 // serveDigest compares the digest of another node with that of this one.
--- a/internal/node/largestate_test.go
+++ b/internal/node/largestate_test.go
@@ -114,3 +114,65 @@
 		g.Expect(node.fetcher.behind()).To(BeZero())
 	})
 }
+
+// Guards against a node that starts while the store turns it away and never gets a large desired state,
+// because the listing that another node makes for it comes whole in one message.
+func TestStartingNodeThatTheStoreTurnsAwayGetsALargeDesiredState(t *testing.T) {
+	runLargeCluster(t, 12, func(g *WithT, c *virtualCluster) {
+		c.setLargeDesiredState(2, addedRoutes)
+		time.Sleep(largeApplyTime)
+		g.Expect(c.outdated(2)).To(BeEmpty())
+		c.linkRate = slowLinkRate
+		c.largest.reset()
+		n := c.nodes[0]
+		n.stop()
+		n.cutOff.Store(true)
+		n.start()
+		time.Sleep(contactTime + largeApplyTime)
+		g.Expect(c.outdated(2)).To(BeEmpty())
+		g.Expect(c.largest.of(storePath)).To(BeNumerically("<", maxBoundedMessage))
+	})
+}
+
+// Guards against a listing that another node makes for one that the store turns away, and that has a large
+// desired state whole in one message, or counts it as deleted.
+func TestListingByAnotherNodeLeavesALargeDesiredStateOut(t *testing.T) {
+	runLargeCluster(t, 12, func(g *WithT, c *virtualCluster) {
+		c.setLargeDesiredState(2, addedRoutes)
+		time.Sleep(largeApplyTime)
+		n := c.nodes[0]
+		n.cutOff.Store(true)
+		c.largest.reset()
+		node, key := n.running(), simProtocol{}.DesiredStateRow()
+		listing, relayed, err := node.store.list(c.t.Context(), tableOf(key))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(relayed).To(BeTrue())
+		g.Expect(c.largest.of(storePath)).To(BeNumerically("<", maxBoundedMessage))
+		_, row := node.views.desiredState()
+		g.Expect(listing.Rows).To(Equal([]metastore.Row{row}))
+
+		c.setLargeDesiredState(3, addedRoutes)
+		listing, _, err = node.store.list(c.t.Context(), tableOf(key))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(listing.Rows).To(Equal([]metastore.Row{row}))
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(c.outdated(3)).NotTo(ContainElement(n.config.Instance))
+	})
+}
+
+// Guards against comparisons that never end, because the operator wrote a large desired state again as it was
+// and only the readers of the store know the new version of its row.
+func TestNodesAgreeOnALargeDesiredStateThatIsWrittenAgain(t *testing.T) {
+	runLargeCluster(t, 20, func(g *WithT, c *virtualCluster) {
+		for range 2 {
+			c.setLargeDesiredState(2, addedRoutes)
+			time.Sleep(largeApplyTime)
+			g.Expect(c.outdated(2)).To(BeEmpty())
+		}
+		_, ok := c.waitSettled(10 * time.Second)
+		g.Expect(ok).To(BeTrue())
+		for _, path := range []string{rowsPath, desiredStatePath, desiredChunksPath, digestPath} {
+			g.Expect(c.largest.of(path)).To(BeNumerically("<", maxBoundedMessage), path)
+		}
+	})
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -40,6 +40,8 @@
 	// Table is set to list a table, Txn to commit a transaction.
 	Table string         `cbor:"1,keyasint,omitempty"`
 	Txn   *metastore.Txn `cbor:"2,keyasint,omitempty"`
+	// LeaveOut is set if the sender fetches large rows. Nodes of an earlier release don't.
+	LeaveOut bool `cbor:"3,keyasint,omitempty"`
 }
 
 // relayResult is the result of a relayCall.
@@ -50,6 +52,10 @@
 	Message string            `cbor:"4,keyasint,omitempty"`
 	// Rows are those of a metastore.ConflictError.
 	Rows []metastore.Row `cbor:"5,keyasint,omitempty"`
+	// LeftOut are the large rows of the listing, without their values. Desired is the version of the desired
+	// state that the node which made the call has in force after it.
+	LeftOut []leftOutRow `cbor:"6,keyasint,omitempty"`
+	Desired uint64       `cbor:"7,keyasint,omitempty"`
 }
 
 // relayFailure is the kind of a store error.
@@ -101,10 +107,11 @@
 		s.node.views.observeGeneration(listing.Version)
 		return listing, false, err
 	}
-	result, ok := s.relay(ctx, relayCall{Table: table})
+	result, ok := s.relay(ctx, relayCall{Table: table, LeaveOut: true})
 	if !ok {
 		return listing, false, err
 	}
+	result.Listing.Rows = append(result.Listing.Rows, s.node.views.ownVersions(result.LeftOut)...)
 	s.node.views.observeGeneration(result.Listing.Version)
 	return result.Listing, true, result.err()
 }
@@ -159,6 +166,7 @@
 			continue
 		}
 		if result.Failure == relayOK || result.Failure == relayConflict {
+			s.node.fetcher.heard(result.Desired, address)
 			return result, true
 		}
 	}
@@ -201,6 +209,9 @@
 		result.Applied, err = s.WatchedTable.Apply(ctx, *call.Txn)
 	} else {
 		result.Listing, err = s.WatchedTable.List(ctx, call.Table)
+		if err == nil && call.LeaveOut {
+			s.leaveOutLarge(&result)
+		}
 	}
 	if result.Failure = failureOf(err); err != nil {
 		result.Message, result.Rows = err.Error(), metastore.ConflictRows(err)
@@ -208,3 +219,19 @@
 	s.log.Info("store call made for another node", zap.String("remote", r.RemoteAddr), zap.Bool("write", call.Txn != nil), zap.Error(err))
 	s.node.writeCallResponse(w, result)
 }
+
+// leaveOutLarge replaces large rows of a listing, and applies them here, so that the other node can fetch
+// them.
+func (s *relayStore) leaveOutLarge(result *relayResult) {
+	var kept []metastore.Row
+	for _, row := range result.Listing.Rows {
+		if row.Key != s.node.config.Protocol.DesiredStateRow() || !isLarge(row) {
+			kept = append(kept, row)
+			continue
+		}
+		s.node.views.apply(row)
+		result.LeftOut = append(result.LeftOut, leftOut(row))
+		result.Desired, _ = s.node.views.desiredState()
+	}
+	result.Listing.Rows = kept
+}
--- a/internal/node/rowbatches.go
+++ b/internal/node/rowbatches.go
@@ -45,12 +45,13 @@
 	return nil
 }
 
-// exchangeRows sends rows to another node and gets those that are wanted, in as many messages as that
-// takes.
-func (g *rowGossip) exchangeRows(ctx context.Context, address string, rows []metastore.Row, wanted []string) error {
-	batches := batchRows(rows)
-	for len(batches) > 0 || len(wanted) > 0 {
-		message := rowsMessage{Want: wanted[:min(len(wanted), maxWantedRows)], Source: membership.FromComparison}
+// exchangeRows sends the rows with the given keys to another node and gets those that are wanted, in as many
+// messages as that takes.
+func (g *rowGossip) exchangeRows(ctx context.Context, address string, newer, wanted []string) error {
+	batches, leftOut := batchRows(g.node.views.rowsOf(newer)), g.node.views.leftOutOf(newer)
+	for len(batches) > 0 || len(wanted) > 0 || len(leftOut) > 0 {
+		message := rowsMessage{Want: wanted[:min(len(wanted), maxWantedRows)], LeftOut: leftOut, Source: membership.FromComparison}
+		leftOut = nil
 		if len(batches) > 0 {
 			message.Rows, batches = batches[0], batches[1:]
 		}
@@ -67,6 +68,7 @@
 			return fmt.Errorf("decode rows: %w", err)
 		}
 		g.node.views.applyFromPeer(membership.FromComparison, got.Rows...)
+		g.node.views.applyFromPeer(membership.FromComparison, g.node.views.ownVersions(got.LeftOut)...)
 		wanted = stillWanted(wanted, len(message.Want), got.Rows)
 	}
 	return nil
--- a/internal/node/rowbatches_test.go
+++ b/internal/node/rowbatches_test.go
@@ -54,6 +54,8 @@
 		}
 		g.Expect(c.largest.of(rowsPath)).To(BeNumerically("<", maxBoundedMessage))
 
+		_, ok = c.waitSettled(30 * time.Second)
+		g.Expect(ok).To(BeTrue())
 		planner := c.planner().running()
 		planner.views.applyFromPeer(membership.FromOffer, strikes(rows, 2*rows)...)
 		_, ok = c.waitSettled(time.Second)
