Forget a desired state that was lost with the nodes that had it

Without this a node that heard of a version which nobody can deliver any more (its holders died after the store went back) asked their addresses for ever and read the store all the while. Now a holder counts until ten failures in a row, and without any holder the version counts as unknown. Found while reading the change; TestAVersionThatNobodyHasIsForgotten holds it.

--- a/catchup/tracker.go
+++ b/catchup/tracker.go
@@ -10,6 +10,9 @@
 	// FailurePause is how long a node is not asked again after it did not answer, and BusyPause the same
 	// after it said that it serves others.
 	FailurePause, BusyPause time.Duration
+	// MaxFailures is the number of failures in a row, without those for being busy, after which a node does not count as
+	// having a newer version until it is heard of again.
+	MaxFailures int
 	// MaxHolders is the number of nodes with a newer version that are remembered.
 	MaxHolders int
 }
@@ -33,6 +36,8 @@
 	pausedUntil time.Time
 	// took is how long its last answer took; 0 if it was not asked yet.
 	took time.Duration
+	// failures are those since its last answer.
+	failures int
 }
 
 // precedes reports whether h is asked before another holder.
@@ -73,7 +78,8 @@
 	kept := t.holders[:0]
 	for _, h := range t.holders {
 		if h.address == address {
-			known.pausedUntil, known.took, known.version = h.pausedUntil, h.took, max(h.version, version)
+			known = h
+			known.version = max(h.version, version)
 			continue
 		}
 		kept = append(kept, h)
@@ -105,32 +111,37 @@
 	t.progressAt = now
 	for i := range t.holders {
 		if t.holders[i].address == address {
-			t.holders[i].took = took
+			t.holders[i].took, t.holders[i].failures = took, 0
 		}
 	}
 }
 
-// Failed records that a node delivered nothing.
+// Failed records that a node delivered nothing. Once nobody is left who has a newer version, none counts
+// as known: it may have been lost with the nodes that had it.
 func (t *Tracker) Failed(address string, failure Failure, now time.Time) {
 	for i := range t.holders {
-		if t.holders[i].address != address {
+		h := &t.holders[i]
+		if h.address != address {
 			continue
 		}
 		switch failure {
-		case Outdated:
-			t.holders = append(t.holders[:i], t.holders[i+1:]...)
-			return
 		case Busy:
-			t.holders[i].pausedUntil = now.Add(t.config.BusyPause)
-		default:
-			t.holders[i].pausedUntil = now.Add(t.config.FailurePause)
+			h.pausedUntil = now.Add(t.config.BusyPause)
+			return
+		case Unanswered:
+			h.pausedUntil = now.Add(t.config.FailurePause)
+			if h.failures++; h.failures < t.config.MaxFailures {
+				return
+			}
 		}
+		t.holders = append(t.holders[:i], t.holders[i+1:]...)
+		if len(t.holders) == 0 {
+			t.newest = t.have
+		}
+		return
 	}
 }
 
-// Newest returns the newest known version.
-func (t *Tracker) Newest() uint64 { return max(t.newest, t.have) }
-
 // Behind returns how long a newer version than the one in force has been known; 0 if none is.
 func (t *Tracker) Behind(now time.Time) time.Duration {
 	if t.newest <= t.have {
--- a/catchup/tracker_test.go
+++ b/catchup/tracker_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-var testConfig = Config{FailurePause: 300 * time.Millisecond, BusyPause: 50 * time.Millisecond, MaxHolders: 3}
+var testConfig = Config{FailurePause: 300 * time.Millisecond, BusyPause: 50 * time.Millisecond, MaxFailures: 3, MaxHolders: 3}
 
 func at(ms int) time.Time { return time.UnixMilli(int64(ms)) }
 
@@ -82,7 +82,8 @@
 	s.Applied(9, at(200))
 	g.Expect(s.Behind(at(250))).To(BeZero())
 	s.Applied(8, at(300))
-	g.Expect(s.Newest()).To(BeEquivalentTo(9))
+	g.Expect(s.Heard(9, "old", at(300))).To(BeFalse(), "an older version does not replace the one in force")
+	g.Expect(s.Behind(at(350))).To(BeZero())
 }
 
 // Guards against a node that never reads the store although nothing arrives, and against one that does
@@ -136,3 +137,39 @@
 		g.Expect([]string{"d", "b", "e"}).To(ContainElement(address))
 	}
 }
+
+// Guards against a node that asks for ever for a version that was lost with the nodes that had it, and
+// that reads the store all the while.
+func TestAVersionThatNobodyHasIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := New(testConfig)
+	s.Applied(4, at(0))
+	s.Heard(9, "gone", at(0))
+	s.Heard(9, "wrong", at(0))
+	s.Failed("wrong", Outdated, at(10))
+	for i := range testConfig.MaxFailures {
+		g.Expect(s.Behind(at(1000))).To(Equal(time.Second))
+		s.Failed("gone", Busy, at(20))
+		s.Failed("gone", Unanswered, at(1000*i))
+	}
+	address, wait := next(s, 60_000, 0)
+	g.Expect(address).To(BeEmpty())
+	g.Expect(wait).To(BeZero())
+	g.Expect(s.Behind(at(60_000))).To(BeZero())
+	s.Heard(9, "back", at(70_000))
+	g.Expect(s.Behind(at(70_001))).To(Equal(time.Millisecond))
+}
+
+// Guards against a sound node that is given up for failures long ago.
+func TestFailuresCountInARow(t *testing.T) {
+	g := NewWithT(t)
+	s := New(testConfig)
+	s.Heard(9, "a", at(0))
+	for range 5 {
+		s.Failed("a", Unanswered, at(0))
+		s.Failed("a", Unanswered, at(0))
+		s.Answered("a", time.Millisecond, at(400))
+	}
+	address, _ := next(s, 1000, 0)
+	g.Expect(address).To(Equal("a"))
+}
--- a/internal/node/desiredfetch.go
+++ b/internal/node/desiredfetch.go
@@ -24,12 +24,17 @@
 	// not answer, or served others.
 	fetchFailurePause = 300 * time.Millisecond
 	fetchBusyPause    = 40 * time.Millisecond
+	// maxFetchFailures is the number of failures in a row after which a node is not asked until it is heard of
+	// again. The store is read before.
+	maxFetchFailures = 10
 	// maxHolders is the number of nodes with a newer desired state that are remembered.
 	maxHolders = 8
 	// readStoreAfter is how long a node lacks a known desired state, without receiving any of it, before it
-	// reads the store itself. storeReadersPerSecond is the rate at which nodes that all lack one begin to.
+	// reads the store itself. Nodes that all lack one begin to at storeReadersPerSecond, and within
+	// maxStoreReadDelay.
 	readStoreAfter        = time.Second
 	storeReadersPerSecond = 100.0
+	maxStoreReadDelay     = 1500 * time.Millisecond
 )
 
 // desiredStateFetcher gets the newest desired state that it hears of from other nodes, in messages of a
@@ -47,7 +52,7 @@
 
 func newDesiredStateFetcher(n *Node) *desiredStateFetcher {
 	return &desiredStateFetcher{node: n, log: n.log.Named("desired"), wakeup: make(chan struct{}, 1), tracker: catchup.New(catchup.Config{
-		FailurePause: fetchFailurePause, BusyPause: fetchBusyPause, MaxHolders: maxHolders,
+		FailurePause: fetchFailurePause, BusyPause: fetchBusyPause, MaxFailures: maxFetchFailures, MaxHolders: maxHolders,
 	})}
 }
 
@@ -93,10 +98,11 @@
 // needsStore reports whether other nodes don't deliver a known version, so that the store is to be read. Nodes of a
 // large cluster begin one after the other.
 func (f *desiredStateFetcher) needsStore() bool {
-	turn := float64(xxhash.Sum64String(f.node.config.Instance)) / math.MaxUint64 * float64(len(f.node.views.current().Members))
+	spread := min(time.Duration(float64(len(f.node.views.current().Members))/storeReadersPerSecond*float64(time.Second)), maxStoreReadDelay)
+	turn := float64(xxhash.Sum64String(f.node.config.Instance)) / math.MaxUint64
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tracker.Stalled(time.Now()) > readStoreAfter+time.Duration(turn/storeReadersPerSecond*float64(time.Second))
+	return f.tracker.Stalled(time.Now()) > readStoreAfter+time.Duration(turn*float64(spread))
 }
 
 // run fetches newer desired states until ctx ends.
