--- a/internal/node/desiredmodel_test.go
+++ b/internal/node/desiredmodel_test.go
@@ -21,6 +21,8 @@
 	unstableUntil time.Time
 	// outOfTouch are the times until which nodes are not in touch, by instance.
 	outOfTouch map[string]time.Time
+	// routes is the number of routes that some versions have; 0 for small ones only.
+	routes int
 	// highest are the versions seen in force, by process.
 	highest map[*Node]uint64
 	broken  []string
@@ -47,10 +49,19 @@
 // change lets the operator write the next version.
 func (m *desiredModel) change() {
 	next := uint64(2 + len(m.confirmed))
-	m.setDesiredState(next)
+	m.write(next)
 	m.confirmed = append(m.confirmed, confirmedVersion{next, time.Now()})
 }
 
+// write writes a version, which has many routes in three of four cases if any has.
+func (m *desiredModel) write(version uint64) {
+	if m.routes > 0 && version%4 != 0 {
+		m.setLargeDesiredState(version, m.routes)
+		return
+	}
+	m.setDesiredState(version)
+}
+
 // check looks at the desired state in force at each node.
 func (m *desiredModel) check() {
 	now := time.Now()
@@ -122,7 +133,7 @@
 		m.goBackBut(age, m.rng.between(0, 500*time.Millisecond), func(string) bool { return false })
 		time.Sleep(m.rng.between(0, 2*time.Second))
 		if n := len(m.confirmed); n > 0 {
-			m.setDesiredState(m.confirmed[n-1].version)
+			m.write(m.confirmed[n-1].version)
 		}
 	}
 }
@@ -132,14 +143,16 @@
 // nodes away and one that goes back.
 func TestModelKeepsTheDesiredStateInForce(t *testing.T) {
 	for _, seed := range rollbackSeeds() {
-		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { runDesiredModel(t, seed, 7) })
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { runDesiredModel(t, seed, 7, 0) })
 		if seed%4 == 0 { // not all nodes watch the store
-			t.Run(fmt.Sprint("seed_", seed, "_large"), func(t *testing.T) { runDesiredModel(t, seed, desiredStateWatchers+6) })
+			t.Run(fmt.Sprint("seed_", seed, "_large"), func(t *testing.T) { runDesiredModel(t, seed, desiredStateWatchers+6, 0) })
+			t.Run(fmt.Sprint("seed_", seed, "_many_routes"), func(t *testing.T) { runDesiredModel(t, seed, desiredStateWatchers+6, addedRoutes) })
 		}
 	}
 }
 
-func runDesiredModel(t *testing.T, seed uint64, size int) {
+// runDesiredModel plays a seed. With many routes in the desired state, links have the rate of the users' slowest.
+func runDesiredModel(t *testing.T, seed uint64, size, routes int) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -147,7 +160,10 @@
 		defer c.stop()
 		_, ok := c.waitServed(30 * time.Second)
 		g.Expect(ok).To(BeTrue())
-		m := &desiredModel{virtualCluster: c, outOfTouch: map[string]time.Time{}, highest: map[*Node]uint64{}}
+		m := &desiredModel{virtualCluster: c, outOfTouch: map[string]time.Time{}, highest: map[*Node]uint64{}, routes: routes}
+		if routes > 0 {
+			c.linkRate = slowestLinkRate
+		}
 		for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
 			if m.rng.intN(3) == 0 {
 				m.injectFault()
--- a/internal/node/largestate_test.go
+++ b/internal/node/largestate_test.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// slowLinkRate is what requests leave of the slowest links of the users' sites, 13 Mbit/s, at the
-	// busiest instances: a quarter, in bytes per second.
-	slowLinkRate = 13e6 / 8 / 4
+	// slowestLinkRate is the rate of the slowest links of the users' sites with many instances, 13 Mbit/s, in
+	// bytes per second. slowLinkRate is the quarter of it that requests leave at the busiest instances.
+	slowestLinkRate = 13e6 / 8
+	slowLinkRate    = slowestLinkRate / 4
 	// largeApplyTime is the users' config_apply_ms where a site has 80 machines.
 	largeApplyTime = 2500 * time.Millisecond
 	// addedRoutes is the number of routes that the users add at once.
