Show that keys of a backend server that is up again are dropped late

Seen: an endpoint was cut off from control until its holds had run out, while the store answered 503. The link healed first: the endpoint got its keys again and served. When the store came back, the keys were given to other endpoints, and both held them for 0.5 to 0.7 s (rule OWNER).

Code path: backend.reconcile copies the state "down" once; writeKeys passes the copy to keyWriter.update, which tries the drop again until the store answers, although a heartbeat made the backend server ready meanwhile and it was granted its keys. reply then waits up to 600 ms for gains before it leaves the lost keys out.

--- /dev/null
+++ b/review/standins/staledown.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+var scenarios = map[string]scenario{
+	"stale-down": staleDown,
+}
+
+const passDesired = `{"version":"r3","resources":[
+{"resource_type":"routes","metadata":{"name":"charge"},"spec":{"hostname":"pass.example","prefix":"/charge/","route_type":"non_idempotent","timeout_ms":2500,"target_latency_ms":400,"priority":1,"service":"passdesk","max_attempts":2}},
+{"resource_type":"routes","metadata":{"name":"balance"},"spec":{"hostname":"pass.example","prefix":"/balance/","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"passdesk","max_attempts":2}},
+{"resource_type":"services","metadata":{"name":"passdesk"},"spec":{"health_check_path":"/health","max_connections":76,"sharded":true,"warmup_s":5,"grants":"heartbeat"}},
+{"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}`
+
+func balanceOf(key int) call {
+	return call{host: "pass.example", method: http.MethodGet, path: "/balance/x", key: key, deadline: 2 * time.Second}
+}
+
+func chargeOf(key int) call {
+	return call{host: "pass.example", method: http.MethodPost, path: "/charge/x", key: key, deadline: 2500 * time.Millisecond, body: "client"}
+}
+
+const (
+	// cutFor is how long an endpoint is cut off from control, at most 10 s on the page, and downAfter when
+	// the store goes down since then, for downFor, at most 8 s.
+	cutFor    = 5200 * time.Millisecond
+	downAfter = 2200 * time.Millisecond
+	downFor   = 5200 * time.Millisecond
+	// cutRounds is how often that happens, each time to another endpoint, with a pause of cutPause.
+	cutRounds = 6
+	cutPause  = 6 * time.Second
+)
+
+// staleDown cuts endpoints off from control until their holds have run out, while the store is down.
+func staleDown(c *cluster, trouble bool) ([]string, error) {
+	if err := c.configure(passDesired); err != nil {
+		return nil, err
+	}
+	for range 9 {
+		if _, err := c.add("passdesk", true, 9, 100*time.Millisecond, true); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.awaitServed("pass.example", 25*time.Second, func(_ *machine, i int) call { return balanceOf(i * 8191) }); err != nil {
+		return nil, err
+	}
+	// Some keys are far busier than others: those of the endpoint that is cut off next.
+	var busy atomic.Pointer[[]int]
+	busy.Store(&[]int{0})
+	for _, m := range c.machines {
+		c.startClients(m, 2, 150*time.Millisecond, func(rng *rand.Rand) call {
+			key, hot := rng.IntN(65536), *busy.Load()
+			if rng.IntN(100) < 30 {
+				key = hot[rng.IntN(len(hot))]
+			}
+			if rng.IntN(3) == 0 {
+				return chargeOf(key)
+			}
+			return balanceOf(key)
+		})
+	}
+	for round := range cutRounds {
+		victim := c.machines[round].endpoint
+		keys := victim.someKeys()
+		if len(keys) == 0 {
+			return nil, errors.New("the endpoint holds no keys")
+		}
+		busy.Store(&keys)
+		time.Sleep(cutPause)
+		if !trouble {
+			time.Sleep(downAfter + downFor)
+			continue
+		}
+		victim.setCut(true)
+		time.Sleep(downAfter)
+		c.setStoreDown(true)
+		time.Sleep(cutFor - downAfter)
+		victim.setCut(false)
+		time.Sleep(downAfter + downFor - cutFor)
+		c.setStoreDown(false)
+	}
+	time.Sleep(cutPause)
+	return c.holds.violations(c.record), nil
+}
+
+// someKeys returns some keys of each row that the endpoint holds.
+func (e *endpoint) someKeys() []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []int
+	for _, r := range e.rows {
+		for i := range uint64(8) {
+			out = append(out, int(r.from+(r.to-r.from)*i/8))
+		}
+	}
+	return out
+}
