Show that a late heartbeat undoes an acknowledged leave after a restart

Seen: an endpoint left by deregister, which its node acknowledged and recorded in the store. The node was killed and started again, and a heartbeat that the endpoint had sent before its leave arrived. The endpoint then got requests for 8 s more (rule DRAIN).

Code path: Succession.Accept accepts any first heartbeat of a process; processHeartbeat sets the state to ready, whatever the member row says, and reconcile overwrites the row.

--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -440,3 +440,24 @@
 	}
 	return b
 }
+
+// deregister announces the leave without reporting draining before. It returns when the leave is
+// acknowledged.
+func (e *endpoint) deregister() (time.Time, error) {
+	e.mu.Lock()
+	e.leaving, e.silent = true, true
+	e.mu.Unlock()
+	if _, err := e.post("/-/instances/"+e.id+"/deregister", nil); err != nil {
+		return time.Time{}, err
+	}
+	now := time.Now()
+	e.record.add("endpoint %s: deregister acknowledged", e.id)
+	return now, nil
+}
+
+// arrivals returns the requests that were not rejected.
+func (e *endpoint) arrivals() []arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]arrival(nil), e.got...)
+}
--- a/review/standins/machine.go
+++ b/review/standins/machine.go
@@ -121,6 +121,16 @@
 	return m.process.Process.Signal(s)
 }
 
+// restartNode ends the process with a signal and starts it again after a pause.
+func (m *machine) restartNode(s syscall.Signal, pause time.Duration) error {
+	if err := m.signal(s); err != nil {
+		return err
+	}
+	<-m.exited
+	time.Sleep(pause)
+	return m.startNode()
+}
+
 // stop ends the node and the endpoint.
 func (m *machine) stop() {
 	if err := m.process.Process.Signal(syscall.SIGKILL); err == nil {
--- a/review/standins/staledown.go
+++ b/review/standins/staledown.go
@@ -9,7 +9,8 @@
 )
 
 var scenarios = map[string]scenario{
-	"stale-down": staleDown,
+	"stale-down":     staleDown,
+	"late-heartbeat": lateHeartbeat,
 }
 
 const passDesired = `{"version":"r3","resources":[
