--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -256,6 +256,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	select {
+	case <-e.stopped:
+		return false // it has ended meanwhile
+	default:
+	}
 	e.released = e.released[len(released):]
 	if reply.Holds == nil || e.sequence != sequence {
 		return len(e.released) > 0
--- a/review/standins/machine.go
+++ b/review/standins/machine.go
@@ -131,6 +131,10 @@
 	}
 	<-m.exited
 	time.Sleep(pause)
+	// Only the first start of the whole system has bootstrap set.
+	if err := m.writeSettings(m.endpoint.zone, m.endpoint.service, false); err != nil {
+		return err
+	}
 	return m.startNode()
 }
 
