Let the case of the late drop show longer overlaps

The endpoint is cut off from control again 0.3 s before the store comes back, as random mixes of the same disruptions had it. It then isn't told that its keys are gone.

--- a/review/standins/staledown.go
+++ b/review/standins/staledown.go
@@ -34,8 +34,11 @@
 	cutFor    = 5200 * time.Millisecond
 	downAfter = 2200 * time.Millisecond
 	downFor   = 5200 * time.Millisecond
+	// cutAgainBefore is how long before the store comes back the endpoint is cut off again, for cutAgainFor.
+	cutAgainBefore = 300 * time.Millisecond
+	cutAgainFor    = 3 * time.Second
 	// cutRounds is how often that happens, each time to another endpoint, with a pause of cutPause.
-	cutRounds = 6
+	cutRounds = 4
 	cutPause  = 6 * time.Second
 )
 
@@ -76,7 +79,7 @@
 		busy.Store(&keys)
 		time.Sleep(cutPause)
 		if !trouble {
-			time.Sleep(downAfter + downFor)
+			time.Sleep(downAfter + downFor + cutAgainFor - cutAgainBefore)
 			continue
 		}
 		victim.setCut(true)
@@ -84,8 +87,12 @@
 		c.setStoreDown(true)
 		time.Sleep(cutFor - downAfter)
 		victim.setCut(false)
-		time.Sleep(downAfter + downFor - cutFor)
+		time.Sleep(downAfter + downFor - cutFor - cutAgainBefore)
+		victim.setCut(true)
+		time.Sleep(cutAgainBefore)
 		c.setStoreDown(false)
+		time.Sleep(cutAgainFor - cutAgainBefore)
+		victim.setCut(false)
 	}
 	time.Sleep(cutPause)
 	return c.holds.violations(c.record), nil
