--- a/review/standins/lateheartbeat.go
+++ b/review/standins/lateheartbeat.go
@@ -34,7 +34,7 @@
 	killAfter    = 300 * time.Millisecond
 	restartPause = 300 * time.Millisecond
 	// servesOn is how long the endpoint continues to serve after the acknowledgement.
-	servesOn = 12 * time.Second
+	servesOn = 8 * time.Second
 )
 
 // lateHeartbeat lets an endpoint leave whose node is killed after it has acknowledged the leave. A
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	for _, m := range c.machines {
-		c.startClients(m, 4, 150*time.Millisecond, func(rng *rand.Rand) call {
+		c.startClients(m, 10, 60*time.Millisecond, func(rng *rand.Rand) call {
 			if rng.IntN(2) == 0 {
 				return voucher()
 			}
