Show that keys are released by a heartbeat from before they were granted

Seen: an endpoint got keys of one that left, then left itself; its node was killed after it had acknowledged that. A heartbeat from before the gain arrived at the node's next process, and the keys were given to others while the endpoint held them (rule OWNER).

Code path: Tracker.mayHold knows the grants of this process and the last heartbeat only; completedMoves ignores the time until which grants of an earlier process may last.

--- a/review/standins/cluster.go
+++ b/review/standins/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -22,6 +23,7 @@
 	controlPort  = 8144
 	appPort      = 8145
 	storePort    = 8142
+	metricsPort  = 9464
 	firstPort    = 7380
 	lastPort     = 7395
 )
@@ -105,6 +107,28 @@
 	return m, nil
 }
 
+// planner returns the machine whose node plans, nil if it is not known.
+func (c *cluster) planner() *machine {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/status", c.machines[0].ip, metricsPort))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var status struct {
+		Planner string `json:"planner"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return nil
+	}
+	for _, m := range c.machines {
+		if m.name == status.Planner {
+			return m
+		}
+	}
+	return nil
+}
+
 // awaitServed waits until some requests through each machine succeed.
 func (c *cluster) awaitServed(host string, limit time.Duration, request func(m *machine, i int) call) error {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
--- a/review/standins/endpoint.go
+++ b/review/standins/endpoint.go
@@ -73,9 +73,10 @@
 	atWork   map[uint64]int // running requests by key
 	giveUp   []row          // left out by the last answer, but still worked on
 	released [][3]any
-	// cut drops all packets of heartbeats while it is set; late holds the next heartbeat back.
+	// cut drops all packets of heartbeats while it is set; late holds the next heartbeat back until it is
+	// closed.
 	cut  bool
-	late time.Duration
+	late chan struct{}
 	runs map[string]int // runs by request
 	// bodies are the bodies of the requests that were run.
 	bodies map[string]receivedBody
@@ -127,19 +128,19 @@
 
 func (e *endpoint) heartbeats() {
 	for {
-		pause := heartbeatInterval
+		next := time.Now().Add(heartbeatInterval)
 		e.mu.Lock()
 		silent := e.silent
 		e.mu.Unlock()
 		if !silent {
 			if e.heartbeat() {
-				pause = releaseInterval
+				next = time.Now().Add(releaseInterval)
 			}
 		}
 		select {
 		case <-e.stopped:
 			return
-		case <-time.After(pause):
+		case <-time.After(time.Until(next)):
 		}
 	}
 }
@@ -159,9 +160,9 @@
 func (e *endpoint) post(path string, body []byte) ([]byte, error) {
 	e.mu.Lock()
 	late := e.late
-	e.late = 0
+	e.late = nil
 	e.mu.Unlock()
-	if late > 0 {
+	if late != nil {
 		go e.postLate(path, body, late)
 		time.Sleep(ackTimeout)
 		return nil, errors.New("not acknowledged in time")
@@ -172,12 +173,13 @@
 }
 
 // postLate delivers a call that was held up on its way. Nobody waits for the answer any more.
-func (e *endpoint) postLate(path string, body []byte, late time.Duration) {
-	time.Sleep(late)
+func (e *endpoint) postLate(path string, body []byte, late chan struct{}) {
+	sent := time.Now()
+	<-late
 	ctx, cancel := context.WithTimeout(context.Background(), ackTimeout)
 	defer cancel()
 	_, err := e.send(ctx, path, body)
-	e.record.add("endpoint %s: a call arrived %v late (%v): %s", e.id, late, err, body)
+	e.record.add("endpoint %s: a call arrived %v late (%v): %s", e.id, time.Since(sent).Round(time.Millisecond), err, body)
 }
 
 func (e *endpoint) send(ctx context.Context, path string, body []byte) ([]byte, error) {
--- a/review/standins/lateheartbeat.go
+++ b/review/standins/lateheartbeat.go
@@ -62,9 +62,11 @@
 	time.Sleep(6 * time.Second)
 	m := c.machines[2]
 	e := m.endpoint
-	if err := e.delayHeartbeat(lateBy); err != nil {
+	deliver, err := e.holdHeartbeat()
+	if err != nil {
 		return nil, err
 	}
+	time.AfterFunc(lateBy, deliver)
 	time.Sleep(leaveAfter)
 	left, err := e.deregister()
 	if err != nil {
@@ -109,18 +111,19 @@
 	return out
 }
 
-// delayHeartbeat holds the next heartbeat back and returns when it was sent.
-func (e *endpoint) delayHeartbeat(late time.Duration) error {
+// holdHeartbeat holds the next heartbeat back and returns when it was sent. deliver lets it arrive.
+func (e *endpoint) holdHeartbeat() (deliver func(), err error) {
+	late := make(chan struct{})
 	e.mu.Lock()
 	e.late = late
 	e.mu.Unlock()
 	for end := time.Now().Add(2 * heartbeatInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		e.mu.Lock()
-		sent := e.late == 0
+		sent := e.late == nil
 		e.mu.Unlock()
 		if sent {
-			return nil
+			return func() { close(late) }, nil
 		}
 	}
-	return fmt.Errorf("endpoint %s sends no heartbeats", e.id)
+	return nil, fmt.Errorf("endpoint %s sends no heartbeats", e.id)
 }
--- a/review/standins/staledown.go
+++ b/review/standins/staledown.go
@@ -12,6 +12,7 @@
 	"stale-down":     staleDown,
 	"late-heartbeat": lateHeartbeat,
 	"long-body":      longBodies,
+	"early-release":  earlyRelease,
 }
 
 const passDesired = `{"version":"r3","resources":[
