--- a/review/standins/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command standins plays the cases of the review: it starts nodes as separate processes beside
+// Command platform plays the cases of the review: it starts nodes as separate processes beside
 // stand-ins of endpoints, clients and the platform's store, disturbs them, and checks one rule.
 //
 // It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
