--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")" || exit 2
 trouble=true
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; fi
-timeout -s INT -k 2 118 ../target/standins -case stale-down -node ../../target/basilwayd -record "${RECORD:-record.txt}" -trouble="$trouble"
+timeout -s INT -k 6 112 ../target/standins -case stale-down -node ../../target/basilwayd -record "${RECORD:-record.txt}" -trouble="$trouble"
 status=$?
 if [ "$status" -gt 2 ]; then exit 2; fi
 exit "$status"
--- a/review/platform/cluster.go
+++ b/review/platform/cluster.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/basilway/basilway/metastore"
@@ -36,6 +37,7 @@
 	network  string // the first three numbers of its addresses
 	store    *standin.Store
 	server   *http.Server
+	down     atomic.Bool // the store resets each connection
 	machines []*machine
 	holds    *holdLog
 
@@ -68,7 +70,7 @@
 		if err != nil {
 			continue // another run uses this network
 		}
-		c.server = &http.Server{Handler: c.store}
+		c.server = &http.Server{Handler: http.HandlerFunc(c.serveStore)}
 		go func() {
 			if err := c.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				r.add("store: %v", err)
@@ -87,14 +89,30 @@
 	return c.store.Commit(context.Background(), metastore.Txn{Writes: []metastore.Write{{Key: "op/config", Value: []byte(desired)}}})
 }
 
-// setStoreDown makes the store answer 503 to all calls, or serve again.
+// setStoreDown makes the store reset each connection on which a call arrives, without having done
+// anything, or serve again.
 func (c *cluster) setStoreDown(down bool) {
-	c.record.add("store down (503): %t", down)
-	if down {
-		c.store.ForcedStatus.Store(http.StatusServiceUnavailable)
-	} else {
-		c.store.ForcedStatus.Store(0)
+	c.record.add("store down (reset): %t", down)
+	c.down.Store(down)
+}
+
+// serveStore serves the calls to the store.
+func (c *cluster) serveStore(w http.ResponseWriter, r *http.Request) {
+	if !c.down.Load() {
+		c.store.ServeHTTP(w, r)
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		c.record.add("store: %v", err)
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil { // closes with a reset
+			c.record.add("store: %v", err)
+		}
 	}
+	_ = conn.Close() // the connection has ended in any case
 }
 
 // add adds a machine with its endpoint; bootstrap is set if the whole system starts for the first time.
--- a/review/platform/endpoint.go
+++ b/review/platform/endpoint.go
@@ -22,6 +22,8 @@
 	// an acknowledgement.
 	ackTimeout  = time.Second
 	maxAckBytes = 4 << 10
+	// maxQueue is how many requests wait for a slot.
+	maxQueue = 36
 	// releaseInterval is the pause before the next heartbeat while keys are to be released.
 	releaseInterval = 80 * time.Millisecond
 )
@@ -69,7 +71,8 @@
 	rows     []row // what it holds
 	until    time.Time
 	seen     map[uint64]uint64 // highest fencing token by key
-	running  int
+	waiting  int
+	free     chan struct{}  // holds an element for each free slot
 	atWork   map[uint64]int // running requests by key
 	giveUp   []row          // left out by the last answer, but still worked on
 	released [][3]any
@@ -100,6 +103,10 @@
 	e.id, e.born = newID("i-"), time.Now().UnixMilli()
 	e.state, e.seen, e.atWork, e.runs = "ready", map[uint64]uint64{}, map[uint64]int{}, map[string]int{}
 	e.bodies = map[string]receivedBody{}
+	e.free = make(chan struct{}, e.slots)
+	for range e.slots {
+		e.free <- struct{}{}
+	}
 	e.server, e.stopped = &http.Server{Handler: http.HandlerFunc(e.serve)}, make(chan struct{})
 	e.record.add("endpoint %s of %s starts at %s", e.id, e.service, e.address)
 	go func() {
@@ -365,12 +372,40 @@
 		return http.StatusBadRequest
 	case e.sharded && !holdsKey(e.rows, key):
 		return http.StatusMisdirectedRequest
-	case e.running >= e.slots:
+	case e.waiting >= maxQueue:
 		return http.StatusServiceUnavailable
 	}
 	return 0
 }
 
+// admit waits for a slot. It returns how the request is rejected, or 0 if it has a slot; ok is false if
+// the caller has left.
+func (e *endpoint) admit(r *http.Request, key uint64, now time.Time) (status int, ok bool) {
+	e.mu.Lock()
+	if status := e.reject(r, key, now); status != 0 {
+		e.mu.Unlock()
+		return status, true
+	}
+	e.got = append(e.got, arrival{r.Header.Get("Attempt-Id"), now})
+	e.waiting++
+	e.mu.Unlock()
+	ok = true
+	select {
+	case <-e.free:
+	case <-r.Context().Done():
+		ok = false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	e.expire(time.Now())
+	if ok && e.sharded && !holdsKey(e.rows, key) {
+		e.free <- struct{}{} // the key was released meanwhile
+		return http.StatusMisdirectedRequest, true
+	}
+	return 0, ok
+}
+
 // serve runs a request.
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -396,30 +431,32 @@
 		key = 0 // only services with keys read it
 	}
 	now := time.Now()
-	e.mu.Lock()
-	if status := e.reject(r, key, now); status != 0 {
-		e.mu.Unlock()
+	status, ok := e.admit(r, key, now)
+	if !ok {
+		panic(http.ErrAbortHandler) // the caller has left
+	}
+	if status != 0 {
 		e.record.add("endpoint %s: rejects %s with %d", e.id, id, status)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(status)
 		return
 	}
-	e.running++
+	e.mu.Lock()
+	now = time.Now()
 	e.atWork[key]++
 	e.runs[id]++
 	e.bodies[id] = receivedBody{len(body), sumOf(body)}
-	e.got = append(e.got, arrival{id, now})
 	fence, until := fenceOf(e.rows, key), e.until
 	e.mu.Unlock()
 	if e.sharded {
 		e.holds.begin(e.id, id, key, now, until)
 	}
 	e.record.add("endpoint %s: runs %s, key %d, fence %d", e.id, id, key, fence)
-	status := e.runFor(r.Context(), until)
+	status = e.runFor(r.Context(), until)
 	e.mu.Lock()
-	e.running--
 	e.atWork[key]--
 	e.mu.Unlock()
+	e.free <- struct{}{}
 	if e.sharded {
 		e.holds.done(e.id, id, time.Now())
 	}
--- a/review/platform/staledown.go
+++ b/review/platform/staledown.go
@@ -1,10 +1,9 @@
 package main
 
 import (
-	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
@@ -39,8 +38,10 @@
 	cutAgainBefore = 300 * time.Millisecond
 	cutAgainFor    = 3 * time.Second
 	// cutRounds is how often that happens, each time to another endpoint, with a pause of cutPause.
-	cutRounds = 4
+	cutRounds = 3
 	cutPause  = 6 * time.Second
+	// busySkew is how much busier low keys are; 1 makes all alike.
+	busySkew = 1.5
 )
 
 // staleDown cuts endpoints off from control until their holds have run out, while the store is down.
@@ -56,15 +57,10 @@
 	if err := c.awaitServed("pass.example", 25*time.Second, func(_ *machine, i int) call { return balanceOf(i * 8191) }); err != nil {
 		return nil, err
 	}
-	// Some keys are far busier than others: those of the endpoint that is cut off next.
-	var busy atomic.Pointer[[]int]
-	busy.Store(&[]int{0})
 	for _, m := range c.machines {
 		c.startClients(m, 2, 150*time.Millisecond, func(rng *rand.Rand) call {
-			key, hot := rng.IntN(65536), *busy.Load()
-			if rng.IntN(100) < 30 {
-				key = hot[rng.IntN(len(hot))]
-			}
+			// Some keys are far busier than others, and the busy keys are close to one another.
+			key := int(65535 * math.Pow(rng.Float64(), busySkew))
 			if rng.IntN(3) == 0 {
 				return chargeOf(key)
 			}
@@ -73,11 +69,6 @@
 	}
 	for round := range cutRounds {
 		victim := c.machines[round].endpoint
-		keys := victim.someKeys()
-		if len(keys) == 0 {
-			return nil, errors.New("the endpoint holds no keys")
-		}
-		busy.Store(&keys)
 		time.Sleep(cutPause)
 		if !trouble {
 			time.Sleep(downAfter + downFor + cutAgainFor - cutAgainBefore)
@@ -98,16 +89,3 @@
 	time.Sleep(cutPause)
 	return c.holds.violations(c.record), nil
 }
-
-// someKeys returns some keys of each row that the endpoint holds.
-func (e *endpoint) someKeys() []int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []int
-	for _, r := range e.rows {
-		for i := range uint64(8) {
-			out = append(out, int(r.from+(r.to-r.from)*i/8))
-		}
-	}
-	return out
-}
