--- a/internal/httpclient/pool_test.go
+++ b/internal/httpclient/pool_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -268,3 +270,28 @@
 		}
 	}
 }
+
+// Guards against a request that is sent although its context has ended (GONE): the connection was closed only
+// after that.
+func TestRequestOfAnEndedContextIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	var served atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	defer s.Close()
+	p := NewPool(s.Listener.Addr().String(), Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, ReadBuffer: 4096})
+	defer p.Close()
+	exchange := Exchange{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
+	resp, err := p.Do(t.Context(), exchange, nil) // leaves an idle connection
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	for range 50 {
+		ctx, cancel := context.WithCancel(t.Context())
+		// It ends while the request is prepared, as when a caller leaves at the moment at which a slot becomes free.
+		_, err := p.Do(ctx, exchange, func() error { cancel(); return nil })
+		var failure *Error
+		g.Expect(errors.As(err, &failure)).To(BeTrue())
+		g.Expect(failure.Stage).To(Equal(NotSent))
+	}
+	g.Consistently(served.Load, 100*time.Millisecond).Should(BeEquivalentTo(1))
+}
