Refuse requests that are routed by an outdated desired state

Cause: a node that lacks processor time decodes a new desired state late, and nothing bounds what it does until then. A forwarded request did not name the version by which it was routed: the node beside the backend server refused the compact form of such a request, because the two nodes disagreed, and took the named form that followed at once.

Change: the named form names the version and the address of its sender (Basilway-Routes). Who has a newer version refuses what that does not allow, on arrival and again just before the request is sent, and says so; the sender routes it anew, or refuses it. Who has an older one learns of the newer. A node that has known of a newer version for half of config_apply_ms, or is decoding one for as long, holds requests for up to 300 ms and refuses them then; before that it does so only for paths that it has no route for (package freshness). In steady state no byte is added: compact requests agree already.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -54,6 +54,8 @@
 	RetryWithinBudget
 	// AwaitOwner tries again after the owner of the key may have changed.
 	AwaitOwner
+	// AwaitRoutes tries again once the request has been routed by a newer desired state.
+	AwaitRoutes
 )
 
 // State is the history of one request. It is not safe for concurrent use.
@@ -105,6 +107,8 @@
 		return GiveUp
 	}
 	switch r.Err.Reason {
+	case verdict.ReasonOutdatedRoutes:
+		return AwaitRoutes
 	case verdict.ReasonNotOwner:
 		if s.request.Sharded {
 			return AwaitOwner
--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -37,6 +37,12 @@
 	}, {
 		"request running for a client that left behind unread bytes", "internal/readahead/conn.go",
 		"if hasHungUp(c.raw) {", "if false {", aheadTests,
+	}, {
+		"request sent where only an older desired state sends it", "internal/node/serve.go",
+		"if err := b.node.routesGate(t); err != nil {", "if err := b.node.routesGate(t); err != nil && t.version == 0 {", nodeTests,
+	}, {
+		"request handled by a desired state that is known to be outdated", "internal/node/routeversion.go",
+		"judged == freshness.Current || judged == freshness.Tolerated && ok {", "judged != freshness.Tolerated || ok {", nodeTests,
 	}, {
 		"requests read ahead without a bound", "pipeline/conn.go",
 		"len(c.requests) < c.config.MaxRequests &&", "", aheadTests,
--- a/httproute/route.go
+++ b/httproute/route.go
@@ -41,6 +41,13 @@
 	return len(r.AllowedRegions) == 0 || region != "" && slices.Contains(r.AllowedRegions, region)
 }
 
+// HasDestination reports whether the route's requests may go to a service.
+func (r *Route) HasDestination(service string) bool {
+	return slices.ContainsFunc(r.Destinations, func(d Destination) bool {
+		return d.Service == service && (d.Weight > 0 || len(r.Destinations) == 1)
+	})
+}
+
 // Pick returns the service for the n-th request of the route. It follows the golden-ratio
 // low-discrepancy sequence, which interleaves the services so that any run of consecutive
 // requests is divided in proportion to the weights.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -81,6 +81,9 @@
 	// most ColdOverage times the rate that its service tolerates plus ColdSlack. A ColdOverage
 	// of 0 means no bound.
 	ColdOverage, ColdSlack float64
+	// ConfigApply is how long after its confirmation a desired state must be in force at all nodes; 0 for the default of
+	// 2 s. A node goes on with an older one for half of it.
+	ConfigApply time.Duration
 	// Evacuate is how long after an operator evacuated an availability zone its backend servers
 	// may get requests; 0 if the deployment has no evacuations.
 	Evacuate time.Duration
--- a/internal/node/desiredfetch.go
+++ b/internal/node/desiredfetch.go
@@ -183,6 +183,7 @@
 		zap.Int("messages", t.messages), zap.Duration("took", time.Since(t.started)))
 	f.node.views.applyFromPeer(membership.FromRelay, metastore.Row{Key: f.node.config.Protocol.DesiredStateRow(), Version: response.RowVersion, Value: value})
 	if now, _ := f.node.views.desiredState(); now < response.Version {
+		f.node.freshness.rejected(response.Version)
 		return catchup.Outdated, fmt.Errorf("desired state %d could not be used", response.Version)
 	}
 	return 0, nil
--- a/internal/node/desiredgossip.go
+++ b/internal/node/desiredgossip.go
@@ -158,6 +158,7 @@
 		return err
 	}
 	g.node.views.mergeEvacuationMessage(theirs.Evacuations)
+	g.node.freshness.heard(theirs.Version)
 	if theirs.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *theirs.Row)
 	}
@@ -190,6 +191,7 @@
 		return
 	}
 	response := desiredStateMessage{Evacuations: g.node.views.answerEvacuations(message.Evacuations), Address: g.node.config.PeerAddress}
+	g.node.freshness.heard(message.Version)
 	if message.Row != nil {
 		g.node.views.applyFromPeer(membership.FromRelay, *message.Row)
 	}
--- a/internal/node/desiredstate.go
+++ b/internal/node/desiredstate.go
@@ -66,9 +66,10 @@
 }
 
 // decodeDesiredStates decodes the new desired states among rows. It takes long for large ones, and requests need s.mu,
-// which must not be held.
-func (s *viewStore) decodeDesiredStates(rows []metastore.Row) []*decodedDesiredState {
-	out := make([]*decodedDesiredState, len(rows))
+// which must not be held. The caller calls end once they are applied.
+func (s *viewStore) decodeDesiredStates(rows []metastore.Row) (out []*decodedDesiredState, end func()) {
+	out = make([]*decodedDesiredState, len(rows))
+	var ends []func()
 	for i, row := range rows {
 		if row.Key != s.protocol.DesiredStateRow() {
 			continue
@@ -76,11 +77,19 @@
 		s.mu.Lock()
 		known := s.rows[row.Key]
 		s.mu.Unlock()
-		if !isSameRow(row, known) {
-			out[i] = s.decoder.decode(row)
+		if isSameRow(row, known) {
+			continue
+		}
+		if s.beginDecode != nil && known.Version > 0 && row.Version > known.Version {
+			ends = append(ends, s.beginDecode())
+		}
+		out[i] = s.decoder.decode(row)
+	}
+	return out, func() {
+		for _, end := range ends {
+			end()
 		}
 	}
-	return out
 }
 
 // desiredState returns the version of the desired state in force, 0 if there is none, and its row.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -49,13 +48,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	id := r.Header.Get(n.headers.RequestID)
-	routes := n.views.current().Routes
-	if routes == nil {
-		n.reject(w, id, verdict.New(verdict.NotRun, verdict.ReasonStarting, "no desired state is known yet").WithRetryAfter(startingRetryAfter))
+	routes, route, refused := n.routeOf(r.Context(), r.Host, r.URL.Path)
+	if refused != nil {
+		n.metrics.countUnanswered("unknown", string(refused.Reason))
+		n.events.request("request refused before it was routed", id, zap.String("host", r.Host), zap.String("reason", string(refused.Reason)), zap.String("cause", refused.Message))
+		n.reject(w, id, refused)
 		return
 	}
-	route, ok := routes.Match(r.Host, r.URL.Path)
-	if !ok {
+	if route == nil {
 		n.metrics.countUnanswered("unknown", "no_route")
 		n.events.request("no route", id, zap.String("host", r.Host), zap.Uint64("version", routes.Version))
 		w.Header().Set(n.headers.RequestID, id)
@@ -104,6 +104,7 @@
 	e.Header.Set(n.headers.Caller, n.config.Service)
 	e.Header.Del(ticketHeader)
 	e.Header.Del(limitHintHeader)
+	e.Header.Del(routesHeader)
 	service := route.Pick(n.sequence.Add(1))
 	info, _ := routes.Service(service)
 	target := route.TargetLatency
@@ -116,15 +117,12 @@
 	}
 	fingerprint := newFingerprint(n.config.Service, r, e)
 	firstArrival := n.refusals.firstArrival(fingerprint, started)
-	return &request{
-		route: route, exchange: e, started: started, firstArrival: firstArrival,
-		ticket: ticket{
-			service: service, route: route.Name, kind: route.Kind, sharded: info.Sharded, key: key,
-			priority: route.Priority, nested: !hasKey, target: firstArrival.Add(target), deadline: started.Add(timeout),
-			fingerprint: fingerprint, routes: routes.Digest,
-			destination: slices.IndexFunc(route.Destinations, func(d httproute.Destination) bool { return d.Service == service }),
-		},
-	}, 0, nil
+	t := ticket{
+		sharded: info.Sharded, key: key, nested: !hasKey, target: firstArrival.Add(target), deadline: started.Add(timeout),
+		fingerprint: fingerprint, host: r.Host, path: r.URL.Path,
+	}
+	t.routedBy(routes, route, service)
+	return &request{route: route, exchange: e, started: started, firstArrival: firstArrival, ticket: t}, 0, nil
 }
 
 // newFingerprint returns the fingerprint of a request of a caller's service.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -127,6 +127,7 @@
 	e.Header = header.Clone()
 	e.Header.Set(ticketHeader, t.encode(time.Now()))
 	n.setLimitHint(e.Header, m.Owner.Incarnation)
+	n.setRoutesHeader(e.Header, t.version)
 	n.metrics.countForwarded(namedForm)
 	resp, err := pool.Do(ctx, e, nil)
 	return resp, namedForm, err
@@ -166,6 +167,7 @@
 	if form == compactForm {
 		return n.restoreResponse(h, m.Owner.Incarnation)
 	}
+	n.takeRoutesHeader(h)
 	load, compact := decodePeerLoad(h.Get(loadHeader))
 	if compact {
 		n.peers.learnCompact(m.Address)
@@ -213,6 +215,7 @@
 	}
 	r.Header.Del(ticketHeader)
 	n.applyLimitHint(r.Header)
+	t.version, t.host, t.path = n.takeRoutesHeader(r.Header), r.Host, r.URL.Path
 	if t.instance != n.config.Instance {
 		// The address belonged to t.instance before.
 		w.Header().Set(n.headers.RequestID, r.Header.Get(n.headers.RequestID))
@@ -226,7 +229,13 @@
 		// sees the connection close and treats the request as lost.
 		panic(http.ErrAbortHandler)
 	}
-	n.serveForwarded(w, r, t, e, func(h http.Header, l peerLoad) { h.Set(loadHeader, l.encode()) })
+	n.serveForwarded(w, r, t, e, func(h http.Header, l peerLoad) {
+		h.Set(loadHeader, l.encode())
+		h.Del(routesHeader)
+		if routes := n.views.current().Routes; t.version > 0 && routes != nil && routes.Version != t.version {
+			n.setRoutesHeader(h, routes.Version)
+		}
+	})
 }
 
 // serveCompact handles a request that a peer forwards with a compact ticket.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	desired   *desiredStateGossip
 	fetcher   *desiredStateFetcher
 	source    *desiredStateSource
+	freshness *routeFreshness
 	peers     *peers
 	demand    *demandMeter
 	meanWork  workMeter
@@ -106,6 +107,8 @@
 	n.lease.sample = n.planner.sample
 	n.gossip, n.desired, n.moves = newRowGossip(n), newDesiredStateGossip(n), newMoveRecorder(n)
 	n.fetcher, n.source = newDesiredStateFetcher(n), newDesiredStateSource(n)
+	n.freshness = newRouteFreshness(config.Bounds.ConfigApply, log.Named("desired"))
+	n.views.beginDecode = n.freshness.beginDecode
 	n.views.onNewRows = n.gossip.enqueue
 	n.views.onGeneration = n.enterGeneration
 	n.views.settled = n.generation.settled
@@ -116,6 +119,7 @@
 	n.views.onDesiredState = func(version uint64, forwarded bool) {
 		n.metrics.countDesiredState(forwarded)
 		n.fetcher.applied(version)
+		n.freshness.applied(version)
 		n.desired.notify()
 	}
 	n.events = newEvents(log, n.metrics.countDroppedLine)
--- a/internal/node/outdatedrouting_test.go
+++ b/internal/node/outdatedrouting_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"bytes"
 	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/basilway/basilway/freshness"
 	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/verdict"
 )
 
 // withholdDesiredStates keeps a node from decoding new desired states, as if it got no processor time for it.
@@ -97,3 +101,58 @@
 	release()
 	g.Eventually(func() uint64 { v, _ := late.views.desiredState(); return v }, 10*time.Second).Should(Equal(version))
 }
+
+// Guards against nodes that pass requests on to each other and do not learn that one of them has an older desired
+// state, and against a request that waits while a newer one comes into force and is sent by the older one (CONFIG).
+func TestForwardedRequestNamesTheDesiredStateOfItsNode(t *testing.T) {
+	g := NewWithT(t)
+	n := single(t)
+	forwarded := func(routes string) *http.Response {
+		now := time.Now()
+		ticket := ticket{instance: n.config.Instance, service: "booking", route: "book", sharded: true, key: 7, target: now.Add(time.Second), deadline: now.Add(2 * time.Second)}
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.config.PeerAddress+"/book/x", bytes.NewReader(nil))
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Host = "shop.example"
+		req.Header = http.Header{simID: {"f"}, simKey: {"7"}, ticketHeader: {ticket.encode(now)}, routesHeader: {routes}}
+		resp, err := http.DefaultClient.Do(req)
+		g.Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		return resp
+	}
+	resp := forwarded("1,nowhere:1")
+	g.Expect(resp.Header.Get(outcomeHeader)).To(BeEmpty())
+	g.Expect(resp.Header).NotTo(HaveKey(routesHeader), "both have the same")
+	g.Expect(n.freshness.judge()).To(Equal(freshness.Current))
+	resp = forwarded("9,nowhere:1")
+	g.Expect(resp.Header.Get(outcomeHeader)).To(BeEmpty(), "what the newer one sends here is served")
+	g.Expect(resp.Header.Get(routesHeader)).To(Equal("1," + n.config.PeerAddress))
+	g.Expect(n.freshness.judge()).To(Equal(freshness.Tolerated))
+	g.Expect(n.fetcher.behind()).To(BeNumerically(">", 0))
+	g.Expect(n.sim.ran("f")).To(Equal(2))
+
+	waiting := bookingTicket
+	waiting.version, waiting.host, waiting.path = 1, "shop.example", "/book/x"
+	g.Expect(n.backend.gate(waiting)).To(BeNil())
+	version := n.cluster.moveRoutes()
+	g.Eventually(func() uint64 { v, _ := n.views.desiredState(); return v }, 10*time.Second).Should(Equal(version))
+	g.Expect(n.backend.gate(waiting)).To(HaveField("Reason", verdict.ReasonOutdatedRoutes))
+	resp = forwarded("1,nowhere:1")
+	refusal, err := decodeFailure(resp.Header.Get(outcomeHeader))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(refusal.err).To(HaveField("Verdict", verdict.NotRun))
+	g.Expect(resp.Header.Get(routesHeader)).To(Equal("2," + n.config.PeerAddress))
+	g.Expect(n.sim.ran("f")).To(Equal(2))
+
+	// The node of the client routes it anew, and leaves other kinds of routes to its next attempt.
+	routes := n.views.current().Routes
+	req := &request{ticket: waiting, exchange: httpclient.Exchange{ID: "r"}, visited: []string{"a"}}
+	req.ticket.kind, req.ticket.sharded = httproute.NonIdempotent, false
+	g.Expect(n.rerouteBy(routes, req)).To(BeNil())
+	g.Expect(req.ticket.service).To(Equal("records"))
+	g.Expect(req.ticket.version).To(Equal(version))
+	g.Expect(req.visited).To(BeEmpty())
+	req.ticket.sharded = true
+	g.Expect(n.rerouteBy(routes, req)).To(HaveField("Reason", verdict.ReasonOutdatedRoutes))
+	req.ticket.path = "/gone/"
+	g.Expect(n.rerouteBy(routes, req)).To(HaveField("Reason", verdict.ReasonOutdatedRoutes))
+}
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -57,6 +57,13 @@
 		switch action {
 		case attempt.Retry:
 			continue
+		case attempt.AwaitRoutes:
+			refused := n.reroute(ctx, req)
+			if refused == nil {
+				continue
+			}
+			out.err = refused
+			return out
 		case attempt.AwaitOwner:
 			n.awaitView(ctx, ownerChangeWait)
 			if ctx.Err() == nil {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -161,6 +161,9 @@
 	if err := b.zoneGate(t); err != nil {
 		return err
 	}
+	if err := b.node.routesGate(t); err != nil {
+		return err
+	}
 	switch {
 	case b.state == BackendDown || !b.portClosedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
@@ -193,7 +196,7 @@
 		if err == nil {
 			return nil
 		}
-		if err.Reason == verdict.ReasonBackendDown || err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonEvacuated || !t.sharded && err.Reason != verdict.ReasonStarting {
+		if err.Reason == verdict.ReasonBackendDown || err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonEvacuated || err.Reason == verdict.ReasonOutdatedRoutes || err.Reason == verdict.ReasonRegion || !t.sharded && err.Reason != verdict.ReasonStarting {
 			return err
 		}
 		if table, ok := view.Keys[t.service]; t.sharded && ok && table.Find(t.key).Owner.Instance != b.node.config.Instance {
--- a/internal/node/ticket.go
+++ b/internal/node/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,17 @@
 	// the index of the service among the destinations of its route.
 	routes      uint64
 	destination int
+	// version is that of the desired state, 0 if the node of the client is of an earlier release, and host and path
+	// are what it routed by.
+	version    uint64
+	host, path string
+}
+
+// routedBy sets what follows from the desired state.
+func (t *ticket) routedBy(routes *httproute.Table, route *httproute.Route, service string) {
+	t.service, t.route, t.kind, t.priority = service, route.Name, route.Kind, route.Priority
+	t.routes, t.version = routes.Digest, routes.Version
+	t.destination = slices.IndexFunc(route.Destinations, func(d httproute.Destination) bool { return d.Service == service })
 }
 
 const (
--- a/internal/node/viewstore.go
+++ b/internal/node/viewstore.go
@@ -29,6 +29,10 @@
 	// whether it came from another node. It must not block or call the viewStore.
 	onDesiredState func(version uint64, forwarded bool)
 
+	// beginDecode, if not nil, is called when a new desired state is to be decoded; end once it has been applied.
+	// Neither may block or call the viewStore.
+	beginDecode func() (end func())
+
 	// onEvacuation, if not nil, is called when the evacuated availability zones change. It must not
 	// block or call the viewStore.
 	onEvacuation func()
@@ -107,7 +111,8 @@
 // merge applies the rows that are newer than the known ones, and returns them. forwarded is set
 // if they came from another node.
 func (s *viewStore) merge(rows []metastore.Row, forwarded bool) []freshRow {
-	decoded := s.decodeDesiredStates(rows)
+	decoded, end := s.decodeDesiredStates(rows)
+	defer end()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.view.clone()
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -17,6 +17,7 @@
 	ReasonDraining       Reason = "draining"
 	ReasonEvacuated      Reason = "zone_evacuated"
 	ReasonRegion         Reason = "region_not_allowed"
+	ReasonOutdatedRoutes Reason = "outdated_routes"
 	ReasonStarting       Reason = "starting"
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonRepeated       Reason = "repeated_request"
