Ask the system whether a caller has left before a request is sent

Cause: a client's close passes a socket, a reader, a stream and a context at its node, the connection to the next node, and the same there; each step needs the processor once, and a request that waits for a slot or another try overtakes it. And a request whose context had ended was sent all the same: the connection was closed beside the send, and closing lets the system send what it still has.

Change: before each try at the node of the client, and just before the first byte is sent to the backend server, the node asks the system whether the connection that the request came on was closed (POLLRDHUP, package hangup, moved from readahead). httpclient.Pool.Do sends nothing for an ended context and resets the connection of one that ends, so that unsent bytes are dropped. What ends the wait for a key is a function now (endsWait).

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -36,13 +36,19 @@
 		"c.apply(func() []pipeline.Action { return c.state.Abort() })", "", aheadTests,
 	}, {
 		"request running for a client that left behind unread bytes", "internal/readahead/conn.go",
-		"if hasHungUp(c.raw) {", "if false {", aheadTests,
+		"if hangup.HasClosed(c.raw) {", "if false {", aheadTests,
 	}, {
 		"request sent where only an older desired state sends it", "internal/node/serve.go",
 		"if err := b.node.routesGate(t); err != nil {", "if err := b.node.routesGate(t); err != nil && t.version == 0 {", nodeTests,
 	}, {
 		"request handled by a desired state that is known to be outdated", "internal/node/routeversion.go",
 		"judged == freshness.Current || judged == freshness.Tolerated && ok {", "judged != freshness.Tolerated || ok {", nodeTests,
+	}, {
+		"request sent to a backend server after its caller left", "internal/node/serve.go",
+		"if hangup.CallerLeft(ctx) {", "if ctx == nil {", nodeTests,
+	}, {
+		"request of an ended context sent", "internal/httpclient/pool.go",
+		"if err := context.Cause(ctx); err != nil {", "if err := context.Cause(context.Background()); err != nil {", clientTests,
 	}, {
 		"requests read ahead without a bound", "pipeline/conn.go",
 		"len(c.requests) < c.config.MaxRequests &&", "", aheadTests,
--- a/internal/readahead/hangup_linux.go
+++ b/internal/hangup/closed_linux.go
@@ -1,4 +1,4 @@
-package readahead
+package hangup
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasHungUp reports whether the client has closed its side of the connection, even if it sent bytes before that
+// HasClosed reports whether the other side has closed its direction of the connection, even if it sent bytes before that
 // have not been read.
-func hasHungUp(c net.Conn) bool {
+func HasClosed(c net.Conn) bool {
 	source, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -51,6 +51,14 @@
 	return n, err
 }
 
+// abort closes the connection without sending what the system has not sent yet.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // clean reports whether nothing has arrived on an idle connection: neither bytes, which
 // belong to no request, nor the end of the stream.
 func (c *conn) clean() bool {
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -102,7 +102,7 @@
 
 // Do sends a request and returns its response, whose body the caller must close.
 // beforeSend, if not nil, is called just before the first byte is written; if it returns an
-// error, nothing is sent. When ctx ends, the connection is closed. Errors are of type
+// error, nothing is sent. When ctx ends, the connection is reset, and what the system has not sent yet is dropped. Errors are of type
 // *Error.
 func (p *Pool) Do(ctx context.Context, e Exchange, beforeSend func() error) (*http.Response, error) {
 	c, err := p.take(ctx, e.ID)
@@ -115,8 +115,12 @@
 			return nil, &Error{Err: err}
 		}
 	}
+	if err := context.Cause(ctx); err != nil {
+		p.put(c, p.config.IdleTimeout)
+		return nil, &Error{Err: err}
+	}
 	c.count = e.Count
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	resp, stray, err := p.exchange(c, e)
 	if err != nil {
 		stop()
--- a/internal/httpclient/pool_test.go
+++ b/internal/httpclient/pool_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -295,3 +296,29 @@
 	}
 	g.Consistently(served.Load, 100*time.Millisecond).Should(BeEquivalentTo(1))
 }
+
+// Guards against a request that is delivered after its context has ended (GONE), because closing a connection lets the
+// system send what it still has.
+func TestConnectionOfAnEndedContextIsReset(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	p := NewPool(l.Addr().String(), Config{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4, ReadBuffer: 4096})
+	defer p.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.Do(ctx, Exchange{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}, nil)
+		done <- err
+	}()
+	c, err := l.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = http.ReadRequest(bufio.NewReader(c))
+	g.Expect(err).NotTo(HaveOccurred())
+	cancel()
+	g.Expect(<-done).To(MatchError(context.Canceled))
+	_, err = c.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/basilway/basilway/attempt"
 	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/internal/hangup"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/internal/quantity"
 	"github.com/basilway/basilway/internal/readahead"
@@ -188,7 +189,7 @@
 		zap.Uint16("key", req.ticket.key), zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)),
 		zap.Duration("took", took), zap.Int("sends", req.attempts.Sends), zap.Int("tries", req.attempts.Tries), zap.Strings("instances", req.visited),
 		zap.Duration("retry after", out.err.RetryAfter), zap.String("cause", out.err.Message))
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || out.err.Reason == verdict.ReasonCancelled && hangup.CallerLeft(ctx) {
 		// The client is gone; nobody reads a response.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/internal/hangup"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/verdict"
 )
@@ -37,6 +38,9 @@
 
 // forward sends a request to the node beside m's backend server, which may be this one.
 func (n *Node) forward(ctx context.Context, m Member, t ticket, e httpclient.Exchange) outcome {
+	if hangup.CallerLeft(ctx) {
+		return outcome{err: callerLeft()}
+	}
 	if err := n.leavingGate(m); err != nil {
 		return outcome{err: err}
 	}
--- a/internal/node/plainserver.go
+++ b/internal/node/plainserver.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/basilway/basilway/internal/hangup"
 )
 
 const (
@@ -32,7 +34,7 @@
 
 func newPlainServer(s *http.Server) *plainServer {
 	out := &plainServer{Server: s, unused: map[net.Conn]bool{}}
-	s.ConnState = out.connState
+	s.ConnState, s.ConnContext = out.connState, hangup.WithConn
 	return out
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/internal/hangup"
 	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/pacing"
 	"github.com/basilway/basilway/quarantine"
@@ -196,7 +197,7 @@
 		if err == nil {
 			return nil
 		}
-		if err.Reason == verdict.ReasonBackendDown || err.Reason == verdict.ReasonDraining || err.Reason == verdict.ReasonEvacuated || err.Reason == verdict.ReasonOutdatedRoutes || err.Reason == verdict.ReasonRegion || !t.sharded && err.Reason != verdict.ReasonStarting {
+		if endsWait(err, t) {
 			return err
 		}
 		if table, ok := view.Keys[t.service]; t.sharded && ok && table.Find(t.key).Owner.Instance != b.node.config.Instance {
@@ -213,6 +214,17 @@
 	}
 }
 
+// endsWait reports whether a refusal by gate is final: waiting for heartbeats and grants does not change it.
+func endsWait(err *verdict.Error, t ticket) bool {
+	switch err.Reason {
+	case verdict.ReasonStarting:
+		return false
+	case verdict.ReasonNotOwner:
+		return !t.sharded
+	}
+	return true
+}
+
 // beginRun records the request as running, so that it gets a strike if the backend server
 // crashes. It refuses quarantined requests and makes a request with a strike wait while
 // another one with a strike runs.
@@ -292,6 +304,10 @@
 		if refused = b.gate(t); refused != nil {
 			return refused
 		}
+		if hangup.CallerLeft(ctx) {
+			refused = callerLeft()
+			return refused
+		}
 		if refused = s.sending(); refused != nil {
 			return refused
 		}
@@ -315,6 +331,11 @@
 	return outcome{resp: resp, arrived: true, load: peerLoad{incarnation: owner.Incarnation}}
 }
 
+// callerLeft is the refusal of a request whose caller has left before it was sent.
+func callerLeft() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonCancelled, "caller left before the request was sent")
+}
+
 // declinedOutcome returns the outcome of a response that says that the backend server did not
 // run the request.
 func (b *backend) declinedOutcome(resp *http.Response) outcome {
--- a/internal/readahead/conn.go
+++ b/internal/readahead/conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/basilway/basilway/internal/hangup"
 	"github.com/basilway/basilway/pipeline"
 )
 
@@ -87,7 +88,7 @@
 		}
 		if time.Since(checked) >= hangUpInterval {
 			checked = time.Now()
-			if hasHungUp(c.raw) {
+			if hangup.HasClosed(c.raw) {
 				c.mu.Unlock()
 				c.abort()
 				c.mu.Lock()
--- a/internal/readahead/server.go
+++ b/internal/readahead/server.go
@@ -19,6 +19,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/basilway/basilway/internal/hangup"
 )
 
 // Server is an HTTP server whose connections read ahead.
@@ -47,9 +49,9 @@
 		MaxHeaderBytes: config.MaxHeaderBytes, IdleTimeout: config.IdleTimeout, ReadHeaderTimeout: config.HeaderTimeout(),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if st, ok := c.(*stream); ok {
-				return context.WithValue(ctx, streamKey{}, st)
+				return context.WithValue(hangup.WithConn(ctx, st.conn.raw), streamKey{}, st)
 			}
-			return ctx
+			return hangup.WithConn(ctx, c)
 		},
 	}
 	return s
