Take only requests that end before a stopping node does

Cause: a stopping node took requests without regard to the time until it ends. At the end their connections were closed.

Change: each try at the node of the client, and each send to the backend server, asks package stopperiod: a request is taken if its deadline is within the stop, or, in the first half, if it may be repeated and three times its expected work fits. Others get 503 (not run), also those of other nodes. What still runs 200 ms before the connections are closed is given up, and its caller is told that it may have run.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -49,6 +49,9 @@
 	}, {
 		"request of an ended context sent", "internal/httpclient/pool.go",
 		"if err := context.Cause(ctx); err != nil {", "if err := context.Cause(context.Background()); err != nil {", clientTests,
+	}, {
+		"request taken that a stopping node does not see to its end", "internal/node/stopgate.go",
+		"if period == nil {", "if period != nil || period == nil {", nodeTests,
 	}, {
 		"requests read ahead without a bound", "pipeline/conn.go",
 		"len(c.requests) < c.config.MaxRequests &&", "", aheadTests,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -71,7 +71,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.ticket.deadline)
+	ctx, cancel := n.untilStop(r.Context(), req.ticket.deadline)
 	defer cancel()
 	out := n.dispatch(ctx, req)
 	n.respond(ctx, w, req, out)
@@ -189,7 +189,7 @@
 		zap.Uint16("key", req.ticket.key), zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)),
 		zap.Duration("took", took), zap.Int("sends", req.attempts.Sends), zap.Int("tries", req.attempts.Tries), zap.Strings("instances", req.visited),
 		zap.Duration("retry after", out.err.RetryAfter), zap.String("cause", out.err.Message))
-	if errors.Is(ctx.Err(), context.Canceled) || out.err.Reason == verdict.ReasonCancelled && hangup.CallerLeft(ctx) {
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStopEnds) || out.err.Reason == verdict.ReasonCancelled && hangup.CallerLeft(ctx) {
 		// The client is gone; nobody reads a response.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -265,7 +265,7 @@
 // serveForwarded serves a request of a peer. setLoad adds the load to the header of the
 // response.
 func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request, t ticket, e httpclient.Exchange, setLoad func(http.Header, peerLoad)) {
-	ctx, cancel := context.WithDeadline(r.Context(), t.deadline)
+	ctx, cancel := n.untilStop(r.Context(), t.deadline)
 	defer cancel()
 	out := n.backend.serve(ctx, t, e)
 	if out.transfer != 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/basilway/basilway/evacuation"
 	"github.com/basilway/basilway/preflight"
 	"github.com/basilway/basilway/retry"
+	"github.com/basilway/basilway/stopperiod"
 )
 
 // Node routes the requests of one instance.
@@ -69,6 +70,10 @@
 
 	sequence atomic.Uint64
 	stopping atomic.Bool
+	// stopPeriod is set once the node stops. ending ends by endRequests when the requests that still run are given up.
+	stopPeriod  atomic.Pointer[stopperiod.Period]
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	budgetsMu sync.Mutex
 	budgets   map[string]*retry.SharedBudget
@@ -89,6 +94,7 @@
 		n.now = boottimeNow
 	}
 	n.exchange = n.exchangeHTTP
+	n.ending, n.endRequests = context.WithCancel(context.Background())
 	n.evacuation = evacuation.Policy{Bound: config.Bounds.Evacuate}
 	n.statuses, n.generation = newStatuses(n.now), newStoreGeneration(config.Bootstrap, n.now)
 	n.clients = newClientConns(n.clientIdleLimit, config.MaxDescriptors*clientConnPercent/100)
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -41,6 +41,9 @@
 		Target: req.ticket.target, Deadline: req.ticket.deadline, Work: n.expectedWork(req.route.Name),
 	})
 	for {
+		if err := n.stopGate(req.ticket); err != nil {
+			return outcome{err: err}
+		}
 		out, m := n.tryOnce(ctx, req)
 		if out.err == nil {
 			return out
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -165,6 +165,9 @@
 	if err := b.node.routesGate(t); err != nil {
 		return err
 	}
+	if err := b.node.stopGate(t); err != nil {
+		return err
+	}
 	switch {
 	case b.state == BackendDown || !b.portClosedAt.IsZero():
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -193,9 +193,11 @@
 // stop serves until the platform sends clients elsewhere, and then waits for running requests.
 func (n *Node) stop(servers []boundServer) {
 	started := time.Now()
-	n.stopping.Store(true)
-	n.log.Info("stopping", zap.Int("running", n.backend.queue.load().running))
 	limit := n.config.Bounds.StopTimeout - stopReserve
+	lastAnswers := started.Add(limit - stopAnswerReserve)
+	n.beginStop(started, lastAnswers)
+	defer time.AfterFunc(time.Until(lastAnswers), n.endRequests).Stop()
+	n.log.Info("stopping", zap.Int("running", n.backend.queue.load().running))
 	time.Sleep(min(stopUnreadyPeriod, limit))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
 	defer cancel()
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -15,6 +15,7 @@
 	ReasonDeadline       Reason = "deadline_exceeded"
 	ReasonCancelled      Reason = "cancelled"
 	ReasonDraining       Reason = "draining"
+	ReasonStopping       Reason = "stopping"
 	ReasonEvacuated      Reason = "zone_evacuated"
 	ReasonRegion         Reason = "region_not_allowed"
 	ReasonOutdatedRoutes Reason = "outdated_routes"
