--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -38,9 +38,6 @@
 
 // forward sends a request to the node beside m's backend server, which may be this one.
 func (n *Node) forward(ctx context.Context, m Member, t ticket, e httpclient.Exchange) outcome {
-	if hangup.CallerLeft(ctx) {
-		return outcome{err: callerLeft()}
-	}
 	if err := n.leavingGate(m); err != nil {
 		return outcome{err: err}
 	}
@@ -52,6 +49,9 @@
 		n.peers.recordLocalRoom(m.Address, out)
 		return out
 	}
+	if hangup.CallerLeft(ctx) {
+		return outcome{err: callerLeft()}
+	}
 	senders := len(n.views.current().Members)
 	if !n.peers.allow(m.Address, t.priority, senders) {
 		err := verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "%s refuses most requests of this priority at present", m.Owner.Instance)
--- a/internal/node/routeversion.go
+++ b/internal/node/routeversion.go
@@ -22,8 +22,7 @@
 // it. While a newer desired state is known to exist, a request waits for it if the one in force has no route, or may no
 // longer be used; after maxRoutesWait it is refused.
 func (n *Node) routeOf(ctx context.Context, host, path string) (*httproute.Table, *httproute.Route, *verdict.Error) {
-	timer := time.NewTimer(maxRoutesWait)
-	defer timer.Stop()
+	var timeout <-chan time.Time
 	for {
 		view, changed := n.views.get()
 		if view.Routes == nil {
@@ -33,9 +32,14 @@
 		if judged := n.freshness.judge(); judged == freshness.Current || judged == freshness.Tolerated && ok {
 			return view.Routes, route, nil
 		}
+		if timeout == nil {
+			timer := time.NewTimer(maxRoutesWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-timeout:
 			return nil, nil, outdatedRefusal("desired state %d is outdated, and the newer one has not arrived", view.Routes.Version)
 		case <-ctx.Done():
 			return nil, nil, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "caller gave up while a newer desired state was on the way")
