--- a/internal/hangup/caller.go
+++ b/internal/hangup/caller.go
@@ -5,8 +5,13 @@
 import (
 	"context"
 	"net"
+	"time"
 )
 
+// checkAfter is how long a request may be on its way through this process before the system is asked. Each question is a
+// call of the system; a request that was delayed by less is not sent much later than its caller left.
+const checkAfter = 50 * time.Millisecond
+
 // connKey is the context key of the connection that a request came on.
 type connKey struct{}
 
@@ -15,12 +20,15 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// CallerLeft reports whether a request is not to be sent on: its context has ended, or the connection that it came on
-// was closed by the other side, even if nobody has read that yet.
-func CallerLeft(ctx context.Context) bool {
+// CallerLeft reports whether a request that was read at a time is not to be sent on: its context has ended, or it was
+// delayed and the connection that it came on was closed by the other side, even if nobody has read that yet.
+func CallerLeft(ctx context.Context, read time.Time) bool {
 	if ctx.Err() != nil {
 		return true
 	}
+	if time.Since(read) < checkAfter {
+		return false
+	}
 	c, ok := ctx.Value(connKey{}).(net.Conn)
 	return ok && HasClosed(c)
 }
--- a/internal/node/compact.go
+++ b/internal/node/compact.go
@@ -172,7 +172,7 @@
 	return ticket{
 		instance: n.config.Instance, service: service, route: route.Name, kind: route.Kind, sharded: info.Sharded, key: key,
 		priority: route.Priority, nested: !hasKey, retry: c.Retry, deadline: deadline,
-		target: deadline.Add(-wireDuration(c.Late)), version: routes.Version, host: r.Host, path: r.URL.Path,
+		target: deadline.Add(-wireDuration(c.Late)), version: routes.Version, host: r.Host, path: r.URL.Path, arrived: now,
 	}, agreed, nil
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -120,7 +120,7 @@
 	firstArrival := n.refusals.firstArrival(fingerprint, started)
 	t := ticket{
 		sharded: info.Sharded, key: key, nested: !hasKey, target: firstArrival.Add(target), deadline: started.Add(timeout),
-		fingerprint: fingerprint, host: r.Host, path: r.URL.Path,
+		fingerprint: fingerprint, host: r.Host, path: r.URL.Path, arrived: started,
 	}
 	t.routedBy(routes, route, service)
 	return &request{route: route, exchange: e, started: started, firstArrival: firstArrival, ticket: t}, 0, nil
@@ -189,7 +189,7 @@
 		zap.Uint16("key", req.ticket.key), zap.Stringer("verdict", out.err.Verdict), zap.String("reason", string(out.err.Reason)),
 		zap.Duration("took", took), zap.Int("sends", req.attempts.Sends), zap.Int("tries", req.attempts.Tries), zap.Strings("instances", req.visited),
 		zap.Duration("retry after", out.err.RetryAfter), zap.String("cause", out.err.Message))
-	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStopEnds) || out.err.Reason == verdict.ReasonCancelled && hangup.CallerLeft(ctx) {
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStopEnds) || out.err.Reason == verdict.ReasonCancelled && hangup.CallerLeft(ctx, req.ticket.arrived) {
 		// The client is gone; nobody reads a response.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -49,7 +49,7 @@
 		n.peers.recordLocalRoom(m.Address, out)
 		return out
 	}
-	if hangup.CallerLeft(ctx) {
+	if hangup.CallerLeft(ctx, t.arrived) {
 		return outcome{err: callerLeft()}
 	}
 	senders := len(n.views.current().Members)
@@ -211,7 +211,8 @@
 
 // servePeer handles a request that a peer forwards.
 func (n *Node) servePeer(w http.ResponseWriter, r *http.Request) {
-	t, err := decodeTicket(r.Header.Get(ticketHeader), time.Now())
+	arrived := time.Now()
+	t, err := decodeTicket(r.Header.Get(ticketHeader), arrived)
 	if err != nil {
 		n.log.Warn("request from peer rejected", zap.String("remote", r.RemoteAddr), zap.Error(err))
 		http.Error(w, "not a request of a node: "+err.Error(), http.StatusBadRequest)
@@ -219,7 +220,7 @@
 	}
 	r.Header.Del(ticketHeader)
 	n.applyLimitHint(r.Header)
-	t.version, t.host, t.path = n.takeRoutesHeader(r.Header), r.Host, r.URL.Path
+	t.version, t.host, t.path, t.arrived = n.takeRoutesHeader(r.Header), r.Host, r.URL.Path, arrived
 	if t.instance != n.config.Instance {
 		// The address belonged to t.instance before.
 		w.Header().Set(n.headers.RequestID, r.Header.Get(n.headers.RequestID))
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -307,7 +307,7 @@
 		if refused = b.gate(t); refused != nil {
 			return refused
 		}
-		if hangup.CallerLeft(ctx) {
+		if hangup.CallerLeft(ctx, t.arrived) {
 			refused = callerLeft()
 			return refused
 		}
--- a/internal/node/ticket.go
+++ b/internal/node/ticket.go
@@ -49,6 +49,8 @@
 	// are what it routed by.
 	version    uint64
 	host, path string
+	// arrived is when this node read the request.
+	arrived time.Time
 }
 
 // routedBy sets what follows from the desired state.
