--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -45,7 +45,7 @@
 		"judged == freshness.Current || judged == freshness.Tolerated && ok {", "judged != freshness.Tolerated || ok {", nodeTests,
 	}, {
 		"request sent to a backend server after its caller left", "internal/node/serve.go",
-		"if hangup.CallerLeft(ctx, t.arrived) {", "if ctx == nil {", nodeTests,
+		"if hangup.CallerLeft(ctx, t.arrived) {", "if hangup.CallerLeft(ctx, t.arrived) && ctx == nil {", nodeTests,
 	}, {
 		"request of an ended context sent", "internal/httpclient/pool.go",
 		"if err := context.Cause(ctx); err != nil {", "if err := context.Cause(context.Background()); err != nil {", clientTests,
