--- a/internal/node/stopperiod_test.go
+++ b/internal/node/stopperiod_test.go
@@ -64,4 +64,6 @@
 	g.Expect(result.err).NotTo(HaveOccurred(), "it may have run, and its caller is told")
 	g.Expect(result.status).To(Equal(http.StatusBadGateway))
 	g.Expect(result.body).To(ContainSubstring("may_have_run"))
+	g.Eventually(n.done, 10*time.Second).Should(Receive(BeNil()))
+	n.done <- nil // for the cleanup, which waits for it, too
 }
