Play the rounds of cases 7 and 8 again if the rule held

The endpoint is now back 0.4 s after the store got the write, the traffic is lower, and the disruption comes up to three times.

--- a/review/second/platform/clients.go
+++ b/review/second/platform/clients.go
@@ -34,14 +34,34 @@
 	w    *world
 	pool *http.Client
 	wait sync.WaitGroup
-	// key returns the key of the next request.
-	key func() int
-	mu  sync.Mutex
-	all []*sentRequest
+	mu   sync.Mutex
+	all  []*sentRequest
+	// busy are the keys that busyShare of the requests are for; the others are for any key.
+	busy []int
 }
 
 func (w *world) newClients() *clients {
-	return &clients{w: w, pool: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}}, key: func() int { return rand.IntN(keyCount) }}
+	return &clients{w: w, pool: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}}}
+}
+
+// busyShare is the share of the requests that are for the busy keys, if there are any.
+const busyShare = 0.8
+
+// makeBusy changes which keys are busy.
+func (c *clients) makeBusy(keys []int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = keys
+}
+
+// key returns the key of the next request.
+func (c *clients) key() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.busy) > 0 && rand.Float64() < busyShare {
+		return c.busy[rand.IntN(len(c.busy))]
+	}
+	return rand.IntN(keyCount)
 }
 
 // deadline is the deadline of the clients.
--- a/review/second/platform/endpoint.go
+++ b/review/second/platform/endpoint.go
@@ -62,6 +62,8 @@
 	// beaten counts the acknowledged heartbeats, the last of which was sent at lastBeat.
 	beaten   int
 	lastBeat time.Time
+	// nextBeat is when the next heartbeat is sent.
+	nextBeat time.Time
 }
 
 func newEndpoint(m *machine, sharded bool) *endpoint {
@@ -146,11 +148,11 @@
 	b.e.machine.w.linef("endpoint %s drains", b.id)
 }
 
-// lastBeat returns when the last acknowledged heartbeat of the present life was sent.
-func (e *endpoint) lastBeat() time.Time {
+// beatTimes returns when the last acknowledged heartbeat of the present life was sent, and when the next one is.
+func (e *endpoint) beatTimes() (last, next time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.boot.lastBeat
+	return e.boot.lastBeat, e.boot.nextBeat
 }
 
 // heldKeys returns the keys that the endpoint holds.
@@ -184,10 +186,13 @@
 // beats sends heartbeats until the endpoint ends.
 func (b *boot) beats() {
 	for {
-		pause := beatInterval
+		pause := time.Duration(float64(beatInterval) * (1 - beatSpread + 2*beatSpread*rand.Float64()))
 		if b.sendBeat() {
 			pause = releasePause
 		}
+		b.e.mu.Lock()
+		b.nextBeat = time.Now().Add(pause)
+		b.e.mu.Unlock()
 		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
--- a/review/second/platform/lateowner.go
+++ b/review/second/platform/lateowner.go
@@ -9,6 +9,8 @@
 const (
 	// exitsAfter is how long after it began to drain an endpoint without an acknowledgement exits.
 	exitsAfter = 2 * time.Second
+	// usualRate is how many requests a second all clients send.
+	usualRate = 45
 	// servesAfterAck is how long an endpoint serves on after its leave was acknowledged.
 	servesAfterAck = 3 * time.Second
 	// lateBeat is how late the heartbeats of that endpoint arrive, at least.
@@ -24,7 +26,7 @@
 // playOwnerLate: an endpoint is cut off from the control address, drains and exits without an acknowledgement, and
 // starts again. Its node is killed and started again. Then the heartbeats arrive that the partition delayed.
 func playOwnerLate(w *world) ([]string, error) {
-	c, cancel, planner, a, err := startKeyed(w, 3)
+	c, cancel, planner, a, err := startKeyed(w, 3, usualRate)
 	if err != nil {
 		return nil, err
 	}
@@ -84,5 +86,6 @@
 		_, err := first.post("heartbeat", d.body)
 		w.linef("a heartbeat of %s arrives %.1f s late: error %v", first.id, time.Since(d.sent).Seconds(), err)
 	}
-	return finishOwner(w, nil, time.Time{}, a.endpoint, c, cancel)
+	time.Sleep(6 * time.Second)
+	return finish(w, c, cancel), nil
 }
--- a/review/second/platform/owner.go
+++ b/review/second/platform/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -14,9 +13,13 @@
 	// keyedService is the service whose keys are divided.
 	keyedService = "yoyaku"
 	// healAfterWrite is how long after the store got the write that it does late the partition of the endpoint ends.
-	healAfterWrite = 500 * time.Millisecond
-	// minLate is the least time after which a late write is done; the longest is 6 s.
-	minLate = 2500 * time.Millisecond
+	healAfterWrite = 400 * time.Millisecond
+	// minLate and maxLate are the least and the longest time after which a late write is done.
+	minLate, maxLate = 1800 * time.Millisecond, 5500 * time.Millisecond
+	// soon is how far ahead a heartbeat is at least that is sent soon, and margin what is added to the time in the rule.
+	soon, margin = 60 * time.Millisecond, 40 * time.Millisecond
+	// maxRounds is how often the disruption comes at most.
+	maxRounds = 3
 	// turnedAway is for how long the store turns a machine away.
 	turnedAway = 7 * time.Second
 )
@@ -46,12 +49,13 @@
 // release makes the store do the write.
 func (l *lateKeyWrite) release() { l.once.Do(func() { close(l.do) }) }
 
-// busyShare is the share of the requests that are for keys of one endpoint: some keys are busier than others.
-const busyShare = 0.8
+// calmRate is how many requests a second all clients send; with them no endpoint is so busy that keys are moved for
+// balance. idempotentShare is the share of them that may be repeated.
+const calmRate, idempotentShare = 30, 2.0 / 3
 
 // startKeyed starts machines with endpoints of a service whose keys are divided, and traffic. It returns the machine
 // with the planner and another one, which has the busy keys.
-func startKeyed(w *world, machines int) (c *clients, cancel context.CancelFunc, planner, a *machine, err error) {
+func startKeyed(w *world, machines int, rate float64) (c *clients, cancel context.CancelFunc, planner, a *machine, err error) {
 	fail := func(err error) (*clients, context.CancelFunc, *machine, *machine, error) {
 		return nil, nil, nil, nil, err
 	}
@@ -80,15 +84,10 @@
 	if len(busy) == 0 {
 		return fail(errNotServed)
 	}
-	c.key = func() int {
-		if rand.Float64() < busyShare {
-			return busy[rand.IntN(len(busy))]
-		}
-		return rand.IntN(keyCount)
-	}
+	c.makeBusy(busy)
 	ctx, stop := context.WithCancel(context.Background())
-	c.run(ctx, w.machines, 10, http.MethodGet, idempotentPrefix, true)
-	c.run(ctx, w.machines, 5, http.MethodPost, nonIdempotentPrefix, true)
+	c.run(ctx, w.machines, rate*idempotentShare/float64(machines), http.MethodGet, idempotentPrefix, true)
+	c.run(ctx, w.machines, rate*(1-idempotentShare)/float64(machines), http.MethodPost, nonIdempotentPrefix, true)
 	time.Sleep(6 * time.Second)
 	return c, stop, planner, a, nil
 }
@@ -106,97 +105,115 @@
 	return nil, nil, errNotServed
 }
 
-// beatBefore returns when an endpoint is to send a heartbeat so that it comes a moment before those of another one.
-func beatBefore(other *endpoint) time.Time {
-	last := other.lastBeat()
-	next := last.Add(-150 * time.Millisecond)
-	for next.Before(time.Now()) {
-		next = next.Add(beatInterval)
+// awaitMoment waits until another endpoint soon sends a heartbeat and e does so much later, or until a time.
+func awaitMoment(w *world, e *endpoint, limit time.Time) {
+	for ; time.Now().Before(limit); time.Sleep(2 * time.Millisecond) {
+		_, next := e.beatTimes()
+		for _, m := range w.machines {
+			_, other := m.endpoint.beatTimes()
+			if m.endpoint != e && time.Until(other) > soon && next.Sub(other) > maxSharedHold+margin {
+				return
+			}
+		}
 	}
-	return next
 }
 
-// finishOwner lets the store do the late write right after a heartbeat of e, waits and judges.
-func finishOwner(w *world, l *lateKeyWrite, got time.Time, e *endpoint, c *clients, cancel context.CancelFunc) ([]string, error) {
-	if l != nil {
-		time.Sleep(time.Until(got.Add(minLate)))
-		beats := e.current().beatCount()
-		if err := await(3*time.Second, "a heartbeat", func() bool { return e.current().beatCount() > beats }); err != nil {
-			return nil, err
-		}
-		l.release()
-	}
-	time.Sleep(6 * time.Second)
-	w.store.setLate(nil)
+// finish ends the traffic and judges.
+func finish(w *world, c *clients, cancel context.CancelFunc) []string {
 	cancel()
 	c.wait.Wait()
 	all := c.sentBetween(time.Time{}, time.Now())
 	w.linef("%d of %d attempts were served", served(all), len(all))
-	return append(w.judge.owner(), w.judge.twice()...), nil
+	return append(w.judge.owner(), w.judge.twice()...)
 }
 
-// playOwnerRelay: an endpoint is cut off from the control address until its holds have run out, while the store turns
-// its machine away. The write that takes its keys goes through the other machine and is done late, without an answer.
-// Meanwhile the endpoint is back.
-func playOwnerRelay(w *world) ([]string, error) {
-	c, cancel, planner, a, err := startKeyed(w, 2)
+// playRounds plays a round up to maxRounds times, until the rule is broken.
+func playRounds(w *world, machines int, round func(planner, a *machine) (*lateKeyWrite, time.Time, error)) ([]string, error) {
+	c, cancel, planner, a, err := startKeyed(w, machines, calmRate)
 	if err != nil {
 		return nil, err
 	}
 	defer cancel()
-	if !w.trouble {
-		time.Sleep(10 * time.Second)
-		return finishOwner(w, nil, time.Time{}, a.endpoint, c, cancel)
+	for i := range maxRounds {
+		if i > 0 {
+			if planner, a, err = splitRoles(w); err != nil {
+				return nil, err
+			}
+			c.makeBusy(a.endpoint.heldKeys())
+			time.Sleep(6 * time.Second)
+		}
+		if !w.trouble {
+			time.Sleep(10 * time.Second)
+			continue
+		}
+		w.linef("round %d", i+1)
+		l, got, err := round(planner, a)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(time.Until(got.Add(minLate)))
+		awaitMoment(w, a.endpoint, got.Add(maxLate))
+		l.release()
+		time.Sleep(5 * time.Second)
+		w.store.setLate(nil)
+		if len(w.judge.owner()) > 0 {
+			break
+		}
 	}
-	a.endpoint.cut(true)
-	time.Sleep(2 * time.Second)
-	a.front.refuse(true)
-	time.AfterFunc(turnedAway, func() { a.front.refuse(false) })
-	l := w.delayKeyWrite(func(f *front) bool { return f == planner.front })
-	defer l.release()
+	return finish(w, c, cancel), nil
+}
+
+// awaitWrite waits until the store has got the write that it does late.
+func (l *lateKeyWrite) awaitWrite() error {
 	select {
 	case <-l.got:
-	case <-time.After(8 * time.Second):
-		return nil, errNoWrite
+		return nil
+	case <-time.After(9 * time.Second):
+		l.release()
+		return errNoWrite
 	}
-	got := time.Now()
-	time.Sleep(healAfterWrite)
-	time.Sleep(time.Until(beatBefore(planner.endpoint)))
-	a.endpoint.cut(false)
-	return finishOwner(w, l, got, a.endpoint, c, cancel)
+}
+
+// playOwnerRelay: an endpoint is cut off from the control address until its holds have run out, while the store turns
+// its machine away. The write that takes its keys goes through the other machine and is done late, without an answer.
+// Meanwhile the endpoint is back.
+func playOwnerRelay(w *world) ([]string, error) {
+	return playRounds(w, 2, func(planner, a *machine) (*lateKeyWrite, time.Time, error) {
+		a.endpoint.cut(true)
+		time.Sleep(2 * time.Second)
+		a.front.refuse(true)
+		time.AfterFunc(turnedAway, func() { a.front.refuse(false) })
+		l := w.delayKeyWrite(func(f *front) bool { return f == planner.front })
+		if err := l.awaitWrite(); err != nil {
+			return nil, time.Time{}, err
+		}
+		got := time.Now()
+		time.Sleep(healAfterWrite)
+		a.endpoint.cut(false)
+		return l, got, nil
+	})
 }
 
 // playOwnerKill: an endpoint is cut off from the control address until its holds have run out. The write that takes
 // its keys is done late, without an answer, and its node is killed meanwhile. Then the node and the endpoint are back.
 func playOwnerKill(w *world) ([]string, error) {
-	c, cancel, planner, a, err := startKeyed(w, 3)
-	if err != nil {
-		return nil, err
-	}
-	defer cancel()
-	if !w.trouble {
-		time.Sleep(10 * time.Second)
-		return finishOwner(w, nil, time.Time{}, a.endpoint, c, cancel)
-	}
-	a.endpoint.cut(true)
-	l := w.delayKeyWrite(func(f *front) bool { return f == a.front })
-	defer l.release()
-	select {
-	case <-l.got:
-	case <-time.After(9 * time.Second):
-		return nil, errNoWrite
-	}
-	got := time.Now()
-	time.Sleep(200 * time.Millisecond)
-	a.kill()
-	time.Sleep(restartDelay)
-	if err := a.startNode(false); err != nil {
-		return nil, err
-	}
-	if err := await(3*time.Second, "the node is back", a.ready); err != nil {
-		return nil, err
-	}
-	time.Sleep(time.Until(beatBefore(planner.endpoint)))
-	a.endpoint.cut(false)
-	return finishOwner(w, l, got, a.endpoint, c, cancel)
+	return playRounds(w, 3, func(_, a *machine) (*lateKeyWrite, time.Time, error) {
+		a.endpoint.cut(true)
+		l := w.delayKeyWrite(func(f *front) bool { return f == a.front })
+		if err := l.awaitWrite(); err != nil {
+			return nil, time.Time{}, err
+		}
+		got := time.Now()
+		time.Sleep(200 * time.Millisecond)
+		a.kill()
+		time.Sleep(restartDelay)
+		if err := a.startNode(false); err != nil {
+			return nil, time.Time{}, err
+		}
+		if err := await(3*time.Second, "the node is back", a.ready); err != nil {
+			return nil, time.Time{}, err
+		}
+		a.endpoint.cut(false)
+		return l, got, nil
+	})
 }
--- a/review/second/platform/world.go
+++ b/review/second/platform/world.go
@@ -31,6 +31,8 @@
 const (
 	// beatInterval is the time between two heartbeats, as in the settings of a small deployment.
 	beatInterval = 870 * time.Millisecond
+	// beatSpread is the share of the interval by which the times between heartbeats differ from it at most.
+	beatSpread = 0.2
 	// contact is contact_ms of the settings.
 	contact = 3 * time.Second
 	// drain is drain_ms of the settings.
