Log the outcome of each try to drop keys, and which relayed store calls were not made

Change: one line when withheld keys may be granted again, with the error of the try, and one for each node that was asked to make a store call and did not.

--- a/internal/node/keyedit.go
+++ b/internal/node/keyedit.go
@@ -117,5 +117,7 @@
 		b.log.Info("keys of backend server dropped", zap.String("backend", owner.Incarnation))
 	case !uncertain && b.drops.uncertain(owner):
 		b.log.Info("drop of keys may still take effect; the keys are withheld", zap.String("backend", owner.Incarnation), zap.Error(err))
+	case withheld && !b.drops.withholds(owner):
+		b.log.Info("drop of keys had no effect; the keys are no longer withheld", zap.String("backend", owner.Incarnation), zap.Error(err))
 	}
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -158,6 +158,7 @@
 	for _, address := range s.relayTargets() {
 		data, err := s.node.post(ctx, address, storePath, peerMessageTimeout, body)
 		if err != nil {
+			s.log.Info("store call not made by another node", zap.String("address", address), zap.Bool("write", call.Txn != nil), zap.Error(err))
 			continue
 		}
 		var result relayResult
@@ -169,6 +170,7 @@
 			s.node.fetcher.heard(result.Desired, address)
 			return result, true
 		}
+		s.log.Info("store call not made by another node", zap.String("address", address), zap.Bool("write", call.Txn != nil), zap.Error(result.err()))
 	}
 	s.mu.Lock()
 	s.pausedUntil = time.Now().Add(relayBackoff)
