Take the outcome of a relayed write as that of all its tries

Cause: relayStore.Apply returned the error of the node's own try (503, nothing done) although another node may have sent the write. keyDrops took it as certain and granted keys that the store took away seconds later. The same the other way around: a conflict of a relayed try after an own try without an answer counted as nothing written.

Why it works: the error is ErrUnknown as soon as one try may have taken effect, so the keys stay withheld until the table shows that they were dropped, however late the write is. Conflicts keep their rows, so nothing is read more often.

--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -106,7 +106,7 @@
 	_ = n.desired.compare(ctx, address)
 	inquiry := plannerInquiry{config: takeover.DefaultConfig(minReportInterval), asked: 1, answers: n.planner.askAboutPlanner(ctx, []takeover.Witness{{Address: address}})}
 	inquiry.decide(false)
-	if result, ok := n.store.relay(ctx, relayCall{Table: leaseTable}); ok {
+	if result := n.store.relay(ctx, relayCall{Table: leaseTable}).result; result != nil {
 		leaseVersions(result.Listing)
 		replacedHolders(result.Listing)
 		leaseVersions(metastore.Listing{Rows: result.Rows})
--- a/internal/node/keydrops.go
+++ b/internal/node/keydrops.go
@@ -34,6 +34,8 @@
 	switch {
 	case err == nil:
 		delete(d.pending, owner)
+	case errors.Is(err, metastore.ErrUnknown):
+		d.pending[owner] = true
 	case errors.Is(err, errNoChange), errors.Is(err, metastore.ErrConflict), errors.Is(err, metastore.ErrUnavailable):
 		if !uncertain {
 			delete(d.pending, owner)
--- a/internal/node/largecluster_test.go
+++ b/internal/node/largecluster_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,13 @@
 	return nil
 }
 
+// notPlanner returns a node that does not plan.
+func (c *virtualCluster) notPlanner() *virtualNode {
+	planner := c.planner()
+	i := slices.IndexFunc(c.nodes, func(n *virtualNode) bool { return n != planner })
+	return c.nodes[i]
+}
+
 // Guards against messages that grow as the square of the number of nodes: load pattern of a large
 // cluster in which a row changes ten times a second. Each node gets each change about once, and soon.
 func TestChangeOfARowReachesEachNodeOnce(t *testing.T) {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -25,7 +25,8 @@
 
 // relayStore makes store calls through other nodes if this node cannot reach the store.
 // Sending a transaction again is safe: it is conditional, and if it already took effect, it
-// fails with a conflict, after which the rows are read.
+// fails with a conflict, after which the rows are read. Its outcome is that of all tries together: if one of
+// them may have taken effect, or may yet, so may the transaction.
 type relayStore struct {
 	metastore.WatchedTable
 	node *Node
@@ -107,10 +108,11 @@
 		s.node.views.observeGeneration(listing.Version)
 		return listing, false, err
 	}
-	result, ok := s.relay(ctx, relayCall{Table: table, LeaveOut: true})
-	if !ok {
+	made := s.relay(ctx, relayCall{Table: table, LeaveOut: true})
+	if made.result == nil {
 		return listing, false, err
 	}
+	result := *made.result
 	result.Listing.Rows = append(result.Listing.Rows, s.node.views.ownVersions(result.LeftOut)...)
 	s.node.views.observeGeneration(result.Listing.Version)
 	return result.Listing, true, result.err()
@@ -130,52 +132,78 @@
 		s.node.views.observeGeneration(applied.Version)
 		return applied, err
 	}
-	result, ok := s.relay(ctx, relayCall{Txn: &txn})
-	if !ok {
-		return applied, err
+	made := s.relay(ctx, relayCall{Txn: &txn})
+	if made.result == nil {
+		return applied, outcomeOfTries(made.uncertain, err)
 	}
-	if result.Failure == relayUnavailable && errors.Is(err, metastore.ErrUnknown) {
-		return applied, err
+	s.node.views.observeGeneration(made.result.Applied.Version)
+	uncertain := made.uncertain || !errors.Is(err, metastore.ErrUnavailable)
+	return made.result.Applied, outcomeOfTries(uncertain, made.result.err())
+}
+
+// outcomeOfTries returns the error of a transaction that was sent more than once. err is the outcome of one try, and
+// uncertain is set if another may have taken effect, or may yet.
+func outcomeOfTries(uncertain bool, err error) error {
+	if err == nil || !uncertain || errors.Is(err, metastore.ErrUnknown) {
+		return err
 	}
-	s.node.views.observeGeneration(result.Applied.Version)
-	return result.Applied, result.err()
+	return fmt.Errorf("%w after an earlier try: %w", metastore.ErrUnknown, err)
 }
 
-// relay asks other nodes to make a call. It returns false if none of them could reach the
-// store.
-func (s *relayStore) relay(ctx context.Context, call relayCall) (relayResult, bool) {
+// relayed is what became of a call that other nodes were asked to make.
+type relayed struct {
+	// result is that of the node that reached the store; nil if none did.
+	result *relayResult
+	// uncertain is set if a node that was asked may have sent the call, and its outcome is not known.
+	uncertain bool
+}
+
+// relay asks other nodes to make a call.
+func (s *relayStore) relay(ctx context.Context, call relayCall) (made relayed) {
 	s.mu.Lock()
 	paused := time.Now().Before(s.pausedUntil)
 	s.mu.Unlock()
 	if paused {
-		return relayResult{}, false
+		return relayed{}
 	}
 	body, err := cbor.Marshal(call)
 	if err != nil {
 		s.log.Error("store call cannot be encoded", zap.Error(err))
-		return relayResult{}, false
+		return relayed{}
 	}
 	for _, address := range s.relayTargets() {
-		data, err := s.node.post(ctx, address, storePath, peerMessageTimeout, body)
-		if err != nil {
-			s.log.Info("store call not made by another node", zap.String("address", address), zap.Bool("write", call.Txn != nil), zap.Error(err))
-			continue
-		}
-		var result relayResult
-		if err := cbor.Unmarshal(data, &result); err != nil {
-			s.log.Warn("response to a relayed store call cannot be decoded", zap.String("address", address), zap.Error(err))
-			continue
-		}
-		if result.Failure == relayOK || result.Failure == relayConflict {
+		result, err := s.ask(ctx, address, body)
+		if err == nil {
 			s.node.fetcher.heard(result.Desired, address)
-			return result, true
+			made.result = &result
+			return made
 		}
-		s.log.Info("store call not made by another node", zap.String("address", address), zap.Bool("write", call.Txn != nil), zap.Error(result.err()))
+		s.log.Info("store call not made by another node", zap.String("address", address), zap.Bool("write", call.Txn != nil), zap.Error(err))
+		made.uncertain = made.uncertain || !errors.Is(err, metastore.ErrUnavailable)
 	}
 	s.mu.Lock()
 	s.pausedUntil = time.Now().Add(relayBackoff)
 	s.mu.Unlock()
-	return relayResult{}, false
+	return made
+}
+
+// ask asks the node at address to make an encoded call, and returns the store's answer. The error is
+// metastore.ErrUnavailable if the call certainly had no effect.
+func (s *relayStore) ask(ctx context.Context, address string, call []byte) (result relayResult, err error) {
+	data, err := s.node.post(ctx, address, storePath, peerMessageTimeout, call)
+	if notSent(err) {
+		return result, fmt.Errorf("%w: %w", metastore.ErrUnavailable, err)
+	}
+	if err != nil {
+		return result, fmt.Errorf("%w: %w", metastore.ErrUnknown, err)
+	}
+	if err := cbor.Unmarshal(data, &result); err != nil {
+		return result, fmt.Errorf("%w: answer cannot be decoded: %w", metastore.ErrUnknown, err)
+	}
+	if result.Failure == relayOK || result.Failure == relayConflict {
+		return result, nil
+	}
+	return result, result.err()
 }
 
 // relayTargets returns the addresses to ask, at most relayMaxNodes: the planner, which
--- a/internal/node/virtualcluster_test.go
+++ b/internal/node/virtualcluster_test.go
@@ -45,6 +45,8 @@
 	zones []string
 	// evacuate is the nodes' bound for evacuations.
 	evacuate time.Duration
+	// lateWrites are writes that the store does late.
+	lateWrites lateWrites
 	// heartbeat, if not 0, is the interval of the heartbeats of the backend servers.
 	heartbeat time.Duration
 	// linkRate is the rate of each direction of the instances' links in bytes per second; 0 for no limit.
--- a/internal/node/virtualstore_test.go
+++ b/internal/node/virtualstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"fmt"
 	"sync"
 	"time"
 
@@ -110,9 +111,21 @@
 	if s.node.cutOff.Load() {
 		return metastore.Applied{}, metastore.ErrUnavailable
 	}
+	if do := s.node.cluster.lateWrites.take(s.node, txn); do != nil {
+		s.node.cluster.pending.Go(func() {
+			<-do
+			// The transaction fails if its conditions no longer hold.
+			_, _ = s.WatchedTable.Apply(context.Background(), txn)
+		})
+		sleep(ctx, virtualStoreTimeout)
+		return metastore.Applied{}, fmt.Errorf("%w: no answer", metastore.ErrUnknown)
+	}
 	return s.WatchedTable.Apply(ctx, txn)
 }
 
+// virtualStoreTimeout is how long a client waits for the answer to a write.
+const virtualStoreTimeout = 1500 * time.Millisecond
+
 // goBack makes the store unavailable for away and then come back as it was age before that.
 func (c *virtualCluster) goBack(age, away time.Duration) {
 	c.goBackBut(age, away, func(key string) bool { return key == simProtocol{}.DesiredStateRow() })
--- a/metastore/metastore.go
+++ b/metastore/metastore.go
@@ -13,7 +13,8 @@
 	ErrConflict = errors.New("condition failed")
 	// ErrUnavailable means that the operation had no effect.
 	ErrUnavailable = errors.New("store unavailable")
-	// ErrUnknown means that a write may have taken effect, now or later.
+	// ErrUnknown means that a write may have taken effect, now or later. With ErrConflict, its last try failed
+	// that way, and an earlier one may have taken effect.
 	ErrUnknown = errors.New("outcome of the write is unknown")
 	// ErrNotFound means that an object does not exist.
 	ErrNotFound = errors.New("object not found")
