Let a drop of keys fail once another process has the lease

Cause: the write depended on the rows of the key table only, so it took effect seconds after the next process had read them and granted the keys. That the keys were to be withheld was known to the killed process alone.

Why it works: the write has a condition on the node's lease row. A process writes that row before it reads the key table and grants keys, so a drop of an earlier process is in that table or fails, however late it is. A drop that crosses a renewal of the lease fails once; the response shows the renewed row, and it is sent again.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -211,6 +211,15 @@
 	}, {
 		"head of a response read without bound", "internal/httpclient/conn.go",
 		"c.limit.N = maxResponseHeadBytes", "c.limit.N = math.MaxInt64", clientTests,
+	}, {
+		"write that may have been relayed taken as not applied", "internal/node/relay.go",
+		"return applied, outcomeOfTries(made.uncertain, err)", "return applied, err", nodeTests,
+	}, {
+		"keys dropped by a process that has ended", "internal/node/keyedit.go",
+		"return next, metastore.Txn{Conditions: []metastore.Condition{condition}}, err", "_ = condition\n\t\t\treturn next, metastore.Txn{}, err", nodeTests,
+	}, {
+		"keys of an earlier backend server dropped by a process that has ended", "internal/node/earlierbackend.go",
+		"return t.Drop(owner), metastore.Txn{Conditions: []metastore.Condition{condition}}, err", "_ = condition\n\t\t\t\treturn t.Drop(owner), metastore.Txn{}, err", nodeTests,
 	}, {
 		"completed move recorded that the planner's table does not show", "internal/node/moverecorder.go",
 		"r.Owner != m.Owner || r.Fence != move.Fence || !r.Moving() || !t.SettledIn(generation, move.From) {\n\t\t\treturn nil, false", "r.Owner != m.Owner || r.Fence != move.Fence || !r.Moving() {\n\t\t\tcontinue", nodeTests,
--- a/internal/node/earlierbackend.go
+++ b/internal/node/earlierbackend.go
@@ -60,7 +60,8 @@
 				if !slices.Contains(t.Owners(), owner) || !b.beginEarlierDrop(owner) {
 					return nil, metastore.Txn{}, errNoChange
 				}
-				return t.Drop(owner), metastore.Txn{}, nil
+				condition, err := b.node.lease.condition()
+				return t.Drop(owner), metastore.Txn{Conditions: []metastore.Condition{condition}}, err
 			},
 		})
 		if err != nil {
--- a/internal/node/gates_test.go
+++ b/internal/node/gates_test.go
@@ -362,7 +362,7 @@
 		}
 	}
 	g.Expect(n.writer.update(t.Context(), "booking", edit(10))).To(Succeed())
-	staleWriter := newKeyWriter(n.Node.store, staleView, zap.NewNop())
+	staleWriter := newKeyWriter(n.Node.store, staleView, n.lease, zap.NewNop())
 	g.Expect(staleWriter.update(t.Context(), "booking", edit(20))).To(Succeed())
 	table := staleView.current().Keys["booking"]
 	g.Expect(table.Find(10).Moving()).To(BeTrue(), "the first change is still there")
--- a/internal/node/keydrops.go
+++ b/internal/node/keydrops.go
@@ -36,7 +36,7 @@
 		delete(d.pending, owner)
 	case errors.Is(err, metastore.ErrUnknown):
 		d.pending[owner] = true
-	case errors.Is(err, errNoChange), errors.Is(err, metastore.ErrConflict), errors.Is(err, metastore.ErrUnavailable):
+	case errors.Is(err, errNoChange), errors.Is(err, errNoLease), errors.Is(err, metastore.ErrConflict), errors.Is(err, metastore.ErrUnavailable):
 		if !uncertain {
 			delete(d.pending, owner)
 		}
--- a/internal/node/keydrops_test.go
+++ b/internal/node/keydrops_test.go
@@ -126,7 +126,7 @@
 	g.Expect(d.withholds(owner)).To(BeFalse())
 	d.tried(owner, metastore.ErrUnknown)
 	g.Expect(d.withholds(owner)).To(BeFalse(), "no try was sent")
-	for _, harmless := range []error{nil, errNoChange, metastore.ErrConflict, metastore.ErrUnavailable} {
+	for _, harmless := range []error{nil, errNoChange, errNoLease, metastore.ErrConflict, metastore.ErrUnavailable} {
 		d.begin(owner)
 		g.Expect(d.withholds(owner)).To(BeTrue())
 		g.Expect(d.withholds(other)).To(BeFalse())
@@ -135,7 +135,7 @@
 	}
 	d.begin(owner)
 	d.tried(owner, fmt.Errorf("%w: connection reset", metastore.ErrUnknown))
-	for _, later := range []error{errNoChange, metastore.ErrConflict, metastore.ErrUnavailable, metastore.ErrUnknown} {
+	for _, later := range []error{errNoChange, errNoLease, metastore.ErrConflict, metastore.ErrUnavailable, metastore.ErrUnknown} {
 		d.begin(owner)
 		d.tried(owner, later)
 		g.Expect(d.withholds(owner)).To(BeTrue(), "the first try may still take effect after %v", later)
--- a/internal/node/keyedit.go
+++ b/internal/node/keyedit.go
@@ -25,9 +25,15 @@
 		return joined, changed || joined != next
 	}
 	edit := func(t *keyrange.Space) (*keyrange.Space, metastore.Txn, error) {
-		next, changed := change(t, b.beginKeyEdit(t))
-		if !changed {
+		m := b.beginKeyEdit(t)
+		next, changed := change(t, m)
+		switch {
+		case !changed:
 			return nil, metastore.Txn{}, errNoChange
+		case m.State == BackendDown:
+			// The next process may grant the keys before this write takes effect.
+			condition, err := b.node.lease.condition()
+			return next, metastore.Txn{Conditions: []metastore.Condition{condition}}, err
 		}
 		return next, metastore.Txn{}, nil
 	}
--- a/internal/node/keywriter.go
+++ b/internal/node/keywriter.go
@@ -41,6 +41,7 @@
 type keyWriter struct {
 	store metastore.WatchedTable
 	views *viewStore
+	lease *leaseKeeper
 	log   *zap.Logger
 
 	// writing has room for one element, which is in it during a write, so that the writes of one
@@ -48,8 +49,8 @@
 	writing chan struct{}
 }
 
-func newKeyWriter(store metastore.WatchedTable, views *viewStore, log *zap.Logger) *keyWriter {
-	return &keyWriter{store: store, views: views, log: log, writing: make(chan struct{}, 1)}
+func newKeyWriter(store metastore.WatchedTable, views *viewStore, lease *leaseKeeper, log *zap.Logger) *keyWriter {
+	return &keyWriter{store: store, views: views, lease: lease, log: log, writing: make(chan struct{}, 1)}
 }
 
 // update applies edit to the newest known key table and writes the result on the condition
@@ -75,6 +76,7 @@
 		}
 		w.log.Debug("key table not written", zap.String("service", u.service), zap.Error(err))
 		refreshed := w.views.apply(metastore.ConflictRows(err)...)
+		refreshed = w.lease.observe(metastore.ConflictRows(err)) || refreshed
 		sleep(ctx, jitter(backoff))
 		if !errors.Is(err, metastore.ErrConflict) {
 			backoff = min(2*backoff, keyWriteBackoffMax)
--- a/internal/node/latedrop_test.go
+++ b/internal/node/latedrop_test.go
@@ -83,7 +83,6 @@
 				n.backend().setQuiet(false)
 				time.Sleep(by - 400*time.Millisecond)
 				release()
-				time.Sleep(storeDelay * 2)
 				g.Expect(c.heldWithAnOldToken()).To(BeEmpty())
 				time.Sleep(3 * time.Second)
 				n.cutOff.Store(false)
@@ -94,3 +93,39 @@
 		})
 	}
 }
+
+// Guards against two holders of a key (OWNER, review/8): a process drops the keys of its silent backend server without an
+// answer and is killed, and the write is done late, once the server is back and the next process has granted it the keys.
+// The same if the server was silent since that process started.
+func TestDropOfAnEndedProcessDoesNotTakeEffectLate(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		for _, by := range lateByTimes {
+			t.Run(fmt.Sprint("restarted before ", restarted, ", ", by), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					c := newLateDropCluster(t, 3)
+					defer c.stop()
+					n := c.notPlanner()
+					sent, release := c.lateWrites.delayNext(func(m *virtualNode, txn metastore.Txn) bool { return m == n && writesKeys(txn) })
+					n.backend().setQuiet(true)
+					if restarted {
+						n.stop()
+						n.start()
+					}
+					<-sent
+					time.Sleep(200 * time.Millisecond)
+					n.stop()
+					time.Sleep(500 * time.Millisecond)
+					n.start()
+					n.backend().setQuiet(false)
+					time.Sleep(by - 700*time.Millisecond)
+					release()
+					g.Expect(c.heldWithAnOldToken()).To(BeEmpty())
+					_, ok := c.waitServed(20 * time.Second)
+					g.Expect(c.holds.found()).To(BeEmpty())
+					g.Expect(ok).To(BeTrue(), "all keys are served again")
+				})
+			})
+		}
+	}
+}
--- a/internal/node/latewrites_test.go
+++ b/internal/node/latewrites_test.go
@@ -12,30 +12,39 @@
 type lateWrites struct {
 	mu    sync.Mutex
 	match func(n *virtualNode, txn metastore.Txn) bool
-	sent  chan struct{}
-	do    chan struct{}
+	// sent is closed when the write is sent, do when the store is to do it, and done when it has.
+	sent, do, done chan struct{}
 }
 
 // delayNext makes the store do the next write that matches late. sent is closed when it is sent, and the store does
-// it when release is called.
+// it before release returns.
 func (l *lateWrites) delayNext(match func(n *virtualNode, txn metastore.Txn) bool) (sent <-chan struct{}, release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.match, l.sent, l.do = match, make(chan struct{}), make(chan struct{})
-	do := l.do
-	return l.sent, func() { close(do) }
+	l.match, l.sent, l.do, l.done = match, make(chan struct{}), make(chan struct{}), make(chan struct{})
+	do, done := l.do, l.done
+	return l.sent, func() {
+		close(do)
+		<-done
+	}
 }
 
-// take returns a channel that is closed when the store is to do the write; nil if it is not to be late.
-func (l *lateWrites) take(n *virtualNode, txn metastore.Txn) <-chan struct{} {
+// take reports whether the write is to be late, and then does it late, in the background.
+func (l *lateWrites) take(n *virtualNode, txn metastore.Txn, apply func()) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.match == nil || !l.match(n, txn) {
-		return nil
+		return false
 	}
 	l.match = nil
 	close(l.sent)
-	return l.do
+	do, done := l.do, l.done
+	n.cluster.pending.Go(func() {
+		<-do
+		apply()
+		close(done)
+	})
+	return true
 }
 
 // writesKeys reports whether a transaction writes rows of a key table.
--- a/internal/node/leasekeeper.go
+++ b/internal/node/leasekeeper.go
@@ -60,6 +60,9 @@
 	until       time.Time
 	lastRenewal time.Time // send time of the last renewal
 	version     uint64
+	// shown is the version of a renewal that a failed transaction showed before it was confirmed; 0 if none did
+	// since the last confirmed write.
+	shown uint64
 	// acquired is the version with which the lease was acquired; 0 until then.
 	acquired uint64
 	// pendingNonces are the nonces written or requested since the last confirmed write; any
@@ -135,7 +138,7 @@
 		return
 	}
 	confirmed := k.requested[i]
-	k.version, k.requested, k.pendingNonces = r.Version, slices.Clone(k.requested[i+1:]), nil
+	k.version, k.shown, k.requested, k.pendingNonces = r.Version, 0, slices.Clone(k.requested[i+1:]), nil
 	for _, later := range k.requested {
 		k.pendingNonces = append(k.pendingNonces, later.nonce)
 	}
@@ -225,7 +228,7 @@
 func (k *leaseKeeper) adoptVersion(version uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.version, k.pendingNonces, k.requested = version, nil, nil
+	k.version, k.shown, k.pendingNonces, k.requested = version, 0, nil, nil
 }
 
 // renewUntilLost writes the row whenever the planner does not renew it, until the lease is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 		instance: config.Instance, address: config.PeerAddress, store: n.store, views: n.views, log: log.Named("lease"), now: n.now,
 		earlierGrantsEnd: n.now().Add(leaseDuration),
 	}
-	n.writer = newKeyWriter(n.store, n.views, log.Named("keys"))
+	n.writer = newKeyWriter(n.store, n.views, n.lease, log.Named("keys"))
 	n.backend = newBackend(n)
 	n.planner = newPlanner(n)
 	n.lease.sample = n.planner.sample
--- a/internal/node/virtualstore_test.go
+++ b/internal/node/virtualstore_test.go
@@ -111,12 +111,11 @@
 	if s.node.cutOff.Load() {
 		return metastore.Applied{}, metastore.ErrUnavailable
 	}
-	if do := s.node.cluster.lateWrites.take(s.node, txn); do != nil {
-		s.node.cluster.pending.Go(func() {
-			<-do
-			// The transaction fails if its conditions no longer hold.
-			_, _ = s.WatchedTable.Apply(context.Background(), txn)
-		})
+	late := s.node.cluster.lateWrites.take(s.node, txn, func() {
+		// The transaction fails if its conditions no longer hold.
+		_, _ = s.WatchedTable.Apply(context.Background(), txn)
+	})
+	if late {
 		sleep(ctx, virtualStoreTimeout)
 		return metastore.Applied{}, fmt.Errorf("%w: no answer", metastore.ErrUnknown)
 	}
