Take an answer without a length as broken if its connection was reset

What callers saw: a 200 with a part of the endpoint's body, as a complete answer (MIXED), when an endpoint answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the system reports a reset once. If the write of the upload gets the error, the read of the answer finds the end of the stream, which is the end of an answer without a length.

Why it works: at the end of such an answer the state of the connection is asked for, which does not depend on who got the error. After an orderly close it is half closed, after a reset or a time-out closed. All answers of endpoints, nodes and the store are read by this client.

--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -130,7 +130,7 @@
 		}
 		return nil, classify(err)
 	}
-	resp.Body = &trackedBody{ReadCloser: resp.Body, finish: func(complete bool) {
+	resp.Body = &trackedBody{ReadCloser: resp.Body, checkEnd: func() error { return c.checkEnd(resp) }, finish: func(complete bool) {
 		active := stop()
 		if !active || !complete || stray || resp.Close || !c.written() || c.reader.Buffered() > 0 {
 			c.Close()
--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -81,6 +82,8 @@
 	arrivals []time.Time
 	// observe, if not nil, sees each request and may add to the header of its response.
 	observe func(h http.Header, r *http.Request)
+	// rawAnswer, if not nil, writes the answer to each request before its body is read.
+	rawAnswer func(c net.Conn, head string)
 	// body, if not nil, is the body of the responses.
 	body []byte
 	// endlessEnded counts the endless responses whose connection was closed.
@@ -215,6 +218,9 @@
 		}
 		return
 	}
+	if s.sendRaw(w, r) {
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(simID)
 	w.Header().Set(simID, id)
@@ -281,6 +287,26 @@
 	_, _ = w.Write([]byte(r.Header.Get(simCaller) + " " + r.RequestURI + " " + string(body)))
 }
 
+// sendRaw sends the raw answer, if there is one. Its head has the status 200 and the fields of an answer to r.
+func (s *backendSim) sendRaw(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	answer := s.rawAnswer
+	if answer != nil {
+		s.arrivals = append(s.arrivals, time.Now())
+	}
+	s.mu.Unlock()
+	if answer == nil {
+		return false
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	answer(c, "HTTP/1.1 200 OK\r\n"+simID+": "+r.Header.Get(simID)+"\r\n"+simSeal+": "+s.id+"\r\n")
+	return true
+}
+
 // sendEndless sends start, and then next again and again with pauses until the connection closes.
 func (s *backendSim) sendEndless(w http.ResponseWriter, start, next string, pause time.Duration) {
 	c, _, err := http.NewResponseController(w).Hijack()
