Refuse answers whose heads or trailers have names that HTTP does not allow

What callers saw: an answer with a line whose name held a blank, or with a body that was not the endpoint's (MIXED).

Cause: net/http keeps names with blanks as they are. The fields that delimit the body were not found under such a name, and the server of net/http left the line out. An answer with the status 101 that nobody asked for counted as the last one.

Evidence: seven of the 19 rows of TestAnswersThatAreNoHTTPAreNotPassedOn failed before: a blank in a name of a head, an interim head and a trailer, before the colon of the length and of the coding, and the 101. Control bytes and a status of 000 were refused before; they have rows now.

Why it works: the names of each head and of the trailers are checked where all answers are read, before anything of the answer is used, and the connection is closed.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -211,6 +211,15 @@
 	}, {
 		"head of a response read without bound", "internal/httpclient/conn.go",
 		"c.limit.N = maxResponseHeadBytes", "c.limit.N = math.MaxInt64", clientTests,
+	}, {
+		"answer taken as complete whose connection was reset", "internal/httpclient/reset.go",
+		"if endsWithConnection(resp) && c.wasReset() {", "if endsWithConnection(resp) && false {", clientTests,
+	}, {
+		"answer passed on with a bad name of a field", "internal/httpclient/conn.go",
+		"if err := checkNames(resp.Header); err != nil {", "if err := checkNames(nil); err != nil {", clientTests,
+	}, {
+		"answer passed on with a bad name of a trailer", "internal/httpclient/reset.go",
+		"if err := checkNames(resp.Trailer); err != nil {", "if err := checkNames(nil); err != nil {", clientTests,
 	}, {
 		"write that may have been relayed taken as not applied", "internal/node/relay.go",
 		"return applied, outcomeOfTries(made.uncertain, err)", "return applied, err", nodeTests,
--- a/internal/httpclient/answers_test.go
+++ b/internal/httpclient/answers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -105,3 +106,60 @@
 	g.Expect(status).To(Equal(http.StatusOK))
 	g.Expect(body).To(Equal("a whole body"))
 }
+
+// Guards against answers that HTTP does not allow and that net/http takes (MIXED): a status that is none, and names of
+// fields with a blank or a control byte, in the head, in an interim head and in trailers.
+func TestAnswersThatAreNoHTTPAreNotPassedOn(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	for name, answer := range map[string]string{
+		"status 000":                       "HTTP/1.1 000 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody",
+		"status 099":                       "HTTP/1.1 099 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody",
+		"status 101":                       "HTTP/1.1 101 OK\r\n" + idHeader + ": 1\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nbody",
+		"interim status 000":               "HTTP/1.1 000 Early\r\n\r\n" + statusOK + "Content-Length: 4\r\n\r\nbody",
+		"blank in a name":                  statusOK + "X Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank behind the name of length":  statusOK + "Content-Length : 4\r\n\r\nbodyand more",
+		"blank behind the name of coding":  statusOK + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"tab behind the name of length":    statusOK + "Content-Length\t: 4\r\n\r\nbodyand more",
+		"control byte in a name":           statusOK + "X\x01Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"zero byte in a name":              statusOK + "X\x00Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"delete byte in a name":            statusOK + "X\x7fY: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"control byte in a value":          statusOK + "X: a\x01b\r\nContent-Length: 4\r\n\r\nbody",
+		"no name":                          statusOK + ": 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank in a name of interim head":  "HTTP/1.1 103 Early\r\nX Y: 1\r\n\r\n" + statusOK + "Content-Length: 4\r\n\r\nbody",
+		"control byte in the interim head": "HTTP/1.1 103 Early\r\nX\x01Y: 1\r\n\r\n" + statusOK + "Content-Length: 4\r\n\r\nbody",
+		"blank in a name of a trailer":     statusOK + chunked + "X Y: 1\r\n\r\n",
+		"control byte in a trailer":        statusOK + chunked + "X\x01Y: 1\r\n\r\n",
+		"announced trailer with a blank":   statusOK + "Trailer: X Y\r\n" + chunked + "X Y: 1\r\n\r\n",
+		"line without a colon in trailers": statusOK + chunked + "nonsense\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, body, err := sendThrough(t, Exchange{}, func(c net.Conn) { _, _ = io.WriteString(c, answer) })
+			g.Expect(err).To(HaveOccurred(), "body %q", body)
+			g.Expect(err).NotTo(MatchError(context.DeadlineExceeded))
+			var failure *Error
+			if errors.As(err, &failure) {
+				g.Expect(failure.Stage).To(Equal(Sent), "the request may have run")
+				g.Expect(failure.BadResponse).To(BeTrue())
+			}
+		})
+	}
+}
+
+// Guards against a check of answers that refuses what HTTP allows.
+func TestUnusualAnswersArePassedOn(t *testing.T) {
+	for name, answer := range map[string]string{
+		"interim head with fields": "HTTP/1.1 103 Early Hints\r\nLink: </x>; rel=preload\r\n\r\n" + statusOK + "Content-Length: 4\r\n\r\nbody",
+		"all signs of a name":      statusOK + "!#$%&'*+-.^_`|~09: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"trailers":                 statusOK + "Trailer: X-T\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-T: 1\r\n\r\n",
+		"ends with its connection": statusOK + "\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			status, body, err := sendThrough(t, Exchange{}, func(c net.Conn) { _, _ = io.WriteString(c, answer) })
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(body).To(Equal("body"))
+		})
+	}
+}
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -96,11 +96,14 @@
 			}
 			return nil, &unexpectedBytesError{c.readError(err)}
 		}
-		if resp.StatusCode < 100 {
-			// net/http takes it as a response, but can't pass it on to a client.
+		if resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols {
+			// net/http takes it as a response, but can't pass it on to a client. No request asks for another protocol.
 			return nil, &unexpectedBytesError{fmt.Errorf("status %03d", resp.StatusCode)}
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err := checkNames(resp.Header); err != nil {
+			return nil, &unexpectedBytesError{err}
+		}
+		if resp.StatusCode >= 200 {
 			return resp, nil
 		}
 	}
--- a/internal/httpclient/reset.go
+++ b/internal/httpclient/reset.go
@@ -15,6 +15,9 @@
 
 // checkEnd returns why a response whose end was read is not complete, or nil.
 func (c *conn) checkEnd(resp *http.Response) error {
+	if err := checkNames(resp.Trailer); err != nil {
+		return err
+	}
 	if endsWithConnection(resp) && c.wasReset() {
 		return fmt.Errorf("%w: the connection was reset", io.ErrUnexpectedEOF)
 	}
