Show that bytes without end hold little memory

Other operators report that a faulty endpoint sent bytes that were no answer, without end, in a head or in a body, and that the machine that had called it ran out of memory.

TestBytesWithoutEndHoldLittleMemory plays twelve kinds through a node, 16 requests at a time, and passes on the code as it was; no product code changes.

--- a/internal/node/bounds_test.go
+++ b/internal/node/bounds_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +152,95 @@
 		g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 	}
 }
+
+// Guards against a process that runs out of memory because a backend server sends bytes without end, in a head, in an interim
+// head, in a body or after it, until its caller closes: what the node holds of them is bounded, the connections are closed
+// once the clients have left, and others are served.
+func TestBytesWithoutEndHoldLittleMemory(t *testing.T) {
+	const clients, read = 16, 8 << 20 // bytes that a client reads before it leaves
+	fill := strings.Repeat("x", 4<<10)
+	c := newTestCluster(t, 1) // not beside other tests, for the memory
+	c.waitSettled()
+	n := c.nodes[0]
+	n.sim.mu.Lock()
+	n.sim.slots = clients
+	n.sim.mu.Unlock()
+	n.Node.backend.queue.setSlots(clients)
+	for name, answer := range map[string]struct{ start, repeated string }{
+		"no answer":        {"", fill},
+		"zero bytes":       {"", strings.Repeat("\x00", 4<<10)},
+		"status line":      {"HTTP/1.1 200 ", fill},
+		"head":             {"HEAD", "X-Fill: " + fill + "\r\n"},
+		"one line":         {"HEADX-Fill: ", fill},
+		"interim heads":    {"", "HTTP/1.1 103 Early\r\nX-Fill: " + fill + "\r\n\r\n"},
+		"body":             {"HEAD\r\n", fill},
+		"chunks":           {"HEADTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + fill + "\r\n"},
+		"small chunks":     {"HEADTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 700)},
+		"chunk extensions": {"HEADTransfer-Encoding: chunked\r\n\r\n", "1;" + fill + "\r\nx\r\n"},
+		"trailers":         {"HEADTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: " + fill + "\r\n"},
+		"after the body":   {"HEADContent-Length: 4\r\n\r\nbody", fill},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var open atomic.Int64
+			c.answerRaw(func(c net.Conn, head string) {
+				open.Add(1)
+				defer open.Add(-1)
+				_, err := io.WriteString(c, strings.Replace(answer.start, "HEAD", head, 1))
+				for err == nil {
+					_, err = io.WriteString(c, answer.repeated)
+				}
+			})
+			runtime.GC()
+			var before, during runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var done sync.WaitGroup
+			for i := range clients {
+				done.Go(func() { readSome(t.Context(), n.config.ClientAddress, fmt.Sprint("endless", i), read) })
+			}
+			ended := make(chan struct{})
+			go func() {
+				done.Wait()
+				close(ended)
+			}()
+			held := int64(0)
+			for running := true; running; {
+				select {
+				case <-ended:
+					running = false
+				case <-time.After(20 * time.Millisecond):
+				}
+				runtime.GC() // what is not in use any more does not count
+				runtime.ReadMemStats(&during)
+				held = max(held, int64(during.HeapAlloc)-int64(before.HeapAlloc))
+			}
+			t.Logf("%d bytes held at most", held)
+			g.Expect(held).To(BeNumerically("<", maxBufferedBytes))
+			c.answerRaw(nil)
+			status, _, _, err := send(t.Context(), http.MethodGet, n.config.ClientAddress, "/lookup/a", "a", 7, "")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status).To(Equal(http.StatusOK))
+			// Bytes that arrive on an unused connection are found by the next request.
+			g.Eventually(open.Load, 5*time.Second).Should(BeZero(), "connections to the backend server")
+		})
+	}
+}
+
+// readSome sends a request, reads at most limit bytes of the answer and leaves.
+func readSome(ctx context.Context, address, id string, limit int64) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/lookup/endless", nil)
+	if err != nil {
+		panic(err)
+	}
+	req.Host = "shop.example"
+	req.Header = http.Header{simID: {id}, simKey: {"7"}, simDeadline: {"2000"}}
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return // the node closed the connection
+	}
+	defer resp.Body.Close()
+	// The answer may break off.
+	_, _ = io.CopyN(io.Discard, resp.Body, limit)
+}
