Refuse broken and endless answers in the daemon and the command line, too

What callers saw: nothing yet.

Change: httpclient.Transport refuses heads with bad names, interim ones too, and answers that end with their connection, which no server of these calls sends. The command reads at most 32 MiB of an answer.

Why it works: without answers that end with their connection, an early end is always an error. A refusal after the request was sent counts as may have run, as each error of these transports does.

Measured: TestTransportRefusesWhatAPoolRefuses passes (50 resets), TestAnswerWithoutEndIsAnError fails before the change and passes after it; the tests of internal/backend, connectplatform and peer pass.

--- a/internal/backend/doer.go
+++ b/internal/backend/doer.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"github.com/basilway/basilway/internal/httpclient"
 )
 
 // doer sends the requests of a connect client. It copies the body to a bytes.Reader: the
@@ -24,5 +26,5 @@
 		req.Body = io.NopCloser(bytes.NewReader(body))
 		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
 	}
-	return d.transport.RoundTrip(req)
+	return httpclient.Transport{Base: d.transport}.RoundTrip(req)
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/viper"
 
 	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
+	"github.com/basilway/basilway/internal/httpclient"
 )
 
 // defaultDaemon is the base URL at which a daemon listens by default.
@@ -97,16 +98,24 @@
 
 func (o *options) json() bool { return o.settings.GetString("output") == "json" }
 
+// daemonClient sends the calls to daemons.
+var daemonClient = &http.Client{Transport: httpclient.Transport{Base: http.DefaultTransport}}
+
+// maxAnswerBytes is the largest answer of a daemon that is read.
+const maxAnswerBytes = 32 << 20
+
+var answerLimit = connect.WithReadMaxBytes(maxAnswerBytes)
+
 func (o *options) catalogue() basilwayv1connect.CatalogueServiceClient {
-	return basilwayv1connect.NewCatalogueServiceClient(http.DefaultClient, o.settings.GetString("daemon"), o.withKey())
+	return basilwayv1connect.NewCatalogueServiceClient(daemonClient, o.settings.GetString("daemon"), o.withKey(), answerLimit)
 }
 
 func (o *options) admin() basilwayv1connect.AdminServiceClient {
-	return basilwayv1connect.NewAdminServiceClient(http.DefaultClient, o.settings.GetString("daemon"), o.withKey())
+	return basilwayv1connect.NewAdminServiceClient(daemonClient, o.settings.GetString("daemon"), o.withKey(), answerLimit)
 }
 
 func (o *options) router() basilwayv1connect.RouterServiceClient {
-	return basilwayv1connect.NewRouterServiceClient(http.DefaultClient, o.settings.GetString("daemon"))
+	return basilwayv1connect.NewRouterServiceClient(daemonClient, o.settings.GetString("daemon"), answerLimit)
 }
 
 // withKey sends the operator key with each request.
--- a/internal/connectplatform/client.go
+++ b/internal/connectplatform/client.go
@@ -10,6 +10,7 @@
 
 	platformv1 "github.com/basilway/basilway/gen/basilway/platform/v1"
 	"github.com/basilway/basilway/gen/basilway/platform/v1/platformv1connect"
+	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/metastore"
 )
 
@@ -55,7 +56,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 	}
-	httpClient := &http.Client{Transport: transport}
+	httpClient := &http.Client{Transport: httpclient.Transport{Base: transport}}
 	limit := connect.WithReadMaxBytes(maxMessageBytes)
 	return &Client{
 		timeout:   cfg.Timeout,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/basilway/basilway/internal/httpclient"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -55,9 +56,9 @@
 		cfg:    cfg,
 		server: server,
 		auth:   newAuthenticator(cfg.Keys),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpclient.Transport{Base: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext,
-		}},
+		}}},
 		started: time.Now(),
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		peers:   map[string]*remotePeer{},
