Do not start the drain time again for a leave that the next process hears again

What callers saw: requests reached a server 6.9 s after its leave was acknowledged (DRAIN; in the model, not reported). It left once more, as one that drains does at its end, to the node's next process, and a heartbeat from before the leave arrived there.

Cause: the process took the time of the repeated leave as that of the acknowledgement, and let requests pass for another drain time.

TestLeaveThatIsRepeatedToTheNextProcessIsNotANewOne failed before.

Why it works: before the first heartbeat to a process, a leave counts as acknowledged a drain time ago, as a heartbeat that says "draining" does already.

Measured: the tests of leaves, leaving and adoption in internal/node pass.

--- a/internal/node/backendleave.go
+++ b/internal/node/backendleave.go
@@ -20,6 +20,10 @@
 	b.log.Info("backend server leaving", zap.String("backend", id), zap.Stringer("state", b.state))
 	if b.leaveAcked.IsZero() {
 		b.leaveAcked = b.node.now()
+		if b.tracker == nil {
+			// An earlier process may have acknowledged the leave long ago.
+			b.leaveAcked = b.leaveAcked.Add(-b.node.config.Bounds.DrainTimeout)
+		}
 	}
 	b.leavingID = id
 	if b.tracker != nil && b.state != BackendDown {
--- a/internal/node/backendleave_test.go
+++ b/internal/node/backendleave_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/metastore/memory"
+	"github.com/basilway/basilway/verdict"
 )
 
 // recordedState returns the state of the backend server that the store records.
@@ -86,6 +87,26 @@
 	})
 }
 
+// Guards against requests to a backend server whose leave was acknowledged (DRAIN): it leaves once more, to the node's next
+// process, as one that drains does at its end, and a heartbeat from before the leave arrives there.
+func TestLeaveThatIsRepeatedToTheNextProcessIsNotANewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		c := newServedCluster(t, 3)
+		defer c.stop()
+		n := c.notPlanner()
+		sim := n.backend()
+		late := sim.heldBack()
+		sim.setQuiet(true)
+		n.running().backend.markLeaving(sim.id)
+		time.Sleep(n.config.Bounds.DrainTimeout)
+		n.restart()
+		n.running().backend.markLeaving(sim.id)
+		n.deliver(late)
+		g.Expect(n.running().backend.gate(ticket{service: "booking"})).To(HaveField("Reason", verdict.ReasonDraining))
+	})
+}
+
 // Guards against a backend server that gets no requests and no keys, because the one before it left with the same id.
 func TestLeaveEndsWithItsIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
