Send nothing to a backend server before its record is known

What callers saw: nothing reported; the model showed a request that may be sent 7.9 s after an acknowledged leave (DRAIN). The node had restarted while the store was down, had not heard from other nodes yet, and took a heartbeat from before the leave.

Cause: the first heartbeat to a process was believed before the process knew what the store records of its sender.

TestHeartbeatIsNotBelievedBeforeTheRecordOfItsServerIsKnown failed before with the store down.

Why it works: requests wait, as before the first heartbeat, until the rows of the cluster were read or another node sent this instance's row. Without either, no node could choose this server as a member.

TestNothingIsSentBeforeTheBoundIsKnown used a node that had read nothing; it has read the cluster's rows now, its checks are the same.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -220,6 +220,12 @@
 	}, {
 		"answer passed on with a bad name of a trailer", "internal/httpclient/reset.go",
 		"if err := checkNames(resp.Trailer); err != nil {", "if err := checkNames(nil); err != nil {", clientTests,
+	}, {
+		"drain time that starts again at the next process", "internal/node/backendleave.go",
+		"b.leaveAcked = b.leaveAcked.Add(-b.node.config.Bounds.DrainTimeout)", "_ = b.node", nodeTests,
+	}, {
+		"request sent before it is known whether its backend server leaves", "internal/node/serve.go",
+		"case !b.recordKnown():", "case false:", nodeTests,
 	}, {
 		"write that may have been relayed taken as not applied", "internal/node/relay.go",
 		"return applied, outcomeOfTries(made.uncertain, err)", "return applied, err", nodeTests,
--- a/internal/node/backendleave.go
+++ b/internal/node/backendleave.go
@@ -52,6 +52,14 @@
 	b.changed.notify()
 }
 
+// recordKnown reports whether this process knows what the store records of the backend server, itself or from another node.
+// Before that, a heartbeat from before an acknowledged leave looks like one of a server that does not leave.
+func (b *backend) recordKnown() bool {
+	view := b.node.views.current()
+	_, recorded := view.Members[b.node.config.Instance]
+	return recorded || view.Listed
+}
+
 // leaveRecordWait bounds how long the acknowledgement of a leave waits until the leave is recorded in the store,
 // where the node's next process finds it. A leave counts as acknowledged if the response comes within a second.
 const leaveRecordWait = 500 * time.Millisecond
--- a/internal/node/backendleave_test.go
+++ b/internal/node/backendleave_test.go
@@ -107,6 +107,38 @@
 	})
 }
 
+// Guards against requests to a backend server whose leave was acknowledged (DRAIN): the node's next process finds the store
+// down and has not heard from other nodes yet, and a heartbeat from before the leave arrives there.
+func TestHeartbeatIsNotBelievedBeforeTheRecordOfItsServerIsKnown(t *testing.T) {
+	for name, down := range map[string]bool{"store down": true, "store up": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newServedCluster(t, 3)
+				defer c.stop()
+				n := c.notPlanner()
+				sim := n.backend()
+				late := sim.heldBack()
+				sim.setQuiet(true)
+				n.running().backend.markLeaving(sim.id)
+				time.Sleep(n.config.Bounds.DrainTimeout)
+				c.store.SetFaults(memory.Faults{Down: down})
+				n.isolated.Store(true)
+				n.restart()
+				n.deliver(late)
+				for range 8 {
+					g.Expect(n.running().backend.gate(ticket{service: "booking"})).NotTo(BeNil())
+					time.Sleep(300 * time.Millisecond)
+				}
+				n.isolated.Store(false)
+				c.store.SetFaults(memory.Faults{})
+				time.Sleep(3 * time.Second)
+				g.Expect(n.running().backend.gate(ticket{service: "booking"})).To(HaveField("Reason", verdict.ReasonDraining))
+			})
+		})
+	}
+}
+
 // Guards against a backend server that gets no requests and no keys, because the one before it left with the same id.
 func TestLeaveEndsWithItsIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/coldserver_test.go
+++ b/internal/node/coldserver_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/grant"
+	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -105,6 +106,7 @@
 	for _, overage := range []float64{0, 1.5} {
 		config.Bounds.ColdOverage = overage
 		b := New(config, zap.NewNop()).backend
+		b.node.views.replace(clusterTable, metastore.Listing{Version: 1})
 		g.Expect(b.processHeartbeat(hb)).To(BeTrue())
 		if err := b.gate(ticket{service: config.Service}); overage == 0 {
 			g.Expect(err).To(BeNil(), "no bound is configured")
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -173,6 +173,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonBackendDown, "the backend server is down").WithRetryAfter(notReadyRetryAfter)
 	case !b.leaveAcked.IsZero() && now.Sub(b.leaveAcked) > b.node.config.Bounds.leaveGrace():
 		return verdict.New(verdict.NotRun, verdict.ReasonDraining, "the backend server leaves").WithRetryAfter(notReadyRetryAfter)
+	case !b.recordKnown():
+		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "it is not known yet whether the backend server leaves").WithRetryAfter(notReadyRetryAfter)
 	case b.node.config.Bounds.ColdOverage > 0 && b.node.views.current().Routes == nil:
 		return verdict.New(verdict.NotRun, verdict.ReasonStarting, "what the backend server takes while it is cold is not known yet").WithRetryAfter(notReadyRetryAfter)
 	case b.tracker == nil && b.adoptionAllows(t):
