--- a/internal/node/backendsim_test.go
+++ b/internal/node/backendsim_test.go
@@ -334,6 +334,13 @@
 	}
 }
 
+// incarnation returns the incarnation that its heartbeats name.
+func (s *backendSim) incarnation() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return grant.Heartbeat{ID: s.id, StartedMS: s.startedMS}.Incarnation()
+}
+
 // nameLimit sets the limit that the responses name; an empty one ends it.
 func (s *backendSim) nameLimit(limit string) {
 	s.mu.Lock()
--- a/internal/node/latedrop_test.go
+++ b/internal/node/latedrop_test.go
@@ -77,12 +77,12 @@
 				n.backend().setQuiet(true)
 				time.Sleep(2 * time.Second)
 				n.cutOff.Store(true)
-				sent, release := c.lateWrites.delayNext(func(m *virtualNode, txn metastore.Txn) bool { return m != n && writesKeys(txn) })
-				<-sent
+				late := c.lateWrites.delayNext(func(m *virtualNode, txn metastore.Txn) bool { return m != n && writesKeys(txn) })
+				<-late.sent
 				time.Sleep(400 * time.Millisecond)
 				n.backend().setQuiet(false)
 				time.Sleep(by - 400*time.Millisecond)
-				release()
+				late.release()
 				g.Expect(c.heldWithAnOldToken()).To(BeEmpty())
 				time.Sleep(3 * time.Second)
 				n.cutOff.Store(false)
@@ -106,20 +106,20 @@
 					c := newLateDropCluster(t, 3)
 					defer c.stop()
 					n := c.notPlanner()
-					sent, release := c.lateWrites.delayNext(func(m *virtualNode, txn metastore.Txn) bool { return m == n && writesKeys(txn) })
+					late := c.lateWrites.delayNext(func(m *virtualNode, txn metastore.Txn) bool { return m == n && writesKeys(txn) })
 					n.backend().setQuiet(true)
 					if restarted {
 						n.stop()
 						n.start()
 					}
-					<-sent
+					<-late.sent
 					time.Sleep(200 * time.Millisecond)
 					n.stop()
 					time.Sleep(500 * time.Millisecond)
 					n.start()
 					n.backend().setQuiet(false)
 					time.Sleep(by - 700*time.Millisecond)
-					release()
+					late.release()
 					g.Expect(c.heldWithAnOldToken()).To(BeEmpty())
 					_, ok := c.waitServed(20 * time.Second)
 					g.Expect(c.holds.found()).To(BeEmpty())
--- a/internal/node/latemodel_test.go
+++ b/internal/node/latemodel_test.go
@@ -9,11 +9,13 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/metastore/memory"
 )
 
 // lateModel plays backend servers whose heartbeats arrive late, also at the node's next process or after their end,
-// that are cut off from their node or leave without further heartbeats, while nodes restart and the store is away.
+// that are cut off from their node or leave without further heartbeats, while nodes restart and the store is away, turns
+// nodes away or does writes late without an answer.
 type lateModel struct {
 	*virtualCluster
 	mu     sync.Mutex
@@ -31,7 +33,7 @@
 const servesOnAfterLeave = 8 * time.Second
 
 // Guards against two holders of a key, keys that stay without an owner and requests to a backend server whose leave was
-// acknowledged, when heartbeats arrive late (OWNER, DRAIN).
+// acknowledged, when heartbeats and writes arrive late (OWNER, DRAIN).
 func TestModelKeepsOneHolderWhenHeartbeatsAreLate(t *testing.T) {
 	for _, seed := range rollbackSeeds() {
 		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
@@ -71,7 +73,10 @@
 		if node == nil || l.node.backend() != l.sim || time.Since(l.acked) <= node.config.Bounds.DrainTimeout || time.Since(node.backend.started) <= contactTime {
 			continue
 		}
-		g.Expect(node.backend.gate(ticket{service: "booking"})).NotTo(BeNil(), "%s left %v ago", l.sim.id, time.Since(l.acked))
+		view := node.views.current()
+		row, recorded := view.Members[l.node.config.Instance]
+		g.Expect(node.backend.gate(ticket{service: "booking"})).NotTo(BeNil(), "%s left %v ago; %s started %v ago, has its row: %t (%s, %v), the cluster's: %t, the desired state: %t",
+			l.sim.id, time.Since(l.acked), l.node.config.Instance, time.Since(node.backend.started), recorded, row.Owner.Incarnation, row.State, view.Listed, view.Routes != nil)
 	}
 }
 
@@ -79,7 +84,7 @@
 	n := m.nodes[m.rng.intN(len(m.nodes))]
 	sim := n.backend()
 	now := time.Now().Format("05.000")
-	switch m.rng.intN(9) {
+	switch m.rng.intN(13) {
 	case 0, 1:
 		if sim == nil {
 			return
@@ -127,9 +132,36 @@
 			m.addDemand(n, from, 400*time.Millisecond)
 			time.Sleep(100 * time.Millisecond)
 		}
+	case 9, 10:
+		m.delayWrite(n)
+	case 11, 12:
+		length := m.rng.between(time.Second, 9*time.Second)
+		m.t.Logf("%v: the store turns %s away for %v", now, n.config.Instance, length)
+		n.cutOff.Store(true)
+		m.later(length, func() { n.cutOff.Store(false) })
 	}
 }
 
+// delayWrite lets the store do a write late, without an answer: the next one of a key table, or the next one through a node.
+func (m *lateModel) delayWrite(n *virtualNode) {
+	by, ofKeys := m.rng.between(time.Second, 6*time.Second), m.rng.intN(3) > 0
+	m.t.Logf("%v: the next write through %s, or of keys (%t), is done %v late", time.Now().Format("05.000"), n.config.Instance, ofKeys, by)
+	late := m.lateWrites.delayNext(func(through *virtualNode, txn metastore.Txn) bool {
+		return ofKeys && writesKeys(txn) || !ofKeys && through == n
+	})
+	m.pending.Go(func() {
+		select {
+		case <-late.sent:
+		case <-time.After(longestFault / 2):
+			if m.lateWrites.forget(late) {
+				return
+			}
+		}
+		time.Sleep(by)
+		late.release()
+	})
+}
+
 // leave lets a backend server leave without further heartbeats. It serves on for a while and then starts again.
 func (m *lateModel) leave(n *virtualNode, sim *backendSim) {
 	node := n.running()
@@ -141,7 +173,8 @@
 	m.pending.Go(func() {
 		node.backend.markLeaving(sim.id)
 		node.backend.awaitLeaveRecorded(m.t.Context(), sim.id)
-		if n.running() == node && node.views.current().Members[n.config.Instance].State == BackendDraining {
+		recorded := node.views.current().Members[n.config.Instance]
+		if n.running() == node && recorded.State == BackendDraining && recorded.Owner.Incarnation == sim.incarnation() {
 			m.mu.Lock()
 			m.leaves = append(m.leaves, recordedLeave{n, sim, time.Now()})
 			m.mu.Unlock()
