Account for the memory that connections make a process hold

Callers of a trial saw a process end: clients that nobody controls made it hold more than its machine has. What a request costs in memory has little to do with its bytes: a line of three bytes is an entry of the parsed header and one of the copy that is sent on, and a request that is sent ahead costs goroutines and buffers.

memorybudget decides, without I/O, who may hold more of one total, and whose connection is closed for it: those that hold the most and have moved the least, unless a request of theirs runs. What closed connections hold is counted until they have ended. internal/inputlimit counts headers while they pass to net/http and bodies while they are read, by connection and request. No server uses it yet.

Measured: go test ./memorybudget ./internal/inputlimit.

--- /dev/null
+++ b/internal/inputlimit/handler.go
@@ -0,0 +1,57 @@
+package inputlimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// RequestCost is what a request costs beside its header and its body: the goroutines, buffers and
+// connections that serve it.
+const RequestCost = 32 << 10
+
+// connKey is the context key of a Conn.
+type connKey struct{}
+
+// WithConn returns a context for the requests of a connection, for the ConnContext of an http.Server.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	if c, ok := c.(*Conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// Handler accounts for the requests of an http.Server whose connections are of a limiter. If there is no
+// room for one, refuse answers it.
+func Handler(next http.Handler, refuse http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		request := c.current()
+		defer func() {
+			request.End()
+			c.holder.endIfClosed() // http.Server keeps the connection for a moment
+		}()
+		Serve(w, r, request, next, refuse)
+		if r.ContentLength != 0 && c.holder != nil {
+			// What the client still sends of the body is awaited while the connection is kept.
+			_ = c.SetReadDeadline(time.Now().Add(BodyTimeout)) // fails only on a closed connection
+		}
+	})
+}
+
+// Serve runs a request with its account in its context, or refuses it if there is no room for it.
+func Serve(w http.ResponseWriter, r *http.Request, request *Request, next http.Handler, refuse http.HandlerFunc) {
+	if !request.Grow(RequestCost) {
+		w.Header().Set("Connection", "close")
+		refuse(w, r)
+		return
+	}
+	request.SetRunning(true)
+	defer request.SetRunning(false)
+	next.ServeHTTP(w, r.WithContext(WithRequest(r.Context(), request)))
+}
