Bound what clients make a node hold, from the memory of its machine

What callers saw: a process ended for lack of memory, and with it the requests of all its callers, when clients sent requests of legal size made of very many short or odd header lines, heads without end, or many large bodies of which most stopped just short of their end; requests that were sent ahead did the same.

Cause: nothing bounded what all clients together make the process hold. Each header, body and request had a bound of its own, and requests read ahead were counted by their bytes as sent: 128 requests of 100 bytes took 45 KiB each. The memory of the machine was not known to the process.

Evidence: platform/crowd starts the process on loopback with 64 MB of memory and sends it one kind of input from 300 connections.

Why it works: one total, 30 % of the memory in the settings, counts what connections, headers, bodies whole or in part, requests sent ahead, responses held back and buffered cost, also on connections that net/http reads. At its edge the connections that hold the most and have moved the least are closed, none that has a request running; a small request has room that large ones can't take. A request whose header was read and for which there is no room is answered 503, before anything of it is sent on. The garbage collector gets a limit from the same memory. basilway_node_input_bytes, _input_closed_total and _input_refused_total count it.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 build:
 	go build -o bin/ ./cmd/...
 
+# The tests of platform/crowd measure memory, so they run apart from the others.
 test: lint build
-	go test -count=1 $(GO_TEST_FLAGS) ./...
+	go test -count=1 $(GO_TEST_FLAGS) $$(go list ./... | grep -v /platform/crowd)
+	go test -count=1 $(GO_TEST_FLAGS) ./platform/crowd
 
 lint:
 	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
--- a/internal/daemoncli/node.go
+++ b/internal/daemoncli/node.go
@@ -64,6 +64,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	limitMemory(settings.Node.MemoryBytes)
 	settings.Node.DroppedLines, settings.Node.LearnCapacity = dropped, options.learnCapacity
 	settings.Node.Store = platform.NewStore(settings.StoreAddress)
 	go checkSettingsOnHangup(log, options.settings)
--- a/internal/daemoncli/router.go
+++ b/internal/daemoncli/router.go
@@ -32,6 +32,8 @@
 	routerRetryShare   = 0.2
 	routerRetryWindow  = 10 * time.Second
 	routerRetryExtra   = 60
+	// minMemoryMB is the least memory that a router can be given.
+	minMemoryMB = 48
 )
 
 // routerCommand returns the command that runs the HTTP router outside the users' platform.
@@ -63,6 +65,7 @@
 	flags.String("peer-listen", "", "host:port for other routers")
 	flags.String("metrics-listen", "", "host:port of GET /metrics; not served if empty")
 	flags.Float64("link-mbps", 0, "rate of the instance's link in Mbit/s, to which large responses are paced; 0 disables pacing")
+	flags.Int64("memory-mb", 0, "memory of the process in MB, from which follows what clients may make it hold; 0: not known, 512 is assumed for that")
 	flags.Bool("prefer-zone", false, "keep requests without a key in the availability zone while it is expected to answer in time")
 	flags.Bool("learn-capacity", false, "learn how much load the backend server handles well, and limit its requests to that")
 	flags.String("platform-url", "http://127.0.0.1:7399", "base URL of the platform's table")
@@ -97,7 +100,8 @@
 		Instance: required("instance"), Zone: required("zone"), Service: required("service"), BackendAddress: address("backend"),
 		ClientAddress: address("listen"), ReadyAddress: address("ready-listen"), HeartbeatAddress: address("announce-listen"),
 		PeerAddress: address("peer-listen"), LinkBitsPerSecond: settings.GetFloat64("link-mbps") * 1e6,
-		Protocol: httpprotocol.Protocol{}, PreferZone: settings.GetBool("prefer-zone"), LearnCapacity: settings.GetBool("learn-capacity"),
+		MemoryBytes: settings.GetInt64("memory-mb") << 20,
+		Protocol:    httpprotocol.Protocol{}, PreferZone: settings.GetBool("prefer-zone"), LearnCapacity: settings.GetBool("learn-capacity"),
 		Bounds: node.Bounds{
 			DrainTimeout: routerDrainTimeout, StopTimeout: routerStopTimeout, MaxHold: routerMaxHold,
 			RetryShare: routerRetryShare, RetryWindow: routerRetryWindow, RetryExtra: routerRetryExtra,
@@ -109,6 +113,9 @@
 	if config.LinkBitsPerSecond < 0 {
 		problems = append(problems, fmt.Errorf("--link-mbps is %v, allowed: 0 or more", settings.GetFloat64("link-mbps")))
 	}
+	if mb := settings.GetInt64("memory-mb"); mb != 0 && mb < minMemoryMB {
+		problems = append(problems, fmt.Errorf("--memory-mb is %d, allowed: 0, or %d or more", mb, minMemoryMB))
+	}
 	if u, err := url.Parse(settings.GetString("platform-url")); err != nil || u.Host == "" {
 		problems = append(problems, fmt.Errorf("--platform-url is %q, allowed: a URL such as http://127.0.0.1:7399", settings.GetString("platform-url")))
 	}
@@ -124,6 +131,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	limitMemory(config.MemoryBytes)
 	client := connectplatform.NewClient(connectplatform.Config{URL: platformURL})
 	defer client.Close()
 	config.DroppedLines = dropped
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -37,6 +37,8 @@
 	Cores float64
 	// MaxDescriptors is the process's limit of open file descriptors; 0 if unknown.
 	MaxDescriptors int
+	// MemoryBytes is the memory that the process may use; 0 if unknown.
+	MemoryBytes int64
 	// MetricsAddress serves metrics at /metrics; empty turns them off.
 	MetricsAddress string
 	// Store keeps the state that must survive a restart of the process.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,6 +15,7 @@
 	"github.com/basilway/basilway/httproute"
 	"github.com/basilway/basilway/internal/hangup"
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/internal/quantity"
 	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/quarantine"
@@ -67,6 +68,11 @@
 	if err != nil {
 		n.metrics.countUnanswered(route.Name, "invalid")
 		n.events.request("invalid request", id, zap.String("route", route.Name), zap.Error(err))
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Connection", "close") // the rest of the body is not read
+			n.reject(w, id, noRoom())
+			return
+		}
 		w.Header().Set(n.headers.RequestID, id)
 		http.Error(w, err.Error(), status)
 		return
@@ -99,7 +105,10 @@
 	if isBodyTooLarge(err) {
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("body is over %d bytes", routes.Limits.BodyBytes)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, inputlimit.ErrFull):
+		return nil, http.StatusServiceUnavailable, err
+	case err != nil:
 		return nil, http.StatusBadRequest, fmt.Errorf("body cannot be read: %w", err)
 	}
 	e.Header.Set(n.headers.Caller, n.config.Service)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -272,7 +272,7 @@
 	if out.transfer != 0 {
 		defer n.pacer.remove(out.transfer)
 		// Buffer the response, so that the backend server does not wait for the link.
-		out = n.buffers.buffer(out)
+		out = n.buffers.buffer(ctx, out)
 	}
 	h := w.Header()
 	if n.stopping.Load() {
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/internal/inputlimit"
 )
 
 // hopByHopHeaders apply to one connection only and are not forwarded.
@@ -55,7 +56,7 @@
 	if r.ContentLength == 0 {
 		return e, nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
+	buffered, err := inputlimit.FromContext(r.Context()).ReadAll(body, maxBufferedBody, 1)
 	if err != nil {
 		return e, err
 	}
--- /dev/null
+++ b/internal/node/inputlimits.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/basilway/basilway/internal/inputlimit"
+	"github.com/basilway/basilway/memorybudget"
+	"github.com/basilway/basilway/verdict"
+)
+
+const (
+	// inputPercent is the percentage of the instance's memory that all clients and other nodes together
+	// may make the process hold. The rest is for the cluster's state and for the garbage collector.
+	inputPercent = 30
+	// defaultMemory is the memory of the instance in bytes if it is not known.
+	defaultMemory = 512 << 20
+)
+
+// newInputLimiter returns the limiter of what the node's servers hold.
+func newInputLimiter(n *Node) *inputlimit.Limiter {
+	memory := n.config.MemoryBytes
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	return inputlimit.New(inputlimit.Config{
+		Budget: memorybudget.DefaultConfig(memory / 100 * inputPercent),
+		Closed: func(server string, c memorybudget.Closed) {
+			n.metrics.countInputClosed(server, c.Activity)
+			n.events.log.Info("connection closed to free memory", zap.String("server", server), zap.Int64("bytes", c.Bytes),
+				zap.Stringer("activity", c.Activity), zap.Duration("idle", c.Idle))
+		},
+		Refused: func(server string, bytes int64) {
+			n.metrics.countInputRefused(server)
+			n.events.log.Info("no room for what a client sent", zap.String("server", server), zap.Int64("bytes", bytes))
+		},
+	})
+}
+
+// noRoom is the refusal of a request for which there is no memory. Nothing of it was passed on.
+func noRoom() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonOverloaded, "%v", inputlimit.ErrFull).WithRetryAfter(defaultRetryAfter)
+}
+
+// refuseClient answers a client's request for which there is no memory.
+func (n *Node) refuseClient(w http.ResponseWriter, r *http.Request) {
+	n.metrics.countUnanswered("unknown", string(verdict.ReasonOverloaded))
+	n.reject(w, r.Header.Get(n.headers.RequestID), noRoom())
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/internal/readahead"
+	"github.com/basilway/basilway/memorybudget"
 	"github.com/basilway/basilway/metastore"
 )
 
@@ -67,6 +68,7 @@
 	m.set.NewGauge("basilway_node_link_backlog_seconds", func() float64 { return n.pacer.backlog().Seconds() })
 	m.set.NewGauge("basilway_node_client_connections", func() float64 { return float64(n.clients.count()) })
 	m.set.NewGauge("basilway_node_response_buffer_bytes", func() float64 { return float64(n.buffers.bytes.Load()) })
+	m.set.NewGauge("basilway_node_input_bytes", func() float64 { return float64(n.limiter.Used()) })
 	m.set.NewGauge("basilway_node_members", func() float64 { return float64(len(n.views.current().Members)) })
 	m.set.NewGauge("basilway_node_desired_state_version", func() float64 {
 		if routes := n.views.current().Routes; routes != nil {
@@ -145,6 +147,16 @@
 	m.set.GetOrCreateCounter("basilway_node_client_write_timeouts_total").Inc()
 }
 
+// countInputClosed counts a connection that was closed to free what it held.
+func (m *nodeMetrics) countInputClosed(server string, a memorybudget.Activity) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_input_closed_total{server=%q,activity=%q}`, server, a)).Inc()
+}
+
+// countInputRefused counts a connection or a part of a request for which there was no room.
+func (m *nodeMetrics) countInputRefused(server string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`basilway_node_input_refused_total{server=%q}`, server)).Inc()
+}
+
 // countStoreCall counts a call to the store.
 func (m *nodeMetrics) countStoreCall(call, rows string, err error) {
 	outcome := "ok"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/basilway/basilway/cluster"
 	"github.com/basilway/basilway/evacuation"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/preflight"
 	"github.com/basilway/basilway/retry"
 	"github.com/basilway/basilway/stopperiod"
@@ -48,6 +49,7 @@
 	buffers   responseBuffers
 	pacer     *pacer
 	clients   *clientConns
+	limiter   *inputlimit.Limiter
 	refusals  refusals
 	zoneExits zoneExits
 	// preflights decides when a node in another availability zone is asked before it gets a request.
@@ -129,6 +131,7 @@
 		n.desired.notify()
 	}
 	n.events = newEvents(log, n.metrics.countDroppedLine)
+	n.limiter = newInputLimiter(n)
 	return n
 }
 
--- a/internal/node/responsebuffers.go
+++ b/internal/node/responsebuffers.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
 
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -27,17 +29,22 @@
 
 // buffer reads up to maxBufferedResponse bytes of a response. If it is truncated within them, the
 // result is an error, so that the request can be retried.
-func (b *responseBuffers) buffer(out outcome) outcome {
-	resp := out.resp
+// The account of the request in ctx has to have room for them, else it is passed on while it is received.
+func (b *responseBuffers) buffer(ctx context.Context, out outcome) outcome {
+	resp, request := out.resp, inputlimit.FromContext(ctx)
 	reserved, limit := int64(maxBufferedResponse), int64(maxBufferedResponse)
 	if resp.ContentLength >= 0 {
 		reserved = min(reserved, resp.ContentLength)
 	}
-	if b.bytes.Add(reserved) > maxBufferedBytes {
+	accounted := reserved
+	if b.bytes.Add(reserved) > maxBufferedBytes || !request.TryGrow(accounted) {
 		b.bytes.Add(-reserved)
-		reserved, limit = 0, minBufferedResponse
+		reserved, accounted, limit = 0, 0, minBufferedResponse
 	}
-	release := sync.OnceFunc(func() { b.bytes.Add(-reserved) })
+	release := sync.OnceFunc(func() {
+		b.bytes.Add(-reserved)
+		request.Shrink(accounted)
+	})
 	var buffered bytes.Buffer
 	if resp.ContentLength > 0 && resp.ContentLength <= limit {
 		// Without room for a further read, the buffer would double its size at the end.
@@ -46,6 +53,8 @@
 	_, err := io.CopyN(&buffered, resp.Body, limit)
 	b.bytes.Add(int64(buffered.Cap()) - reserved)
 	reserved = int64(buffered.Cap())
+	request.Shrink(accounted - min(accounted, reserved))
+	accounted = min(accounted, reserved)
 	if err != nil && !errors.Is(err, io.EOF) {
 		release()
 		resp.Body.Close()
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -98,7 +98,7 @@
 	}
 	if out.err == nil {
 		transfer := out.transfer
-		if out = n.buffers.buffer(out); out.err != nil {
+		if out = n.buffers.buffer(ctx, out); out.err != nil {
 			n.pacer.remove(transfer)
 		}
 		n.peers.observeOverhead(m.Address, req.route.Kind == httproute.Download, time.Since(started), out.load.work)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -108,6 +108,7 @@
 	return readahead.Config{
 		Handler: handler, Idempotent: n.isIdempotent, Bounds: pipeline.DefaultConfig(),
 		MaxHeldBytes: maxHeldResponse, MaxInstanceBytes: maxReadAhead, MaxHeaderBytes: maxHeaderBytes,
+		Limiter: n.limiter, Refuse: n.refuseClient,
 		HeaderTimeout: n.clientHeaderLimit, IdleTimeout: defaultClientIdle, WriteTimeout: clientWriteTimeout, WriteTimedOut: n.countSlowReader,
 		ConnState: n.clients.connState, ObserveWait: n.metrics.observeConnWait,
 	}
--- a/internal/readahead/actions.go
+++ b/internal/readahead/actions.go
@@ -42,6 +42,7 @@
 			st.permission, st.left = dropped, true
 			delete(c.streams, a.ID)
 			c.release(st)
+			st.request.End()
 			c.updateReserved()
 		}
 	case pipeline.Write:
@@ -66,6 +67,7 @@
 		c.mu.Unlock()
 		_, err := c.write(held)
 		c.server.heldBytes.Add(-int64(len(held)))
+		st.request.Shrink(int64(len(held)) * receivedCost)
 		c.mu.Lock()
 		if err != nil {
 			c.release(st)
@@ -88,7 +90,8 @@
 		wait.Held = time.Since(st.heldSince)
 	}
 	onWritten := st.onWritten
-	if len(c.free) < maxFreeStreams && !c.state.Ended() && !st.closed {
+	st.request.End()
+	if len(c.free) < maxFreeStreams && !c.state.Ended() && !st.closed && c.keepIdle(st) {
 		c.free = append(c.free, st)
 	} else {
 		st.left = true
@@ -106,6 +109,15 @@
 	c.mu.Lock()
 }
 
+// freeStreamCost is what a free stream costs: the buffers and the goroutine of its http.Server connection.
+const freeStreamCost = 16 << 10
+
+// keepIdle accounts for a stream that is kept for later requests. It reports false if there is no room.
+func (c *conn) keepIdle(st *stream) bool {
+	st.idle = c.holder.NewRequest()
+	return !c.server.config.Limiter.Full() && st.idle.TryGrow(freeStreamCost)
+}
+
 // release drops the held part of a response.
 func (c *conn) release(st *stream) {
 	c.server.heldBytes.Add(-int64(len(st.held)))
@@ -122,6 +134,7 @@
 func (c *conn) closeStreams() {
 	for _, st := range c.free {
 		st.left = true
+		st.idle.End()
 	}
 	c.free = nil
 	c.updateReserved()
--- a/internal/readahead/capture.go
+++ b/internal/readahead/capture.go
@@ -11,6 +11,8 @@
 	"slices"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/basilway/basilway/internal/inputlimit"
 )
 
 // capture reads requests from a connection and keeps their bytes as received.
@@ -21,10 +23,20 @@
 	lastMethod string
 	// received are the bytes read from the connection that belong to no finished request.
 	received []byte
+
+	holder *inputlimit.Holder
+	// reading is set while a request is read. request is its account, head its header, and noRoom is set
+	// if there was no room for what was received last.
+	reading bool
+	request *inputlimit.Request
+	head    inputlimit.HeadMeter
+	noRoom  bool
+	// maxHeader bounds the bytes of a header that are looked at.
+	maxHeader int
 }
 
-func newCapture(raw net.Conn) *capture {
-	c := &capture{raw: raw}
+func newCapture(raw net.Conn, holder *inputlimit.Holder, maxHeader int) *capture {
+	c := &capture{raw: raw, holder: holder, maxHeader: maxHeader}
 	c.reader = bufio.NewReaderSize(captureReader{c}, readBuffer)
 	return c
 }
@@ -34,14 +46,43 @@
 
 // Read implements io.Reader.
 func (r captureReader) Read(p []byte) (int, error) {
-	if len(r.received) > maxBufferedRequest {
+	switch {
+	case r.noRoom:
+		return 0, errNoRoom
+	case len(r.received) > maxBufferedRequest || r.reading && !r.head.Done() && r.head.Bytes() > r.maxHeader:
 		return 0, errTooLarge
 	}
 	n, err := r.raw.Read(p)
 	r.received = append(r.received, p[:n]...)
+	if n > 0 {
+		r.holder.Moved()
+	}
+	if r.reading {
+		r.noRoom = !r.request.Grow(r.cost(p[:n]))
+	}
 	return n, err
 }
 
+// receivedCost is what a received byte costs: its room in a buffer that grows.
+const receivedCost = 3
+
+// cost returns what further bytes of the request cost.
+func (c *capture) cost(p []byte) int64 { return c.head.Add(p) + int64(len(p))*receivedCost }
+
+// begin opens the account of the next request, some of which has been received.
+func (c *capture) begin() {
+	c.reading, c.request, c.head = true, c.holder.NewRequest(), inputlimit.HeadMeter{}
+	c.noRoom = !c.request.Grow(c.cost(c.received))
+}
+
+// take returns the account of the request that has been read, and whether there was room for all of it.
+func (c *capture) take() (request *inputlimit.Request, ok bool) {
+	request, ok = c.request, !c.noRoom
+	request.SetHead(c.head)
+	c.reading, c.request, c.noRoom = false, nil, false
+	return request, ok
+}
+
 // minRequestBytes is what is awaited before a further request is parsed, as in http.Server, so
 // that a stray line end behind a body is judged together with what follows it.
 const minRequestBytes = 4
@@ -69,6 +110,9 @@
 func (c *capture) next(headerRead func()) (request []byte, delimited bool, err error) {
 	r, err := http.ReadRequest(c.reader)
 	headerRead()
+	if errors.Is(err, errNoRoom) {
+		return nil, false, err
+	}
 	if err == nil && !c.mayDelimit(r) {
 		return nil, false, nil
 	}
@@ -89,11 +133,11 @@
 // handler does: no protocol switch, no interim response that the client waits for. A body is
 // awaited only behind a header that http.Server does not reject at once.
 func (c *capture) mayDelimit(r *http.Request) bool {
-	if r.ContentLength != 0 && !validHeader(c.received) {
+	if r.ProtoMajor != 1 || r.ProtoMinor != 1 || r.Method == http.MethodConnect ||
+		r.Header.Get("Expect") != "" || r.Header.Get("Upgrade") != "" || r.ContentLength > maxBufferedRequest {
 		return false
 	}
-	return r.ProtoMajor == 1 && r.ProtoMinor == 1 && r.Method != http.MethodConnect &&
-		r.Header.Get("Expect") == "" && r.Header.Get("Upgrade") == "" && r.ContentLength <= maxBufferedRequest
+	return r.ContentLength == 0 || validHeader(c.received)
 }
 
 // validHeader reports whether a header is one that http.Server accepts.
@@ -125,5 +169,9 @@
 	return nil
 }
 
-// rest returns the bytes that were received and belong to no request returned by next.
-func (c *capture) rest() []byte { return c.received }
+// restConn returns the rest of the connection, from the bytes that were received and belong to no request
+// returned by next.
+func (c *capture) restConn(tcp *net.TCPConn) *inputlimit.Conn {
+	request, _ := c.take()
+	return inputlimit.NewRestConn(tcp, c.holder, request, c.head, c.received)
+}
--- a/internal/readahead/config.go
+++ b/internal/readahead/config.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/pipeline"
 )
 
@@ -22,8 +23,8 @@
 	// end early.
 	MaxHeldBytes int
 	// MaxInstanceBytes bounds the bytes of requests read ahead and of responses held back over
-	// all connections. Beyond it, connections read one request at a time and responses are not
-	// held back.
+	// all connections, as sent. Beyond it, connections read one request at a time and responses are not
+	// held back. Limiter bounds what they cost in memory.
 	MaxInstanceBytes int64
 	// HeaderTimeout returns how long a client may take to send a header, from its first byte.
 	HeaderTimeout func() time.Duration
@@ -36,6 +37,10 @@
 	WriteTimedOut func()
 	// MaxHeaderBytes bounds the size of a header.
 	MaxHeaderBytes int
+	// Limiter accounts for what the connections hold; nil for no limit. Refuse answers requests for which
+	// it has no room; they have not run.
+	Limiter *inputlimit.Limiter
+	Refuse  http.HandlerFunc
 	// ConnState is called when a client connection changes its state, as in http.Server; nil
 	// if nobody needs it.
 	ConnState func(net.Conn, http.ConnState)
--- a/internal/readahead/conn.go
+++ b/internal/readahead/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/basilway/basilway/internal/hangup"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/pipeline"
 )
 
@@ -17,6 +18,7 @@
 type conn struct {
 	server  *Server
 	raw     net.Conn
+	holder  *inputlimit.Holder
 	capture *capture
 
 	mu      sync.Mutex
@@ -38,8 +40,9 @@
 	handedOver, closed bool
 }
 
-func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, capture: newCapture(raw), state: pipeline.New(s.config.Bounds), streams: map[pipeline.ID]*stream{}}
+func newConn(s *Server, raw net.Conn, holder *inputlimit.Holder) *conn {
+	c := &conn{server: s, raw: raw, holder: holder, state: pipeline.New(s.config.Bounds), streams: map[pipeline.ID]*stream{}}
+	c.capture = newCapture(raw, holder, s.config.MaxHeaderBytes)
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -56,7 +59,7 @@
 		c.beginRequest(arrived)
 		request, delimited, err := c.capture.next(func() { c.setReadDeadline(time.Time{}) })
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errNoRoom):
 			c.stop()
 		case err != nil:
 			c.abort()
@@ -140,6 +143,7 @@
 	c.receiving = true
 	c.report(http.StateActive)
 	c.mu.Unlock()
+	c.capture.begin()
 	c.setReadDeadline(arrived.Add(c.server.config.HeaderTimeout()))
 }
 
@@ -153,7 +157,9 @@
 // write writes a part of a response to the client. If that fails, also because the client does not read,
 // the connection is closed: a client that does not read may leave it open forever.
 func (c *conn) write(p []byte) (int, error) {
-	n, err := c.server.config.writePieces(c.raw, p)
+	c.holder.Sending(true)
+	defer c.holder.Sending(false)
+	n, err := c.server.config.writePieces(c.raw, p, c.holder)
 	if err != nil {
 		c.raw.Close()
 	}
@@ -181,11 +187,12 @@
 	rest := c.handedOver
 	c.mu.Unlock()
 	tcp, ok := c.raw.(*net.TCPConn)
-	if rest && ok && c.server.streams.hand(&restConn{TCPConn: tcp, raw: c.raw, unread: c.capture.rest(), config: &c.server.config}) {
+	if rest && ok && c.server.streams.hand(&restConn{Conn: c.capture.restConn(tcp), raw: c.raw, config: &c.server.config}) {
 		c.server.remove(c)
 		return
 	}
 	c.raw.Close()
+	c.holder.Close()
 	c.report(http.StateClosed)
 	c.server.remove(c)
 }
--- a/internal/readahead/handler.go
+++ b/internal/readahead/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/pipeline"
 )
 
@@ -42,7 +43,7 @@
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request) {
 	st := streamOf(r.Context())
 	if st == nil {
-		s.config.Handler.ServeHTTP(w, r)
+		s.rest.ServeHTTP(w, r)
 		return
 	}
 	mode := pipeline.Alone
@@ -52,7 +53,14 @@
 	if !st.conn.offer(st, mode, r.Close) {
 		panic(http.ErrAbortHandler)
 	}
-	s.config.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, stream: st, last: r.Close}, r)
+	out := &responseWriter{ResponseWriter: w, stream: st, last: r.Close}
+	if st.refused {
+		out.Header().Set("Connection", "close")
+		s.config.Refuse(out, r)
+		return
+	}
+	st.request.SetRunning(true)
+	s.config.Handler.ServeHTTP(out, r.WithContext(inputlimit.WithRequest(r.Context(), st.request)))
 }
 
 // responseWriter announces the end of the connection in the last response only.
--- a/internal/readahead/limits_test.go
+++ b/internal/readahead/limits_test.go
@@ -131,7 +131,7 @@
 		const pieces = 20
 		written := make(chan error, 1)
 		go func() {
-			n, err := config.writePieces(server, make([]byte, pieces*maxWritePiece))
+			n, err := config.writePieces(server, make([]byte, pieces*maxWritePiece), nil)
 			g.Expect(n).To(Equal(pieces * maxWritePiece))
 			written <- err
 		}()
--- a/internal/readahead/requests.go
+++ b/internal/readahead/requests.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/pipeline"
 )
 
@@ -10,14 +11,22 @@
 func (c *conn) add(request []byte, arrived time.Time) {
 	var st *stream
 	isNew := false
+	account, ok := c.capture.take()
+	refused := !ok || !account.Grow(inputlimit.RequestCost)
+	if refused && !account.GrowToRefuse(inputlimit.RequestCost) {
+		account.End()
+		c.stop()
+		return
+	}
 	c.apply(func() []pipeline.Action {
 		c.receiving = false
 		id, actions, ok := c.state.Add(len(request))
 		if !ok {
+			account.End()
 			return actions
 		}
 		st, isNew = c.takeStream()
-		st.exchange = exchange{id: id, busy: true, unread: request, arrived: arrived}
+		st.exchange = exchange{id: id, busy: true, unread: request, arrived: arrived, request: account, refused: refused}
 		c.streams[id] = st
 		c.updateReserved()
 		c.changed.Broadcast()
@@ -33,6 +42,7 @@
 func (c *conn) takeStream() (st *stream, isNew bool) {
 	for n := len(c.free); n > 0; n = len(c.free) {
 		st, c.free = c.free[n-1], c.free[:n-1]
+		st.idle.End()
 		if !st.closed {
 			return st, false
 		}
--- a/internal/readahead/server.go
+++ b/internal/readahead/server.go
@@ -21,12 +21,15 @@
 	"time"
 
 	"github.com/basilway/basilway/internal/hangup"
+	"github.com/basilway/basilway/internal/inputlimit"
 )
 
 // Server is an HTTP server whose connections read ahead.
 type Server struct {
-	config  Config
-	inner   *http.Server
+	config Config
+	inner  *http.Server
+	// rest handles the requests of connections that the http.Server reads itself.
+	rest    http.Handler
 	streams *streamListener
 	// heldBytes counts the bytes of requests read ahead and of responses held back.
 	heldBytes atomic.Int64
@@ -44,6 +47,7 @@
 	if errorLog == nil {
 		errorLog = log.Default()
 	}
+	s.rest = inputlimit.Handler(config.Handler, config.Refuse)
 	s.inner = &http.Server{
 		Handler: http.HandlerFunc(s.serveStream), ConnState: s.innerState, ErrorLog: errorLog,
 		MaxHeaderBytes: config.MaxHeaderBytes, IdleTimeout: config.IdleTimeout, ReadHeaderTimeout: config.HeaderTimeout(),
@@ -51,6 +55,9 @@
 			if st, ok := c.(*stream); ok {
 				return context.WithValue(hangup.WithConn(ctx, st.conn.raw), streamKey{}, st)
 			}
+			if rest, ok := c.(*restConn); ok {
+				ctx = inputlimit.WithConn(ctx, rest.Conn)
+			}
 			return hangup.WithConn(ctx, c)
 		},
 	}
@@ -90,8 +97,16 @@
 // descriptors.
 const acceptPause = 5 * time.Millisecond
 
+// serverName is the name of client connections in the limiter's figures.
+const serverName = "clients"
+
 func (s *Server) start(raw net.Conn) {
-	c := newConn(s, raw)
+	holder, ok := s.config.Limiter.Open(serverName, false, raw)
+	if !ok {
+		raw.Close()
+		return
+	}
+	c := newConn(s, raw, holder)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	stopping := s.stopping
@@ -168,15 +183,16 @@
 			c.conn.finish(c, true)
 		}
 	case *restConn:
+		c.SetState(state)
 		if state != http.StateNew && s.config.ConnState != nil {
 			s.config.ConnState(c.raw, state)
 		}
 	}
 }
 
-// reserve counts held bytes in the server's total. It reports false if they do not fit.
-func (s *Server) reserve(n int) bool {
-	if s.heldBytes.Add(int64(n)) <= s.config.MaxInstanceBytes {
+// reserve counts held bytes of a request's response. It reports false if they do not fit.
+func (s *Server) reserve(request *inputlimit.Request, n int) bool {
+	if s.heldBytes.Add(int64(n)) <= s.config.MaxInstanceBytes && request.TryGrow(int64(n)*receivedCost) {
 		return true
 	}
 	s.heldBytes.Add(-int64(n))
@@ -184,4 +200,6 @@
 }
 
 // full reports whether all connections together hold as many bytes as they may.
-func (s *Server) full() bool { return s.heldBytes.Load() >= s.config.MaxInstanceBytes }
+func (s *Server) full() bool {
+	return s.heldBytes.Load() >= s.config.MaxInstanceBytes || s.config.Limiter.Full()
+}
--- a/internal/readahead/stream.go
+++ b/internal/readahead/stream.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/pipeline"
 )
 
@@ -27,6 +28,8 @@
 	left, closed bool
 	// interrupted is set while a Read must not wait.
 	interrupted bool
+	// idle is the account of the stream while it is free.
+	idle *inputlimit.Request
 }
 
 // exchange is the state of the request that a stream carries.
@@ -44,6 +47,9 @@
 	// held are the bytes of the response that wait for the turn, since heldSince.
 	held      []byte
 	heldSince time.Time
+	// request is the account of the request. refused is set if there is no room to run it.
+	request *inputlimit.Request
+	refused bool
 	// onWritten is called when the whole response has been written.
 	onWritten func(Wait)
 }
@@ -80,7 +86,7 @@
 		if st.heldSince.IsZero() {
 			st.heldSince = time.Now()
 		}
-		if len(st.held)+len(p) <= c.server.config.MaxHeldBytes && c.server.reserve(len(p)) {
+		if len(st.held)+len(p) <= c.server.config.MaxHeldBytes && c.server.reserve(st.request, len(p)) {
 			st.held = append(st.held, p...)
 			c.mu.Unlock()
 			return len(p), nil
--- a/internal/readahead/writepieces.go
+++ b/internal/readahead/writepieces.go
@@ -5,10 +5,13 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/basilway/basilway/internal/inputlimit"
 )
 
-// writePieces writes p in pieces of at most maxWritePiece bytes, each within the write timeout.
-func (config *Config) writePieces(c net.Conn, p []byte) (n int, err error) {
+// writePieces writes p in pieces of at most maxWritePiece bytes, each within the write timeout. holder is
+// told of each piece; nil if c tells it.
+func (config *Config) writePieces(c net.Conn, p []byte, holder *inputlimit.Holder) (n int, err error) {
 	for {
 		piece := p[n:min(n+maxWritePiece, len(p))]
 		if config.WriteTimeout > 0 {
@@ -16,6 +19,7 @@
 		}
 		written, err := c.Write(piece)
 		n += written
+		holder.Moved()
 		if errors.Is(err, os.ErrDeadlineExceeded) && config.WriteTimedOut != nil {
 			config.WriteTimedOut()
 		}
