End connections whose client stops in the middle of a body

What operators saw: a connection, and what was received on it, stayed until the client itself closed.

Cause: the time limit for a header ends with it, and the read of the body had none; a request's deadline begins to count when its body has been read.

Why it works: a client has 30 s for each 16 KiB of a body, like for a response, which is longer than any deadline. A request that was not passed on is then answered 408, which is certain to be true.

--- a/internal/inputlimit/handler.go
+++ b/internal/inputlimit/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 )
 
 // RequestCost is what a request costs beside its header and its body: the goroutines, buffers and
@@ -37,9 +36,9 @@
 			c.holder.endIfClosed() // http.Server keeps the connection for a moment
 		}()
 		Serve(w, r, request, next, refuse)
-		if r.ContentLength != 0 && c.holder != nil {
-			// What the client still sends of the body is awaited while the connection is kept.
-			_ = c.SetReadDeadline(time.Now().Add(BodyTimeout)) // fails only on a closed connection
+		if r.ContentLength != 0 {
+			// http.Server still awaits a part of the body, so that the connection can be kept.
+			_ = c.SetReadDeadline(c.holder.BodyDeadline()) // fails only on a closed connection
 		}
 	})
 }
--- a/internal/inputlimit/holder.go
+++ b/internal/inputlimit/holder.go
@@ -87,6 +87,14 @@
 	return granted
 }
 
+// BodyDeadline returns until when the next BodyPiece bytes of a body must have arrived; zero if there is no limit.
+func (h *Holder) BodyDeadline() time.Time {
+	if h == nil || h.limiter.config.BodyTimeout == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(h.limiter.config.BodyTimeout)
+}
+
 // Moved says that a part was received or sent.
 func (h *Holder) Moved() {
 	h.update(func(b *memorybudget.Budget, now time.Time) { b.Move(h.id, now) })
--- a/internal/inputlimit/limiter.go
+++ b/internal/inputlimit/limiter.go
@@ -13,6 +13,8 @@
 // Config configures a Limiter.
 type Config struct {
 	Budget memorybudget.Config
+	// BodyTimeout is how long a client may take to send BodyPiece bytes of a body; 0 means no limit.
+	BodyTimeout time.Duration
 	// Closed is called for each connection that is closed to make room, Refused for each that is not
 	// accepted and each part of a request that is not taken; nil if nobody needs them. They must not call
 	// the limiter.
--- a/internal/inputlimit/request.go
+++ b/internal/inputlimit/request.go
@@ -168,10 +168,7 @@
 }
 
 const (
-	// BodyTimeout is how long a client may take to send BodyPiece bytes of a body. It is longer than any
-	// deadline.
-	BodyTimeout = 30 * time.Second
-	// BodyPiece is the number of bytes of a body for which BodyTimeout begins anew.
+	// BodyPiece is the number of bytes of a body for which Config.BodyTimeout begins anew.
 	BodyPiece = 16 << 10
 	// firstRead is the size of the buffer for the first part of a body.
 	firstRead = 512
@@ -187,13 +184,14 @@
 func (r *Request) readAll(body io.Reader, limit int, factor int64) ([]byte, error) {
 	var data []byte
 	awaited := 0 // the size at which the time for the next piece begins
-	if r != nil && r.conn != nil {
+	timed := r != nil && r.conn != nil && r.holder.limiter.config.BodyTimeout > 0
+	if timed {
 		defer func() { _ = r.conn.SetReadDeadline(time.Time{}) }() // fails only on a closed connection
 	}
 	for len(data) < limit {
-		if r != nil && r.conn != nil && len(data) >= awaited {
+		if timed && len(data) >= awaited {
 			awaited = len(data) + BodyPiece
-			_ = r.conn.SetReadDeadline(time.Now().Add(BodyTimeout))
+			_ = r.conn.SetReadDeadline(r.holder.BodyDeadline())
 		}
 		if len(data) == cap(data) {
 			size := min(max(firstRead, 2*cap(data)), limit)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -68,8 +69,10 @@
 	if err != nil {
 		n.metrics.countUnanswered(route.Name, "invalid")
 		n.events.request("invalid request", id, zap.String("route", route.Name), zap.Error(err))
-		if status == http.StatusServiceUnavailable {
+		if status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout {
 			w.Header().Set("Connection", "close") // the rest of the body is not read
+		}
+		if status == http.StatusServiceUnavailable {
 			n.reject(w, id, noRoom())
 			return
 		}
@@ -108,6 +111,8 @@
 	switch {
 	case errors.Is(err, inputlimit.ErrFull):
 		return nil, http.StatusServiceUnavailable, err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout, fmt.Errorf("%d bytes of the body did not arrive within %v", inputlimit.BodyPiece, clientBodyTimeout)
 	case err != nil:
 		return nil, http.StatusBadRequest, fmt.Errorf("body cannot be read: %w", err)
 	}
--- a/internal/node/inputlimits.go
+++ b/internal/node/inputlimits.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,6 +17,8 @@
 	inputPercent = 30
 	// defaultMemory is the memory of the instance in bytes if it is not known.
 	defaultMemory = 512 << 20
+	// clientBodyTimeout is how long a client may take to send 16 KiB of a body. It is longer than any deadline.
+	clientBodyTimeout = 30 * time.Second
 )
 
 // newInputLimiter returns the limiter of what the node's servers hold.
@@ -25,7 +28,7 @@
 		memory = defaultMemory
 	}
 	return inputlimit.New(inputlimit.Config{
-		Budget: memorybudget.DefaultConfig(memory / 100 * inputPercent),
+		Budget: memorybudget.DefaultConfig(memory / 100 * inputPercent), BodyTimeout: clientBodyTimeout,
 		Closed: func(server string, c memorybudget.Closed) {
 			n.metrics.countInputClosed(server, c.Activity)
 			n.events.log.Info("connection closed to free memory", zap.String("server", server), zap.Int64("bytes", c.Bytes),
--- a/internal/readahead/capture.go
+++ b/internal/readahead/capture.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/textproto"
 	"slices"
+	"time"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -33,10 +34,14 @@
 	noRoom  bool
 	// maxHeader bounds the bytes of a header that are looked at.
 	maxHeader int
+	// nextPiece is the number of received bytes at which the client has longer for the rest of a body.
+	nextPiece int
+	// setReadDeadline sets the read deadline of the connection.
+	setReadDeadline func(time.Time)
 }
 
-func newCapture(raw net.Conn, holder *inputlimit.Holder, maxHeader int) *capture {
-	c := &capture{raw: raw, holder: holder, maxHeader: maxHeader}
+func newCapture(raw net.Conn, holder *inputlimit.Holder, maxHeader int, setReadDeadline func(time.Time)) *capture {
+	c := &capture{raw: raw, holder: holder, maxHeader: maxHeader, setReadDeadline: setReadDeadline}
 	c.reader = bufio.NewReaderSize(captureReader{c}, readBuffer)
 	return c
 }
@@ -51,6 +56,9 @@
 		return 0, errNoRoom
 	case len(r.received) > maxBufferedRequest || r.reading && !r.head.Done() && r.head.Bytes() > r.maxHeader:
 		return 0, errTooLarge
+	case r.reading && r.head.Done() && len(r.received) >= r.nextPiece:
+		r.nextPiece = len(r.received) + inputlimit.BodyPiece
+		r.setReadDeadline(r.holder.BodyDeadline())
 	}
 	n, err := r.raw.Read(p)
 	r.received = append(r.received, p[:n]...)
@@ -71,7 +79,7 @@
 
 // begin opens the account of the next request, some of which has been received.
 func (c *capture) begin() {
-	c.reading, c.request, c.head = true, c.holder.NewRequest(), inputlimit.HeadMeter{}
+	c.reading, c.request, c.head, c.nextPiece = true, c.holder.NewRequest(), inputlimit.HeadMeter{}, 0
 	c.noRoom = !c.request.Grow(c.cost(c.received))
 }
 
--- a/internal/readahead/conn.go
+++ b/internal/readahead/conn.go
@@ -42,7 +42,7 @@
 
 func newConn(s *Server, raw net.Conn, holder *inputlimit.Holder) *conn {
 	c := &conn{server: s, raw: raw, holder: holder, state: pipeline.New(s.config.Bounds), streams: map[pipeline.ID]*stream{}}
-	c.capture = newCapture(raw, holder, s.config.MaxHeaderBytes)
+	c.capture = newCapture(raw, holder, s.config.MaxHeaderBytes, c.setReadDeadline)
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
