Bound what other connections make a node hold, and requests that are passed on

What callers saw: as on client connections, a process that ends for lack of memory, when headers or messages just short of their end pile up at the port for other nodes or for heartbeats, or when other nodes pass many large requests on to one.

Messages of nodes may have 8 MiB, heartbeats 4 MiB, forwarded bodies are buffered up to 1 MiB, and nothing bounded their sum. net/http reads these connections itself, so their headers weren't counted either.

Why it works: these servers count on the same total, by wrapping their connections. A message, heartbeat or forwarded request for which there is no room is answered 503, the last with "not run", as nothing of it was sent. What is small there may use the reserved part, so that readiness checks, heartbeats and short messages are answered while clients take all the rest. Headers between nodes may have 136 KiB: lines of three bytes that clients send take six when they are sent on.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/basilway/basilway/coldstate"
 	"github.com/basilway/basilway/grant"
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/keyrange"
 	"github.com/basilway/basilway/quarantine"
 )
@@ -208,8 +212,26 @@
 	b.wake()
 }
 
+const (
+	// maxAnnouncementSize bounds an announcement, in bytes; 65,536 keys held one by one fit.
+	maxAnnouncementSize = 4 << 20
+	// announcementCost is what a byte of an announcement costs: received, and decoded.
+	announcementCost = 6
+)
+
 // serveAnnouncement handles the backend server's heartbeats and leaves.
 func (b *backend) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
+	body, err := inputlimit.FromContext(r.Context()).ReadAll(r.Body, maxAnnouncementSize, announcementCost)
+	if errors.Is(err, inputlimit.ErrFull) {
+		refuseForMemory(w, r)
+		return
+	}
+	if err != nil {
+		b.log.Warn("announcement cannot be read", zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	hb, leaves, err := b.node.config.Protocol.Announcement(r)
 	if err == nil && !leaves && hb.Service != b.node.config.Service {
 		err = fmt.Errorf("service %q; this node serves %q", hb.Service, b.node.config.Service)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/basilway/basilway/internal/hangup"
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/verdict"
 )
 
@@ -229,6 +230,10 @@
 		return
 	}
 	e, err := n.newExchange(r, r.Body)
+	if errors.Is(err, inputlimit.ErrFull) {
+		n.refuseForwarded(w, r)
+		return
+	}
 	if err != nil {
 		// The request was not read whole, so nothing was sent to the backend server. The peer
 		// sees the connection close and treats the request as lost.
@@ -254,6 +259,10 @@
 	}
 	n.applyLimitHint(r.Header)
 	e, err := n.newExchange(r, r.Body)
+	if errors.Is(err, inputlimit.ErrFull) {
+		n.refuseForwarded(w, r)
+		return
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // as in servePeer
 	}
--- a/internal/node/inputlimits.go
+++ b/internal/node/inputlimits.go
@@ -27,8 +27,9 @@
 	if memory <= 0 {
 		memory = defaultMemory
 	}
+	budget := memorybudget.DefaultConfig(memory / 100 * inputPercent)
 	return inputlimit.New(inputlimit.Config{
-		Budget: memorybudget.DefaultConfig(memory / 100 * inputPercent), BodyTimeout: clientBodyTimeout,
+		Budget: budget, BodyTimeout: clientBodyTimeout,
 		Closed: func(server string, c memorybudget.Closed) {
 			n.metrics.countInputClosed(server, c.Activity)
 			n.events.log.Info("connection closed to free memory", zap.String("server", server), zap.Int64("bytes", c.Bytes),
@@ -51,3 +52,26 @@
 	n.metrics.countUnanswered("unknown", string(verdict.ReasonOverloaded))
 	n.reject(w, r.Header.Get(n.headers.RequestID), noRoom())
 }
+
+// refuseForwarded answers a request of another node for which there is no memory.
+func (n *Node) refuseForwarded(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	w.Header().Set(n.headers.RequestID, r.Header.Get(n.headers.RequestID))
+	w.Header().Set(outcomeHeader, encodeFailure(outcome{err: noRoom()}))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// refusePeer answers what another node sent and for which there is no memory.
+func (n *Node) refusePeer(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(ticketHeader) != "" || r.Header.Get(compactHeader) != "" {
+		n.refuseForwarded(w, r)
+		return
+	}
+	refuseForMemory(w, r)
+}
+
+// refuseForMemory answers a message for which there is no memory.
+func refuseForMemory(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, inputlimit.ErrFull.Error(), http.StatusServiceUnavailable)
+}
--- a/internal/node/peercall.go
+++ b/internal/node/peercall.go
@@ -1,8 +1,8 @@
 package node
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,12 +12,16 @@
 	"go.uber.org/zap"
 
 	"github.com/basilway/basilway/internal/httpclient"
+	"github.com/basilway/basilway/internal/inputlimit"
 )
 
 // maxMessageSize bounds a message between nodes, in bytes. The largest message has all rows
 // of a cluster.
 const maxMessageSize = 8 << 20
 
+// messageCost is what a byte of a message costs: received, and decoded.
+const messageCost = 4
+
 // loggedMessageSize is the size in bytes from which an undelivered message is logged. Small ones are
 // sent all the time, and which peers are lost is logged.
 const loggedMessageSize = 4 << 10
@@ -63,14 +67,17 @@
 
 // readCall decodes a message from a peer. If that fails, it responds 400 and returns false.
 func (n *Node) readCall(w http.ResponseWriter, r *http.Request, message any) bool {
-	var body bytes.Buffer
-	_, err := io.Copy(&body, io.LimitReader(r.Body, maxMessageSize))
+	body, err := inputlimit.FromContext(r.Context()).ReadAll(r.Body, maxMessageSize, messageCost)
+	if errors.Is(err, inputlimit.ErrFull) {
+		refuseForMemory(w, r)
+		return false
+	}
 	if err == nil {
-		err = cbor.Unmarshal(body.Bytes(), message)
+		err = cbor.Unmarshal(body, message)
 	}
 	if err != nil {
 		n.log.Warn("message from peer rejected", zap.String("remote", r.RemoteAddr), zap.String("path", r.URL.Path),
-			zap.Int("bytes", body.Len()), zap.Int64("announced bytes", r.ContentLength), zap.Error(err))
+			zap.Int("bytes", len(body)), zap.Int64("announced bytes", r.ContentLength), zap.Error(err))
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
--- a/internal/node/plainserver.go
+++ b/internal/node/plainserver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/basilway/basilway/internal/hangup"
+	"github.com/basilway/basilway/internal/inputlimit"
 )
 
 const (
@@ -34,12 +35,18 @@
 
 func newPlainServer(s *http.Server) *plainServer {
 	out := &plainServer{Server: s, unused: map[net.Conn]bool{}}
-	s.ConnState, s.ConnContext = out.connState, hangup.WithConn
+	s.ConnState = out.connState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return inputlimit.WithConn(hangup.WithConn(ctx, c), c)
+	}
 	return out
 }
 
 // connState is the ConnState hook of the http.Server.
 func (s *plainServer) connState(c net.Conn, state http.ConnState) {
+	if limited, ok := c.(*inputlimit.Conn); ok {
+		limited.SetState(state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/internal/readahead"
 	"github.com/basilway/basilway/pipeline"
 )
@@ -40,6 +41,9 @@
 	clientWriteTimeout = 30 * time.Second
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 64 << 10
+	// maxForwardedHeaderBytes bounds the size of a header between nodes. Lines of three bytes take six
+	// there, and the node adds some of its own.
+	maxForwardedHeaderBytes = 2*maxHeaderBytes + 8<<10
 )
 
 func (n *Node) listen() ([]boundServer, error) {
@@ -52,13 +56,14 @@
 	for _, s := range []struct {
 		name, address string
 		handler       http.Handler
+		refuse        http.HandlerFunc
 		optional      bool
 	}{
-		{clientServer, n.config.ClientAddress, http.HandlerFunc(n.serveClient), false},
-		{"ready", n.config.ReadyAddress, ready, false},
-		{"heartbeats", n.config.HeartbeatAddress, http.HandlerFunc(n.backend.serveAnnouncement), false},
-		{"peers", n.config.PeerAddress, n.peerHandler(n.peerCalls()), false},
-		{"metrics", n.config.MetricsAddress, metricsMux, true},
+		{clientServer, n.config.ClientAddress, http.HandlerFunc(n.serveClient), n.refuseClient, false},
+		{"ready", n.config.ReadyAddress, ready, refuseForMemory, false},
+		{"heartbeats", n.config.HeartbeatAddress, http.HandlerFunc(n.backend.serveAnnouncement), refuseForMemory, false},
+		{"peers", n.config.PeerAddress, n.peerHandler(n.peerCalls()), n.refusePeer, false},
+		{"metrics", n.config.MetricsAddress, metricsMux, refuseForMemory, true},
 	} {
 		if s.address == "" {
 			continue
@@ -80,8 +85,9 @@
 			continue
 		}
 		out = append(out, boundServer{s.name, newPlainServer(&http.Server{
-			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultClientIdle, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		}), l})
+			Handler: inputlimit.Handler(s.handler, s.refuse), ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultClientIdle,
+			MaxHeaderBytes: maxForwardedHeaderBytes, ErrorLog: errorLog,
+		}), n.limiter.Listen(s.name, l)})
 	}
 	return out, nil
 }
