Close idle connections when too many are open

What callers saw: nothing yet; clients that connect and send nothing, or half of a header, took all descriptors that the platform leaves a process for connections, so that it could accept none and open none to other nodes, the store or its backend server.

Cause: the bound for client connections acts on responses, which such clients don't get, and the other servers had none. The descriptors that the platform reserves for files counted as usable.

Why it works: accepted connections of all servers have 70 % of the descriptors for connections. Beyond it, the connection that holds the most and has moved the least is closed for a new one.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -35,7 +35,7 @@
 	// Cores is the processor share of the instance in cores; 0 if unknown. The planner role goes to
 	// an instance with a large one.
 	Cores float64
-	// MaxDescriptors is the process's limit of open file descriptors; 0 if unknown.
+	// MaxDescriptors is how many connections the process may have open; 0 if unknown.
 	MaxDescriptors int
 	// MemoryBytes is the memory that the process may use; 0 if unknown.
 	MemoryBytes int64
--- a/internal/node/inputlimits.go
+++ b/internal/node/inputlimits.go
@@ -19,6 +19,9 @@
 	defaultMemory = 512 << 20
 	// clientBodyTimeout is how long a client may take to send 16 KiB of a body. It is longer than any deadline.
 	clientBodyTimeout = 30 * time.Second
+	// openConnPercent is the percentage of the file descriptors that accepted connections may use. Beyond
+	// it, one that is idle is closed for a new one. The rest is for connections that the node opens.
+	openConnPercent = 70
 )
 
 // newInputLimiter returns the limiter of what the node's servers hold.
@@ -28,11 +31,12 @@
 		memory = defaultMemory
 	}
 	budget := memorybudget.DefaultConfig(memory / 100 * inputPercent)
+	budget.MaxHolders = n.config.MaxDescriptors * openConnPercent / 100
 	return inputlimit.New(inputlimit.Config{
 		Budget: budget, BodyTimeout: clientBodyTimeout,
 		Closed: func(server string, c memorybudget.Closed) {
 			n.metrics.countInputClosed(server, c.Activity)
-			n.events.log.Info("connection closed to free memory", zap.String("server", server), zap.Int64("bytes", c.Bytes),
+			n.events.log.Info("connection closed to free memory or a descriptor", zap.String("server", server), zap.Int64("bytes", c.Bytes),
 				zap.Stringer("activity", c.Activity), zap.Duration("idle", c.Idle))
 		},
 		Refused: func(server string, bytes int64) {
