Apply the limit for headers to the bytes that the client sent

What callers saw: 431 for a request inside the operator's limits, if its header has many short lines (DENIED).

Cause: the size was computed from the parsed header, with ": " and two line end characters a line, which lines as sent need not have.

Evidence: TestOneRequestInsideTheLimitsIsServed: a header of 16 KiB, which is the limit, made of lines of five bytes is answered 431 on in all five kinds, on the machine that has the key and through another one.

Why it works: the bytes of a header are counted while it is received, up to its empty line.

--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -28,9 +28,12 @@
 	}
 }
 
-// headerSize returns the size in bytes of a request's request line and header fields as
-// written by HTTP/1.1.
+// headerSize returns the size in bytes of a request's request line and header fields as the client
+// sent them or, if that is not known, as they are usually written.
 func headerSize(r *http.Request) int {
+	if sent := inputlimit.FromContext(r.Context()).HeadBytes(); sent > 0 {
+		return sent
+	}
 	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" HTTP/1.1\r\n") + len("Host: \r\n") + len(r.Host) + len("\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
