--- a/internal/inputlimit/holder.go
+++ b/internal/inputlimit/holder.go
@@ -42,8 +42,7 @@
 	if h == nil || bytes <= 0 {
 		return true
 	}
-	timer := time.NewTimer(closeWait)
-	defer timer.Stop()
+	var timeout <-chan time.Time
 	for {
 		var d memorybudget.Decision
 		var changed chan struct{}
@@ -64,9 +63,12 @@
 			h.limiter.refused(h.server, bytes)
 			return false
 		}
+		if timeout == nil {
+			timeout = time.After(closeWait)
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-timeout:
 			h.limiter.refused(h.server, bytes)
 			return false
 		}
