Bound what callers make a daemon with the connect API hold

Bodies are counted while connect reads them, requests by HTTP/2 one by one, as their headers don't pass in text. Headers may have 64 KiB, and a connection by HTTP/2 may have 64 KiB of bodies unread. A call for which there is no room gets resource_exhausted with may_have_run: which call it is, and whether an earlier one with its id ran, has not been read.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,4 +43,6 @@
 	Metrics         bool          `flag:"metrics"`
 	// RequestIDs is the number of recent request ids that are kept in memory.
 	RequestIDs int `flag:"request-ids" validate:"gte=1000,lte=10000000"`
+	// MemoryMB is the memory of the process; 0 if it is not known.
+	MemoryMB int `flag:"memory-mb" validate:"eq=0|gte=48,lte=1048576"`
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -80,6 +80,9 @@
 	{flag: "request-ids", defaultValue: "50000", allowed: "1000 to 10000000",
 		help:  "number of recent request ids kept in memory; with fewer, repeated requests get the verdict may_have_run sooner",
 		parse: func(c *Config, s string) error { return parseInt(&c.RequestIDs, s) }},
+	{flag: "memory-mb", defaultValue: "0", allowed: "0, or 48 to 1048576",
+		help:  "memory of the process in MB, from which follows what callers may make it hold; 0: not known, 512 is assumed for that",
+		parse: func(c *Config, s string) error { return parseInt(&c.MemoryMB, s) }},
 }
 
 // env returns the name of the environment variable.
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -43,6 +43,9 @@
 	// MB.
 	MaxFrameBytes int
 
+	// MemoryBytes is the memory that the process may use; 0 if it is not known.
+	MemoryBytes int64
+
 	// DisableMetrics removes the endpoint /metrics.
 	DisableMetrics bool
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/basilway/basilway/dedupe"
 	"github.com/basilway/basilway/feed"
 	"github.com/basilway/basilway/internal/config"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/internal/peer"
 	"github.com/basilway/basilway/internal/wire"
 	"github.com/basilway/basilway/membership"
@@ -60,6 +61,7 @@
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 	current atomic.Pointer[sessionRuntime]
+	limiter *inputlimit.Limiter
 	// loaded is set once the feeds have been read.
 	loaded atomic.Bool
 	// stopping is set when a graceful stop begins.
@@ -117,6 +119,7 @@
 	d.current.Store(newSessionRuntime(d, newSharedQuarantine(cluster.Session{}, nil, time.Now())))
 	d.registerHandlers(handlers)
 	d.registerGauges()
+	d.limiter = newInputLimiter(d)
 	d.server = d.newHTTPServer()
 	return d, nil
 }
@@ -140,10 +143,10 @@
 	served := make(chan error, 2)
 	go func() {
 		defer close(d.acceptDone)
-		served <- d.server.Serve(d.listener)
+		served <- d.server.Serve(d.limiter.Listen(callerServer, d.listener))
 	}()
 	if d.peerListener != d.listener {
-		go func() { served <- d.server.Serve(d.peerListener) }()
+		go func() { served <- d.server.Serve(d.limiter.Listen(peerServer, d.peerListener)) }()
 	}
 	d.log.Info("daemon started", zap.String("address", d.config.Address), zap.String("zone", d.config.Zone))
 	d.loadFeeds(ctx)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"net"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/basilway/basilway/gen/basilway/v1/basilwayv1connect"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/internal/peer"
 )
 
@@ -14,6 +16,10 @@
 	// readHeaderTimeout bounds the time to read a request's header, so that connections
 	// that never send a request are closed.
 	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the size of a request header.
+	maxHeaderBytes = 64 << 10
+	// maxReceiveBuffer is how much of bodies an HTTP/2 connection may receive before it is read.
+	maxReceiveBuffer = 64 << 10
 	// maxCallBytes bounds a caller's message; payload limits in the catalogue are at most
 	// 16 MiB.
 	maxCallBytes = 17 << 20
@@ -41,7 +47,17 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: d.closeWhenStopping(mux), ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}
+	return &http.Server{
+		Handler: inputlimit.Handler(chargeBodies(d.closeWhenStopping(mux)), refuseForMemory), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Protocols:   protocols,
+		HTTP2:       &http.HTTP2Config{MaxReceiveBufferPerConnection: maxReceiveBuffer, MaxReceiveBufferPerStream: maxReceiveBuffer},
+		ConnContext: inputlimit.WithConn,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if limited, ok := c.(*inputlimit.Conn); ok {
+				limited.SetState(s)
+			}
+		},
+	}
 }
 
 // closeWhenStopping asks HTTP/1 callers to close their connections while the daemon
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -85,7 +85,9 @@
 	}
 	if len(waiting) > 0 {
 		// The server's Shutdown ends this call.
-		go func() { _ = d.server.Serve(newConnListener(d.listener.Addr(), waiting)) }()
+		go func() {
+			_ = d.server.Serve(d.limiter.Listen(callerServer, newConnListener(d.listener.Addr(), waiting)))
+		}()
 	}
 	<-d.acceptDone
 	time.Sleep(firstRequestWait)
--- a/internal/daemoncli/command.go
+++ b/internal/daemoncli/command.go
@@ -69,6 +69,7 @@
 	}
 	client := connectplatform.NewClient(connectplatform.Config{URL: c.PlatformURL.String()})
 	defer client.Close()
+	limitMemory(int64(c.MemoryMB) << 20)
 	d, err := daemon.New(daemonConfig(c, client), log)
 	if err != nil {
 		return exitFailed, err
@@ -110,6 +111,7 @@
 	out := daemon.Config{
 		Instance: c.Instance, Zone: c.Zone, Listen: c.Listen.String(), PeerListen: c.PeerListen.String(),
 		PeerKeys: c.PeerKeys, OperatorKeys: c.OperatorKeys, DrainTimeout: c.DrainTimeout,
+		MemoryBytes:    int64(c.MemoryMB) << 20,
 		DisableMetrics: !c.Metrics, MaxRequestIDs: c.RequestIDs, MaxPayloadBytes: c.MaxPayloadBytes,
 		Lease: leaseConfig(c), Gossip: membership.DefaultConfig(),
 		Table: client, Objects: client.Objects(),
--- a/internal/inputlimit/conn.go
+++ b/internal/inputlimit/conn.go
@@ -1,6 +1,7 @@
 package inputlimit
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"os"
@@ -19,8 +20,13 @@
 	mu      sync.Mutex
 	request *Request
 	head    HeadMeter
+	// framed is set on a connection by HTTP/2, whose requests are accounted for by Handler.
+	framed bool
 }
 
+// http2Preface is how a connection by HTTP/2 begins.
+var http2Preface = []byte("PRI * HTTP/2.0\r\n")
+
 // NewConn returns a connection on which nothing has been received.
 func NewConn(tcp *net.TCPConn, holder *Holder) *Conn {
 	return NewRestConn(tcp, holder, holder.NewRequest(), HeadMeter{}, nil)
@@ -47,7 +53,11 @@
 		c.holder.Moved()
 	}
 	c.mu.Lock()
-	request, cost := c.request, c.head.Add(p[:n])
+	c.framed = c.framed || bytes.HasPrefix(p[:n], http2Preface)
+	request, cost := c.request, int64(0)
+	if !c.framed {
+		cost = c.head.Add(p[:n])
+	}
 	c.mu.Unlock()
 	if !request.Grow(cost) {
 		c.Close()
--- a/internal/inputlimit/handler.go
+++ b/internal/inputlimit/handler.go
@@ -31,22 +31,43 @@
 			return
 		}
 		request := c.current()
+		if r.ProtoMajor > 1 {
+			// The connection carries several requests, and their headers are not counted as they pass.
+			request = c.holder.NewRequest()
+			if !request.Grow(parsedCost(r.Header)) {
+				refuse(w, r)
+				return
+			}
+		}
 		defer func() {
 			request.End()
 			c.holder.endIfClosed() // http.Server keeps the connection for a moment
 		}()
 		Serve(w, r, request, next, refuse)
-		if r.ContentLength != 0 {
+		if r.ContentLength != 0 && r.ProtoMajor == 1 {
 			// http.Server still awaits a part of the body, so that the connection can be kept.
 			_ = c.SetReadDeadline(c.holder.BodyDeadline()) // fails only on a closed connection
 		}
 	})
 }
 
+// parsedCost returns what a header costs that was not counted while it was received.
+func parsedCost(h http.Header) int64 {
+	cost := 0
+	for name, values := range h {
+		for _, value := range values {
+			cost += (len(name)+len(value))*byteCost + lineCost
+		}
+	}
+	return int64(cost)
+}
+
 // Serve runs a request with its account in its context, or refuses it if there is no room for it.
 func Serve(w http.ResponseWriter, r *http.Request, request *Request, next http.Handler, refuse http.HandlerFunc) {
 	if !request.Grow(RequestCost) {
-		w.Header().Set("Connection", "close")
+		if r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
 		refuse(w, r)
 		return
 	}
