Add the gates of the total of what connections hold

With each of them disabled, tests of memorybudget and readahead fail; the new test shows that a request that is answered 503 for lack of room has not run.

--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -11,6 +11,7 @@
 	limitTests   = []string{"./waitqueue", "./internal/node"}
 	statusTests  = []string{"./backendstatus", "./internal/node"}
 	daemonTests  = []string{"./internal/daemon"}
+	budgetTests  = []string{"./memorybudget"}
 )
 
 // gates are the checks between a request and a backend server that must not run it, and
@@ -52,6 +53,15 @@
 	}, {
 		"request taken that a stopping node does not see to its end", "internal/node/stopgate.go",
 		"if period == nil {", "if period != nil || period == nil {", nodeTests,
+	}, {
+		"connection closed to free memory while a request of it runs", "memorybudget/holder.go",
+		"case h.activity == Receiving:", "case h.activity != Sending:", budgetTests,
+	}, {
+		"memory of all connections without a bound", "memorybudget/budget.go",
+		"return b.limit(b.config.LargePercent)", "return 100 * b.config.Total", budgetTests,
+	}, {
+		"request run although there is no room for it", "internal/readahead/handler.go",
+		"if st.refused {", "if st == nil {", aheadTests,
 	}, {
 		"requests read ahead without a bound", "pipeline/conn.go",
 		"len(c.requests) < c.config.MaxRequests &&", "", aheadTests,
--- a/internal/readahead/body_test.go
+++ b/internal/readahead/body_test.go
@@ -59,3 +59,21 @@
 		})
 	}
 }
+
+// Guards against a request that runs although there is no room for it, after which a refusal that says "not run" is false.
+func TestRequestWithoutRoomIsRefusedAndNotRun(t *testing.T) {
+	g := NewWithT(t)
+	total := int64(5 * inputlimit.RequestCost / 4)
+	s := newTestServer(t, func(c *Config) {
+		c.Limiter = inputlimit.New(inputlimit.Config{Budget: memorybudget.DefaultConfig(total + total/10)})
+		c.Refuse = func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "full", http.StatusServiceUnavailable) }
+	})
+	c := dial(t, s.address)
+	c.send(get("/a?" + strings.Repeat("x", 200)))
+	resp, err := http.ReadResponse(c.reader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Close).To(BeTrue())
+	g.Expect(s.hasRun("/a")).To(BeFalse())
+	g.Eventually(s.config.Limiter.Used, waitLimit).Should(BeZero())
+}
