--- a/pipeline/conn_test.go
+++ b/pipeline/conn_test.go
@@ -228,3 +228,17 @@
 		m.t.Fatalf("request %d runs beyond the bound", id)
 	}
 }
+
+// Guards against a connection whose client makes the process hold requests without a bound, by number or by size.
+func TestRequestsBeyondTheBoundsAreNotRead(t *testing.T) {
+	g := NewWithT(t)
+	for _, size := range []int{1, DefaultConfig().MaxBytes / 4} {
+		c := New(DefaultConfig())
+		read := 0
+		for ; c.MayRead(); read++ {
+			c.Add(size)
+			g.Expect(read).To(BeNumerically("<", DefaultConfig().MaxRequests))
+		}
+		g.Expect(read).To(Equal(min(DefaultConfig().MaxRequests, DefaultConfig().MaxBytes/size)))
+	}
+}
