Count the buffers of responses as they grow

Cause: the buffer of a response without a length was counted with 640 KiB, whatever its room, and it doubled up to 1 MiB, the old buffer beside the new one. The account of the request got less than that.

Why it works: the buffer is counted each time before it grows, the old one until it is copied, and has 640 KiB at most. As far as there is no room, the rest is passed on while it is received, as before.

--- a/internal/node/responsebuffers.go
+++ b/internal/node/responsebuffers.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync"
 	"sync/atomic"
 
 	"github.com/basilway/basilway/internal/inputlimit"
@@ -28,46 +27,25 @@
 type responseBuffers struct{ bytes atomic.Int64 }
 
 // buffer reads up to maxBufferedResponse bytes of a response. If it is truncated within them, the
-// result is an error, so that the request can be retried.
-// The account of the request in ctx has to have room for them, else it is passed on while it is received.
+// result is an error, so that the request can be retried. As far as there is no room, also on the account
+// of the request in ctx, the response is passed on while it is received.
 func (b *responseBuffers) buffer(ctx context.Context, out outcome) outcome {
-	resp, request := out.resp, inputlimit.FromContext(ctx)
-	reserved, limit := int64(maxBufferedResponse), int64(maxBufferedResponse)
-	if resp.ContentLength >= 0 {
-		reserved = min(reserved, resp.ContentLength)
-	}
-	accounted := reserved
-	if b.bytes.Add(reserved) > maxBufferedBytes || !request.TryGrow(accounted) {
-		b.bytes.Add(-reserved)
-		reserved, accounted, limit = 0, 0, minBufferedResponse
-	}
-	release := sync.OnceFunc(func() {
-		b.bytes.Add(-reserved)
-		request.Shrink(accounted)
-	})
-	var buffered bytes.Buffer
-	if resp.ContentLength > 0 && resp.ContentLength <= limit {
-		// Without room for a further read, the buffer would double its size at the end.
-		buffered.Grow(int(resp.ContentLength) + bytes.MinRead)
-	}
-	_, err := io.CopyN(&buffered, resp.Body, limit)
-	b.bytes.Add(int64(buffered.Cap()) - reserved)
-	reserved = int64(buffered.Cap())
-	request.Shrink(accounted - min(accounted, reserved))
-	accounted = min(accounted, reserved)
-	if err != nil && !errors.Is(err, io.EOF) {
-		release()
+	resp := out.resp
+	r := &responseBuffer{all: b, request: inputlimit.FromContext(ctx)}
+	end := r.read(resp.Body, resp.ContentLength)
+	if end != nil && !errors.Is(end, io.EOF) {
+		r.release()
 		resp.Body.Close()
-		return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "answer broke off after %d bytes: %v", buffered.Len(), err), arrived: true, load: out.load}
+		return outcome{err: verdict.New(verdict.MayHaveRun, verdict.ReasonBackendError, "answer broke off after %d bytes: %v", len(r.data), end), arrived: true, load: out.load}
 	}
 	rest := resp.Body
-	if errors.Is(err, io.EOF) {
+	if errors.Is(end, io.EOF) {
 		rest.Close()
-		resp.ContentLength = int64(buffered.Len())
-		resp.Body = &bufferedBody{Reader: &buffered, release: release}
+		resp.ContentLength = int64(len(r.data))
+		resp.Body = &bufferedBody{Reader: bytes.NewReader(r.data), release: r.release}
 		return out
 	}
-	resp.Body = &bufferedBody{Reader: io.MultiReader(&buffered, rest), rest: rest, release: release}
+	resp.Body = &bufferedBody{Reader: io.MultiReader(bytes.NewReader(r.data), rest), rest: rest, release: r.release}
 	return out
 }
 
