--- a/internal/daemon/inputlimits.go
+++ b/internal/daemon/inputlimits.go
@@ -13,7 +13,7 @@
 
 const (
 	// inputPercent is the percentage of the process's memory that all callers together may make it hold.
-	inputPercent = 30
+	inputPercent = 25
 	// defaultMemory is the memory of the process in bytes if it is not known.
 	defaultMemory = 512 << 20
 	// callCost is what a byte of a call costs: received, decoded, and passed on.
--- a/internal/inputlimit/handler.go
+++ b/internal/inputlimit/handler.go
@@ -34,7 +34,7 @@
 		if r.ProtoMajor > 1 {
 			// The connection carries several requests, and their headers are not counted as they pass.
 			request = c.holder.NewRequest()
-			if !request.Grow(parsedCost(r.Header)) {
+			if !request.Grow(ParsedCost(r.Header)) {
 				refuse(w, r)
 				return
 			}
@@ -51,8 +51,8 @@
 	})
 }
 
-// parsedCost returns what a header costs that was not counted while it was received.
-func parsedCost(h http.Header) int64 {
+// ParsedCost returns what a header costs that was not counted while it was received.
+func ParsedCost(h http.Header) int64 {
 	cost := 0
 	for name, values := range h {
 		for _, value := range values {
--- a/internal/node/inputlimits.go
+++ b/internal/node/inputlimits.go
@@ -14,7 +14,7 @@
 const (
 	// inputPercent is the percentage of the instance's memory that all clients and other nodes together
 	// may make the process hold. The rest is for the cluster's state and for the garbage collector.
-	inputPercent = 30
+	inputPercent = 25
 	// defaultMemory is the memory of the instance in bytes if it is not known.
 	defaultMemory = 512 << 20
 	// clientBodyTimeout is how long a client may take to send 16 KiB of a body. It is longer than any deadline.
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -10,6 +10,7 @@
 
 	"github.com/basilway/basilway/attempt"
 	"github.com/basilway/basilway/httproute"
+	"github.com/basilway/basilway/internal/inputlimit"
 	"github.com/basilway/basilway/placement"
 	"github.com/basilway/basilway/verdict"
 )
@@ -97,6 +98,8 @@
 		n.observeWork(req.route.Name, out.load.usualWork())
 	}
 	if out.err == nil {
+		// The header is held until the client has read the response. It is passed on in any case.
+		inputlimit.FromContext(ctx).TryGrow(inputlimit.ParsedCost(out.resp.Header))
 		transfer := out.transfer
 		if out = n.buffers.buffer(ctx, out); out.err != nil {
 			n.pacer.remove(transfer)
