--- a/internal/readahead/body_test.go
+++ b/internal/readahead/body_test.go
@@ -20,12 +20,14 @@
 // Guards against a connection that is kept forever, with what it holds, because its client has stopped just short of the end of
 // a body; one that goes on is served however long it takes.
 func TestBodyThatStallsEndsItsConnection(t *testing.T) {
+	const bodyTimeout = 4 * time.Second
 	for name, request := range map[string]string{
 		"read ahead":         "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n",
 		"read by net/http":   "POST /p HTTP/1.0\r\nHost: h\r\nContent-Length: %d\r\n\r\n",
 		"awaited by clients": "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			s := newTestServer(t, func(c *Config) {
 				next := c.Handler
@@ -38,7 +40,7 @@
 					r.Body = io.NopCloser(bytes.NewReader(data))
 					next.ServeHTTP(w, r)
 				})
-				c.Limiter = inputlimit.New(inputlimit.Config{Budget: memorybudget.DefaultConfig(10 << 20), BodyTimeout: 300 * time.Millisecond})
+				c.Limiter = inputlimit.New(inputlimit.Config{Budget: memorybudget.DefaultConfig(10 << 20), BodyTimeout: bodyTimeout})
 			})
 			piece := strings.Repeat("x", inputlimit.BodyPiece)
 			stalled := dial(t, s.address)
@@ -46,7 +48,7 @@
 			moving := dial(t, s.address)
 			moving.send(fmt.Sprintf(request, 5*len(piece)))
 			for range 5 {
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(bodyTimeout / 4) // a busy machine may add as much three times over
 				moving.send(piece)
 			}
 			g.Expect(stalled.SetReadDeadline(time.Now().Add(waitLimit))).To(Succeed())
