Grant the reserved memory only to connections that hold little

As long as one caller stayed connected, the daemon closed all new connections for 60 s.

Cause: the last 10 % of the total are granted to what is small, on servers that the process itself depends on. Small meant the part asked for, not what its connection would hold. A body that is accounted for as it is read asks for small parts only, so one call took all of it.

Why the fix works: the condition is on what the connection holds with the part, as for the 20 % before it.

--- a/internal/inputlimit/holder.go
+++ b/internal/inputlimit/holder.go
@@ -13,8 +13,8 @@
 	id      memorybudget.ID
 	server  string
 	conn    io.Closer
-	// reserved is set on servers that the process itself depends on: what is small there is granted from
-	// the reserved part of the total too.
+	// reserved is set on servers that the process itself depends on: connections that hold little are
+	// granted the reserved part of the total there too.
 	reserved bool
 
 	// running is the number of its requests that run, receiving that of those whose body is being read
@@ -46,10 +46,10 @@
 	for {
 		var d memorybudget.Decision
 		var changed chan struct{}
-		known := false
+		known, small := false, false
 		h.update(func(b *memorybudget.Budget, now time.Time) {
 			d = b.Grow(h.id, bytes, now)
-			changed, known = h.limiter.changed, b.Known(h.id)
+			changed, known, small = h.limiter.changed, b.Known(h.id), b.Small(h.id, bytes)
 		})
 		h.limiter.closeAll(d.Close)
 		switch {
@@ -57,7 +57,7 @@
 			return true
 		case !known:
 			return false
-		case h.reserved && bytes <= h.limiter.config.Budget.SmallBytes && h.growReserved(bytes):
+		case small && h.reserved && h.growReserved(bytes):
 			return true
 		case d.Answer == memorybudget.Refused:
 			h.limiter.refused(h.server, bytes)
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -85,9 +85,15 @@
 	return true
 }
 
+// Small reports whether a holder would still count as small if it held more bytes.
+func (b *Budget) Small(id ID, bytes int64) bool {
+	h := b.holders[id]
+	return h != nil && h.small(bytes, b.config)
+}
+
 // limitFor returns how many bytes all holders may have once h holds more bytes.
 func (b *Budget) limitFor(h *holder, bytes int64) int64 {
-	if h.bytes+bytes <= b.config.SmallBytes {
+	if h.small(bytes, b.config) {
 		return b.limit(b.config.SmallPercent)
 	}
 	return b.limit(b.config.LargePercent)
--- a/memorybudget/holder.go
+++ b/memorybudget/holder.go
@@ -16,6 +16,9 @@
 	closing bool
 }
 
+// small reports whether the holder counts as small once it holds more bytes.
+func (h *holder) small(bytes int64, config Config) bool { return h.bytes+bytes <= config.SmallBytes }
+
 // closable reports whether the holder's connection may be closed to make room.
 func (h *holder) closable(now time.Time, sendStall time.Duration) bool {
 	switch {
