End calls of the daemon that stop in the middle

What callers saw: nothing; operators saw connections of the daemon that stay for good with what was received on them, each from a caller that stopped in the middle of a call.

Cause: the limit of 30 s for 16 KiB of a body is applied where a node reads bodies. The handlers of the daemon read theirs through connect-go, and the limiter of the daemon had no such limit.

Why the fix works: the reader that accounts for a call also sets the deadline, anew for each 16 KiB, on the connection by HTTP/1.1 and on the stream by HTTP/2; it ends with the body, so that a handler may take longer. A call that is late is answered deadline_exceeded, may have run, since an earlier one with its id may have. Metric basilway_input_stalled_total, log line "call did not arrive in time".

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -48,7 +48,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: inputlimit.Handler(chargeBodies(d.closeWhenStopping(mux)), refuseForMemory), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: inputlimit.Handler(d.chargeBodies(d.closeWhenStopping(mux)), refuseForMemory), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		Protocols:   protocols,
 		HTTP2:       &http.HTTP2Config{MaxReceiveBufferPerConnection: maxReceiveBuffer, MaxReceiveBufferPerStream: maxReceiveBuffer},
 		ConnContext: inputlimit.WithConn,
--- a/internal/daemon/inputlimits.go
+++ b/internal/daemon/inputlimits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,6 +19,8 @@
 	defaultMemory = 512 << 20
 	// callCost is what a byte of a call costs: received, decoded, and passed on.
 	callCost = 4
+	// callerBodyTimeout is how long a caller may take to send 16 KiB of a call.
+	callerBodyTimeout = 30 * time.Second
 	// Names of the servers in logs and metrics.
 	callerServer = "callers"
 	peerServer   = "peers"
@@ -30,7 +33,7 @@
 		memory = defaultMemory
 	}
 	limiter := inputlimit.New(inputlimit.Config{
-		Budget: memorybudget.DefaultConfig(memory / 100 * inputPercent),
+		Budget: memorybudget.DefaultConfig(memory / 100 * inputPercent), BodyTimeout: callerBodyTimeout,
 		Closed: func(server string, c memorybudget.Closed) {
 			d.metrics.set.GetOrCreateCounter(fmt.Sprintf(`basilway_input_closed_total{server=%q,activity=%q}`, server, c.Activity)).Inc()
 			d.log.Debug("connection closed to free memory", zap.String("server", server), zap.Int64("bytes", c.Bytes),
@@ -46,12 +49,21 @@
 }
 
 // chargeBodies accounts for bodies, which the handlers read whole.
-func chargeBodies(next http.Handler) http.Handler {
+func (d *Daemon) chargeBodies(next http.Handler) http.Handler {
 	// An earlier call with the same request id may have run, and which one it is has not been read.
-	full := callError(verdict.New(verdict.MayHaveRun, verdict.ReasonOverloaded, "%v; this call did not run", inputlimit.ErrFull))
+	charge := inputlimit.Charge{
+		Factor: callCost,
+		Full:   callError(verdict.New(verdict.MayHaveRun, verdict.ReasonOverloaded, "%v; this call did not run", inputlimit.ErrFull)),
+		Stalled: func() error {
+			d.metrics.set.GetOrCreateCounter("basilway_input_stalled_total").Inc()
+			d.log.Debug("call did not arrive in time", zap.Int("bytes", inputlimit.BodyPiece), zap.Duration("timeout", callerBodyTimeout))
+			return callError(verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "%d bytes did not arrive within %v; this call did not run",
+				inputlimit.BodyPiece, callerBodyTimeout))
+		},
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
-			inputlimit.ChargeBody(w, r, inputlimit.Charge{Factor: callCost, Full: full})
+			inputlimit.ChargeBody(w, r, charge)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/inputlimit/inputlimit_test.go
+++ b/internal/inputlimit/inputlimit_test.go
@@ -18,14 +18,23 @@
 
 // serve starts an http.Server with a limiter of a total, and returns its address.
 func serve(t *testing.T, total int64, handler http.HandlerFunc) (*Limiter, string) {
+	return serveWith(t, Config{Budget: memorybudget.DefaultConfig(total)}, handler)
+}
+
+// serveWith is serve with all settings of the limiter.
+func serveWith(t *testing.T, config Config, handler http.HandlerFunc) (*Limiter, string) {
 	t.Helper()
-	limiter := New(Config{Budget: memorybudget.DefaultConfig(total)})
+	limiter := New(config)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := &http.Server{
 		Handler:     Handler(handler, func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "full", http.StatusServiceUnavailable) }),
+		Protocols:   protocols,
 		ConnContext: WithConn,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if c, ok := c.(*Conn); ok {
