--- a/cmd/gatecheck/gates.go
+++ b/cmd/gatecheck/gates.go
@@ -12,6 +12,7 @@
 	statusTests  = []string{"./backendstatus", "./internal/node"}
 	daemonTests  = []string{"./internal/daemon"}
 	budgetTests  = []string{"./memorybudget"}
+	inputTests   = []string{"./internal/inputlimit"}
 )
 
 // gates are the checks between a request and a backend server that must not run it, and
@@ -59,6 +60,15 @@
 	}, {
 		"memory of all connections without a bound", "memorybudget/budget.go",
 		"return b.limit(b.config.LargePercent)", "return 100 * b.config.Total", budgetTests,
+	}, {
+		"reserved memory granted to connections that hold much", "internal/inputlimit/holder.go",
+		"case small && h.reserved &&", "case (small || h.reserved) &&", inputTests,
+	}, {
+		"refused call that awaits the rest of its body", "internal/inputlimit/body.go",
+		"if b.failed == nil {", "if b.failed == nil || b.http1 {", inputTests,
+	}, {
+		"call that stops in the middle kept for good", "internal/inputlimit/body.go",
+		"_ = http.NewResponseController(b.w).SetReadDeadline(at)", "_ = at", inputTests,
 	}, {
 		"request run although there is no room for it", "internal/readahead/handler.go",
 		"if st.refused {", "if st == nil {", aheadTests,
