--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,8 @@
 	BASILWAY_PROVE=1 BASILWAY_PROVE_OUT=$(CURDIR)/prove-out go test -count=1 -timeout 60m -v ./internal/prove
 
 # gates disables each safety check in turn in a copy of the sources and prints which tests
-# fail. It takes about 15 minutes; GATES_FLAGS="--part 1/4" runs a part of them.
+# fail. It takes some hours; GATES_FLAGS="--failfast --part 1/4" runs a part of them, each up to
+# the first test that fails.
 gates:
 	go run ./cmd/gatecheck $(GATES_FLAGS)
 
--- a/cmd/gatecheck/main.go
+++ b/cmd/gatecheck/main.go
@@ -24,24 +24,31 @@
 }
 
 func command() *cobra.Command {
-	var only, part string
+	var o options
 	c := &cobra.Command{
 		Use:   "gatecheck",
 		Short: "Disable each safety check in turn and print which tests fail",
 		Long: "Copies the tracked files of the current directory, disables the safety checks (gates) in\n" +
 			"the copy, one at a time, and prints the tests that fail as a Markdown table.",
 		Args: cobra.NoArgs, SilenceUsage: true,
-		RunE: func(c *cobra.Command, _ []string) error { return run(c.Context(), only, part) },
+		RunE: func(c *cobra.Command, _ []string) error { return run(c.Context(), o) },
 	}
-	c.Flags().StringVar(&part, "part", "1/1", "run only the I-th of N parts of the gates, as I/N")
-	c.Flags().StringVar(&only, "only", "", "run only the gates whose name contains this text")
+	c.Flags().BoolVar(&o.failFast, "failfast", false, "end the tests of a gate after the first that fails")
+	c.Flags().StringVar(&o.part, "part", "1/1", "run only the I-th of N parts of the gates, as I/N")
+	c.Flags().StringVar(&o.only, "only", "", "run only the gates whose name contains this text")
 	return c
 }
 
-func run(ctx context.Context, only, part string) error {
+// options are the flags of the command.
+type options struct {
+	only, part string
+	failFast   bool
+}
+
+func run(ctx context.Context, o options) error {
 	var index, parts int
-	if n, err := fmt.Sscanf(part, "%d/%d", &index, &parts); n != 2 || index < 1 || index > parts {
-		return errors.Join(fmt.Errorf("--part is %q, allowed: I/N with I from 1 to N", part), err)
+	if n, err := fmt.Sscanf(o.part, "%d/%d", &index, &parts); n != 2 || index < 1 || index > parts {
+		return errors.Join(fmt.Errorf("--part is %q, allowed: I/N with I from 1 to N", o.part), err)
 	}
 	dir, err := os.MkdirTemp("", "gatecheck-")
 	if err != nil {
@@ -54,10 +61,10 @@
 	fmt.Println("| gate | file | tests that fail when it is open |\n| --- | --- | --- |")
 	var problems []error
 	for i, g := range gates {
-		if i%parts != index-1 || !strings.Contains(g.name, only) {
+		if i%parts != index-1 || !strings.Contains(g.name, o.only) {
 			continue
 		}
-		failed, err := runTests(ctx, dir, g)
+		failed, err := runTests(ctx, dir, g, o.failFast)
 		if err != nil {
 			problems = append(problems, fmt.Errorf("%s: %w", g.name, err))
 		}
@@ -92,15 +99,14 @@
 	return nil
 }
 
-// testTimeout bounds the tests of a package; the tests of a gate take half a minute on a
-// busy machine.
-const testTimeout = "180s"
+// testTimeout bounds the tests of a package; those of internal/node take four minutes on a busy machine.
+const testTimeout = "600s"
 
 var failedTestPattern = regexp.MustCompile(`(?m)^\s*--- FAIL: (\S+)`)
 
 // runTests runs the tests with the gate disabled and returns the names of those that fail.
 // No failing test is an error.
-func runTests(ctx context.Context, dir string, g gate) ([]string, error) {
+func runTests(ctx context.Context, dir string, g gate, failFast bool) ([]string, error) {
 	restore, err := g.disable(dir)
 	if err != nil {
 		return nil, err
@@ -110,7 +116,7 @@
 	if out, err := vet.CombinedOutput(); err != nil {
 		return nil, errors.Join(fmt.Errorf("does not build with the gate disabled:\n%s", out), restore())
 	}
-	test := exec.CommandContext(ctx, "go", append([]string{"test", "-count=1", "-timeout", testTimeout}, g.packages...)...)
+	test := exec.CommandContext(ctx, "go", append([]string{"test", "-count=1", "-timeout", testTimeout, fmt.Sprintf("-failfast=%t", failFast)}, g.packages...)...)
 	test.Dir = dir
 	out, err := test.CombinedOutput()
 	if restoreErr := restore(); restoreErr != nil {
