Show that short header lines behind a request with Expect take too much memory

Seen: 2,000 clients that each send a small request with Expect and behind it an unfinished header of legal size bring a node with one core and 284 MB to 338 to 465 MiB of resident memory. Path: the connection is handed to http.Server; inputlimit.Conn doesn't meter the headers in the bytes that were received before, and garbage of the parsed headers comes on top.

--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name.
 var cases = map[string]func(l *lab, trouble bool) (broken bool, err error){
 	"encoded": encodedCase,
+	"memory":  memoryCase,
 }
 
 // longestCase is the longest time that a case may take.
