--- a/review/third/platform/endpoint.go
+++ b/review/third/platform/endpoint.go
@@ -26,11 +26,9 @@
 	work     time.Duration
 	record   *record
 	server   *http.Server
-	stopped  chan struct{}
 	sequence int
 
 	mu       sync.Mutex
-	leaving  bool
 	loses    float64 // share of the requests whose answer is lost after they ran
 	arrivals []arrival
 }
@@ -43,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{id: fmt.Sprintf("i-%08x", rand.Uint32()), machine: m, work: work, record: m.record, stopped: make(chan struct{})}
+	e := &endpoint{id: fmt.Sprintf("i-%08x", rand.Uint32()), machine: m, work: work, record: m.record}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(l) }() // ends with the endpoint
 	go e.beat()
@@ -51,25 +49,13 @@
 	return e, nil
 }
 
-// exit ends the endpoint.
-func (e *endpoint) exit() {
-	close(e.stopped)
-	_ = e.server.Close() // its connections end
-	e.record.write("endpoint %s ended", e.id)
-}
-
 func (e *endpoint) beat() {
-	for {
+	for ; ; time.Sleep(heartbeatInterval) {
 		e.heartbeat()
-		select {
-		case <-e.stopped:
-			return
-		case <-time.After(heartbeatInterval):
-		}
 	}
 }
 
-// heartbeat sends a heartbeat whose state is ready: some endpoints never report that they drain.
+// heartbeat sends a heartbeat.
 func (e *endpoint) heartbeat() {
 	e.sequence++
 	body, err := json.Marshal(map[string]any{
@@ -80,40 +66,18 @@
 	if err != nil {
 		panic(err) // the value above can always be encoded
 	}
-	e.call("heartbeat", body)
-}
-
-// deregister tells the node that the endpoint leaves, and returns whether and when that was acknowledged.
-func (e *endpoint) deregister() (at time.Time, acknowledged bool) {
-	e.mu.Lock()
-	e.leaving = true
-	e.mu.Unlock()
-	acknowledged = e.call("deregister", nil)
-	e.record.write("endpoint %s deregisters; acknowledged: %t", e.id, acknowledged)
-	return time.Now(), acknowledged
-}
-
-// call calls the node beside the endpoint. A response within a second acknowledges it.
-func (e *endpoint) call(name string, body []byte) bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Post("http://"+e.machine.address(controlPort)+"/-/instances/"+e.id+"/"+name, "application/json", bytes.NewReader(body))
+	resp, err := client.Post("http://"+e.machine.address(controlPort)+"/-/instances/"+e.id+"/heartbeat", "application/json", bytes.NewReader(body))
 	if err != nil {
-		return false
+		e.record.write("heartbeat of %s: %v", e.id, err)
+		return
 	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode/100 == 2
+	resp.Body.Close()
 }
 
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	leaving := e.leaving
-	e.mu.Unlock()
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", e.id)
-		if leaving {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
--- a/review/third/platform/store.go
+++ b/review/third/platform/store.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/basilway/basilway/metastore"
 	"github.com/basilway/basilway/platform/standin"
@@ -29,15 +28,6 @@
 	return s, nil
 }
 
-// refuse makes the store answer every call with 503, or serve again.
-func (s *store) refuse(on bool) {
-	status := int64(0)
-	if on {
-		status = http.StatusServiceUnavailable
-	}
-	s.ForcedStatus.Store(status)
-}
-
 // route is a route of the desired state.
 type route struct {
 	name, prefix, kind, service string
@@ -82,18 +72,3 @@
 	_, err = s.Apply(context(), metastore.Txn{Writes: []metastore.Write{{Key: "op/config", Value: value}}})
 	return err
 }
-
-// countRows returns the number of rows of a table whose keys begin with a prefix.
-func (s *store) countRows(table, prefix string) int {
-	listing, err := s.List(context(), table)
-	if err != nil {
-		return 0
-	}
-	n := 0
-	for _, row := range listing.Rows {
-		if strings.HasPrefix(row.Key, table+"/"+prefix) {
-			n++
-		}
-	}
-	return n
-}
