Make the case of memory deterministic: the header is not counted at all

Seen: 400 clients that each send a small request with Expect and behind it an unfinished header of 60,000 bytes of short lines bring a node of 284 MB to 378 to 436 MiB of resident memory. Path: inputlimit.HeadMeter begins anew after a request though http.Server has read the begin of the next header; a line end as the first byte that it then sees counts as the end of the header, and the rest costs nothing (8,398 bytes counted a connection in place of 579,000).

--- a/review/third/platform/machine.go
+++ b/review/third/platform/machine.go
@@ -82,8 +82,6 @@
 	name, ip, zone, service, store, program, settings string
 	record                                            *record
 	log                                               *os.File
-	number                                            int
-	oneCore                                           bool
 
 	mu        sync.Mutex
 	process   *exec.Cmd
@@ -96,7 +94,7 @@
 func newMachine(l *lab, i int, service, store string) (*machine, error) {
 	m := &machine{
 		name: fmt.Sprintf("m%d", i), ip: l.ip(i), zone: zones[i%len(zones)], service: service, store: store, program: l.program, record: l.record,
-		settings: filepath.Join(l.dir, fmt.Sprintf("m%d.conf", i)), number: i, oneCore: l.oneCore,
+		settings: filepath.Join(l.dir, fmt.Sprintf("m%d.conf", i)),
 	}
 	var err error
 	m.log, err = os.Create(filepath.Join(l.dir, m.name+".log"))
@@ -115,11 +113,7 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BASILWAY_CONFIG=" + m.settings}
 	cmd.Stdout, cmd.Stderr = m.log, m.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the case in any event
-	start := cmd.Start
-	if m.oneCore {
-		start = func() error { return startOnOneCore(cmd, m.number) }
-	}
-	if err := start(); err != nil {
+	if err := cmd.Start(); err != nil {
 		return err
 	}
 	m.mu.Lock()
@@ -177,8 +171,6 @@
 	dir      string // temporary
 	program  string
 	machines []*machine
-	// oneCore is set if the nodes see one core, as on the platform.
-	oneCore bool
 }
 
 func (l *lab) ip(i int) string { return fmt.Sprintf("%s.%d", l.network, i+1) }
--- a/review/third/platform/memory.go
+++ b/review/third/platform/memory.go
@@ -16,18 +16,16 @@
 	// memoryLimit is limits.memory_mb of the settings, in bytes.
 	memoryLimit = 284 << 20
 	// crowdSize is the number of the crowd's connections. The settings allow 4,100 descriptors, 200 of them for files.
-	crowdSize = 2000
-	// headSize is the size of the header that each client of the crowd sends: max_header_bytes.
-	headSize = 16384
-	// comesBack is the pause after which a client whose connection was closed comes back.
-	comesBack = time.Second
+	crowdSize = 400
+	// headSize is the size of the header that each client of the crowd sends. max_header_bytes is 16384.
+	headSize = 60000
 	// crowdTime is how long the crowd stays.
 	crowdTime = 8 * time.Second
 	// sampleInterval is the time between two looks at the memory.
 	sampleInterval = 20 * time.Millisecond
 )
 
-// memoryCase: many clients send a small request, and behind it a header of legal size of very many short lines without
+// memoryCase: many clients send a small request, and behind it a header over the limit of very many short lines without
 // its end, and stay connected.
 func memoryCase(l *lab, trouble bool) (broken bool, err error) {
 	s, err := startStore(l.ip(100) + fmt.Sprintf(":%d", storePort))
@@ -38,7 +36,6 @@
 	if err := s.writeDesired(1, routes, []service{{name: "sesshon"}}); err != nil {
 		return false, err
 	}
-	l.oneCore = true
 	if _, err := l.startAll(s, []string{"sesshon", "sesshon", "sesshon"}, 5*time.Millisecond); err != nil {
 		return false, err
 	}
@@ -87,11 +84,7 @@
 func (c *crowd) start() {
 	text := crowdText()
 	for range crowdSize {
-		c.done.Go(func() {
-			for c.client(text) {
-				time.Sleep(comesBack)
-			}
-		})
+		c.done.Go(func() { c.client(text) })
 	}
 }
 
@@ -100,41 +93,42 @@
 	c.done.Wait()
 }
 
-// client connects once and stays until the node closes the connection. It returns false once the crowd leaves.
-func (c *crowd) client(text string) (again bool) {
+// client connects once and stays. If the node closes the connection, it doesn't come back.
+func (c *crowd) client(text string) {
 	conn, err := net.DialTimeout("tcp", c.target.address(outboundPort), crowdTime)
 	if err != nil {
-		return false
+		return
 	}
 	defer conn.Close()
 	c.connected.Add(1)
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		_, _ = io.Copy(io.Discard, conn) // ends with the connection
-	}()
+	go func() { _, _ = io.Copy(io.Discard, conn) }() // ends with the connection
 	// A node that refuses the client closes the connection while this writes.
 	_, _ = io.WriteString(conn, text)
-	select {
-	case <-c.stop:
-		return false
-	case <-closed:
-		return true
-	}
+	<-c.stop
 }
 
+// uncountedPart is how much of a connection has been read when the node begins to count the second header: what it read
+// before it handed the connection to http.Server, and the byte with which that waits for the client's next sign.
+const uncountedPart = 4096 + 1
+
 // crowdText is what each client of the crowd sends: a small request whose client waits for an interim response, and the
-// header of another one with lines of five bytes, which has its legal size but for the last empty line.
+// header of another one with lines of five bytes, without its last empty line. The path of the second request has up to
+// four bytes more, so that the first byte behind uncountedPart ends a line.
 func crowdText() string {
 	const common = "Host: " + host + "\r\nAttempt-Id: 00000000000c0de0\r\nDeadline-Ms: 1000\r\n"
 	const characters = "abcdefghijklmnopqrstuvwxyz0123456789"
-	var head strings.Builder
-	head.WriteString("GET /lookup/x HTTP/1.1\r\n" + common)
-	for k := 0; head.Len()+len("abc:\n")+len("\r\n") <= headSize; k++ {
-		n := len(characters)
-		fmt.Fprintf(&head, "%c%c%c:\n", characters[k%n], characters[k/n%n], characters[k/n/n%n])
+	first := "POST /book/x HTTP/1.1\r\n" + common + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody"
+	for path := "/lookup/x"; ; path += "x" {
+		var head strings.Builder
+		head.WriteString("GET " + path + " HTTP/1.1\r\n" + common)
+		for k := 0; head.Len()+len("abc:\n")+len("\r\n") <= headSize; k++ {
+			n := len(characters)
+			fmt.Fprintf(&head, "%c%c%c:\n", characters[k%n], characters[k/n%n], characters[k/n/n%n])
+		}
+		if text := first + head.String(); text[uncountedPart] == '\n' {
+			return text
+		}
 	}
-	return "POST /book/x HTTP/1.1\r\n" + common + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody" + head.String()
 }
 
 // residentBytes returns the resident memory of a process that this one started.
