--- a/review/third/platform/encoded.go
+++ b/review/third/platform/encoded.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// lostTime is how long answers are lost, and lostShare the share of the requests that ran whose answers are.
-	lostTime  = 4 * time.Second
-	lostShare = 0.4
+	// lostTime is how long answers are lost.
+	lostTime = 3900 * time.Millisecond
 	// fileRequest has one path segment below /files/: a name with a slash, which is sent as %2F.
 	fileRequest = "/files/shared%2Freport"
 	// plainRequest is on the same route.
@@ -40,15 +39,11 @@
 	plain := startTraffic(l.machines, "POST", plainRequest, interval, deadline)
 	time.Sleep(2 * time.Second)
 	if trouble {
-		l.record.note("two of three endpoints lose %.0f %% of their answers for %v", 100*lostShare, lostTime)
-		for _, e := range endpoints[:2] {
-			e.lose(lostShare)
-		}
+		l.record.note("one of three endpoints loses two of five answers for %v", lostTime)
+		endpoints[0].lose(true)
 	}
 	time.Sleep(lostTime)
-	for _, e := range endpoints {
-		e.lose(0)
-	}
+	endpoints[0].lose(false)
 	time.Sleep(time.Second)
 	runs := map[string]int{}
 	tries, plainTries := encoded.end(), plain.end()
--- a/review/third/platform/endpoint.go
+++ b/review/third/platform/endpoint.go
@@ -29,7 +29,8 @@
 	sequence int
 
 	mu       sync.Mutex
-	loses    float64 // share of the requests whose answer is lost after they ran
+	loses    bool // two of five answers are lost after their requests ran
+	ranSince int  // requests that ran since
 	arrivals []arrival
 }
 
@@ -92,7 +93,11 @@
 	}
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, arrival{e.id, id, r.Header.Get("Caller-Service"), time.Now()})
-	lost := rand.Float64() < e.loses
+	lost := false
+	if e.loses {
+		e.ranSince++
+		lost = e.ranSince%5 == 3 || e.ranSince%5 == 0
+	}
 	e.mu.Unlock()
 	e.record.write("endpoint %s runs %s: %s %s", e.id, id, r.Method, r.RequestURI)
 	time.Sleep(e.work)
@@ -105,11 +110,11 @@
 	fmt.Fprintf(w, "answer to %s", id)
 }
 
-// lose makes the endpoint lose the answers of a share of the requests that it ran.
-func (e *endpoint) lose(share float64) {
+// lose makes the endpoint lose two of five answers, or none.
+func (e *endpoint) lose(on bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.loses = share
+	e.loses, e.ranSince = on, 0
 }
 
 // ran returns the requests that the endpoint ran.
--- a/review/third/platform/memory.go
+++ b/review/third/platform/memory.go
@@ -15,12 +15,20 @@
 const (
 	// memoryLimit is limits.memory_mb of the settings, in bytes.
 	memoryLimit = 284 << 20
-	// crowdSize is the number of the crowd's connections. The settings allow 4,100 descriptors, 200 of them for files.
+	// crowdSize is the number of a crowd's connections. The settings allow 4,100 descriptors, 200 of them for files.
 	crowdSize = 400
 	// headSize is the size of the header that each client of the crowd sends. max_header_bytes is 16384.
 	headSize = 60000
-	// crowdTime is how long the crowd stays.
-	crowdTime = 8 * time.Second
+	// crowdTime is how long the crowd stays at most.
+	crowdTime = 60 * time.Second
+	// calmTime is how long the memory is watched without a crowd.
+	calmTime = 10 * time.Second
+	// comesBack is the pause after which a client whose connection was closed comes back.
+	comesBack = time.Second
+	// crowdedMachines is the number of machines that have a crowd, and endsToBreak how often their processes have to end.
+	crowdedMachines, endsToBreak = 2, 3
+	// restartAfter is the short delay after which the platform starts a process again.
+	restartAfter = 500 * time.Millisecond
 	// sampleInterval is the time between two looks at the memory.
 	sampleInterval = 20 * time.Millisecond
 )
@@ -40,37 +48,82 @@
 		return false, err
 	}
 	time.Sleep(contactTime)
-	target := l.machines[0]
 	ordinary := startTraffic(l.machines, "GET", "/lookup/x", 100*time.Millisecond, time.Second)
-	crowd := &crowd{target: target, stop: make(chan struct{})}
-	if trouble {
-		crowd.start()
-		l.record.note("%d clients send a header of %d bytes to %s, without its end, behind a small request, and stay connected", crowdSize, headSize, target.name)
-	}
-	target.mu.Lock()
-	pid := target.process.Process.Pid
-	target.mu.Unlock()
-	most := int64(0)
-	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(sampleInterval) {
-		resident, err := residentBytes(pid)
-		if err != nil {
-			return false, err
+	var watched []*watchedMachine
+	for _, m := range l.machines[:crowdedMachines] {
+		w := &watchedMachine{machine: m, crowd: &crowd{target: m, stop: make(chan struct{})}}
+		if trouble {
+			w.crowd.start()
+			l.record.note("%d clients send a header of %d bytes to %s, without its end, behind a small request, and stay connected", crowdSize, headSize, m.name)
 		}
-		if resident > most {
-			l.record.write("%s: %d KiB resident", target.name, resident>>10)
+		watched = append(watched, w)
+	}
+	stays := crowdTime
+	if !trouble {
+		stays = calmTime
+	}
+	ended := 0
+	for end := time.Now().Add(stays); time.Now().Before(end) && ended < crowdedMachines; time.Sleep(sampleInterval) {
+		ended = 0
+		for _, w := range watched {
+			if err := w.watch(); err != nil {
+				return false, err
+			}
+			if w.ends >= endsToBreak {
+				ended++
+			}
 		}
-		most = max(most, resident)
 	}
-	crowd.end()
+	for _, w := range watched {
+		w.crowd.end()
+		l.record.note("%s: %d MiB resident at most, %d MiB are allowed; ended %d times for its memory; its crowd connected %d times",
+			w.machine.name, w.most>>20, memoryLimit>>20, w.ends, w.crowd.connected.Load())
+	}
 	served, tries := 0, ordinary.end()
 	for _, t := range tries {
 		if t.status == 200 {
 			served++
 		}
 	}
-	l.record.note("%s: %d MiB resident at most; %d MiB are allowed; %d clients of the crowd connected; %d of %d ordinary requests served",
-		target.name, most>>20, memoryLimit>>20, crowd.connected.Load(), served, len(tries))
-	return most > memoryLimit, nil
+	l.record.note("%d of %d ordinary requests served", served, len(tries))
+	return ended == crowdedMachines, nil
+}
+
+// watchedMachine is a machine whose memory the platform watches: a process over its memory is killed, and started again
+// after a short delay.
+type watchedMachine struct {
+	machine *machine
+	crowd   *crowd
+	most    int64 // resident bytes
+	ends    int
+	startAt time.Time // zero while the process runs
+}
+
+// watch looks at the memory once.
+func (w *watchedMachine) watch() error {
+	if !w.startAt.IsZero() {
+		if time.Now().Before(w.startAt) {
+			return nil
+		}
+		w.startAt = time.Time{}
+		return w.machine.start(false)
+	}
+	w.machine.mu.Lock()
+	pid := w.machine.process.Process.Pid
+	w.machine.mu.Unlock()
+	resident, err := residentBytes(pid)
+	if err != nil {
+		return err
+	}
+	w.most = max(w.most, resident)
+	if resident <= memoryLimit {
+		return nil
+	}
+	w.ends++
+	w.machine.record.write("%s: %d KiB resident, over the limit; the platform ends the process", w.machine.name, resident>>10)
+	w.machine.kill()
+	w.startAt = time.Now().Add(restartAfter)
+	return nil
 }
 
 // crowd is a number of clients that send too little or too much.
@@ -84,7 +137,11 @@
 func (c *crowd) start() {
 	text := crowdText()
 	for range crowdSize {
-		c.done.Go(func() { c.client(text) })
+		c.done.Go(func() {
+			for c.client(text) {
+				time.Sleep(comesBack)
+			}
+		})
 	}
 }
 
@@ -93,18 +150,32 @@
 	c.done.Wait()
 }
 
-// client connects once and stays. If the node closes the connection, it doesn't come back.
-func (c *crowd) client(text string) {
-	conn, err := net.DialTimeout("tcp", c.target.address(outboundPort), crowdTime)
+// client connects once and stays until the connection is closed. It returns false once the crowd leaves.
+func (c *crowd) client(text string) (again bool) {
+	select {
+	case <-c.stop:
+		return false
+	default:
+	}
+	conn, err := net.DialTimeout("tcp", c.target.address(outboundPort), time.Second)
 	if err != nil {
-		return
+		return true // the node is down
 	}
 	defer conn.Close()
 	c.connected.Add(1)
-	go func() { _, _ = io.Copy(io.Discard, conn) }() // ends with the connection
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = io.Copy(io.Discard, conn) // ends with the connection
+	}()
 	// A node that refuses the client closes the connection while this writes.
 	_, _ = io.WriteString(conn, text)
-	<-c.stop
+	select {
+	case <-c.stop:
+		return false
+	case <-closed:
+		return true
+	}
 }
 
 // uncountedPart is how much of a connection has been read when the node begins to count the second header: what it read
